--- a/galenaswitch/configuration/relay.py
+++ b/galenaswitch/configuration/relay.py
@@ -1,29 +1,23 @@
-"""Spreading of configuration: store to relays, relays to all machines.
+"""Spreading of configuration from machine to machine.
 
-Two machines of each zone, picked by rendezvous hashing, watch the store.
-Relaying needs no election: versions only grow and a receiver keeps the
+Two machines of each zone, picked by rendezvous hashing, relay what they
+learn. Relaying needs no election: versions only grow and a receiver keeps the
 highest, so a second relay or a late push changes nothing. An exchange of
 digests with a random peer every two seconds repairs what a stream lost.
 """
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Iterable
 
-from galenaswitch.configuration.catalog import KINDS, Catalog, Item, make_item
+from galenaswitch.configuration.catalog import Catalog, Item
 from galenaswitch.configuration.messages import Digest, Items, Versions
-from galenaswitch.errors import GalenaError, PeerError, StoreError
+from galenaswitch.errors import GalenaError, PeerError
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.mesh import Mesh, push
 from galenaswitch.operations.logs import get_logger
-from galenaswitch.store.client import StoreClient
 
-WATCH_SECONDS = 2
-RECHECK_SECONDS = 2
-RELIST_SECONDS = 60
 EXCHANGE_SECONDS = 2
-IDLE_SECONDS = 0.3
 REPLY_SECONDS = 2
 
 
@@ -33,19 +27,13 @@
     def __init__(
         self,
         catalog: Catalog,
-        store: StoreClient,
         mesh: Mesh,
         publish: Callable[[Items], None],
     ) -> None:
         """Spread ``catalog``; ``publish`` pushes to this machine's entry."""
         self._catalog = catalog
-        self._store = store
         self._mesh = mesh
         self._publish = publish
-        self._revision = 0
-        self._checkpoint = 0
-        self._listed_at = -float(RELIST_SECONDS)
-        self._checked_at = -float(RECHECK_SECONDS)
         self.synced_store = False
         self._asked: set[str] = set()
         self._teachers: set[str] = set()
@@ -113,30 +101,6 @@
         if theirs.ready:
             self._teachers.add(link.peer.node)
 
-    async def watch(self) -> None:
-        """Follow the store while this machine is a relay, until cancelled."""
-        while True:
-            if not self._mesh.is_relay() and self.ready:
-                await asyncio.sleep(IDLE_SECONDS)
-                continue
-            try:
-                await self._catch_up()
-                await self._follow()
-            except StoreError as error:
-                get_logger().warning('store_watch_failed', reason=str(error))
-                self._listed_at = -float(RELIST_SECONDS)
-                await asyncio.sleep(IDLE_SECONDS)
-
-    async def list_store(self) -> None:
-        """Read all configuration from the store.
-
-        :raises StoreError: when the store doesn't answer.
-        """
-        listing = await self._store.list_kinds(*KINDS)
-        self._revision = max(self._revision, listing.revision)
-        self.accept(make_item(stored) for stored in listing.objects)
-        self.synced_store = True
-
     async def repair(self) -> None:
         """Level with a random peer every few seconds, until cancelled."""
         while True:
@@ -152,36 +116,6 @@
         except GalenaError as error:
             get_logger().info('exchange_failed', reason=str(error))
 
-    async def _catch_up(self) -> None:
-        """List or ask again when it is time to."""
-        now = time.monotonic()
-        if now - self._listed_at >= RELIST_SECONDS:
-            await self.list_store()
-            self._listed_at = now
-        if now - self._checked_at >= RECHECK_SECONDS:
-            await self._recheck()
-            self._checked_at = now
-
-    async def _follow(self) -> None:
-        listing = await self._store.watch(
-            self._revision,
-            WATCH_SECONDS,
-            *KINDS,
-        )
-        self._revision = max(self._revision, listing.revision)
-        self.accept(make_item(stored) for stored in listing.objects)
-
-    async def _recheck(self) -> None:
-        """Ask again for what was written since the check before.
-
-        A watch may silently miss an event; this finds it without reading
-        all configuration again.
-        """
-        known = self._revision
-        listing = await self._store.watch(self._checkpoint, 0, *KINDS)
-        self.accept(make_item(stored) for stored in listing.objects)
-        self._checkpoint = known
-
     async def _level(self, link: Link, theirs: Versions) -> None:
         lacking = self._catalog.newer_than(theirs.versions)
         if lacking:
--- a/galenaswitch/configuration/tests/test_relay.py
+++ b/galenaswitch/configuration/tests/test_relay.py
@@ -50,7 +50,7 @@
 
     async def start(*peers, asked=None):
         catalog = Catalog()
-        relay = Relay(catalog, None, Zone(*peers), lambda items: None)
+        relay = Relay(catalog, Zone(*peers), lambda items: None)
         for peer in peers if asked is None else asked:
             await relay.greet_peer(peer)
         return relay, catalog
--- /dev/null
+++ b/galenaswitch/connections/heads.py
@@ -0,0 +1,118 @@
+"""Heads of HTTP/1.1 messages, with names and fields as they were sent."""
+
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import NamedTuple
+
+Header = tuple[bytes, bytes]
+_LINE_END = b'\r\n'
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    ),
+)
+
+
+class RequestHead(NamedTuple):
+    """Request line and headers.
+
+    :param method: method as sent.
+    :param path: request target as sent, with its query.
+    :param headers: names and fields in their order, as sent.
+    """
+
+    method: bytes
+    path: bytes
+    headers: tuple[Header, ...]
+
+
+class AnswerHead(NamedTuple):
+    """Status line and headers.
+
+    :param status: HTTP status code.
+    :param headers: names and fields in their order, as sent.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+
+
+def find_all(headers: Iterable[Header], name: bytes) -> list[bytes]:
+    """Return the fields of a header, however often it was sent.
+
+    :param name: name in lower case.
+
+    >>> find_all([(b'Host', b'a'), (b'x', b'1')], b'host')
+    [b'a']
+    """
+    return [field for key, field in headers if key.lower() == name]
+
+
+def find_text(headers: Iterable[Header], name: bytes) -> str:
+    """Return the first field of a header as text, empty when absent.
+
+    :param name: name in lower case.
+    """
+    for key, field in headers:
+        if key.lower() == name:
+            return field.decode('latin-1')
+    return ''
+
+
+def keep_end_to_end(headers: Iterable[Header]) -> list[Header]:
+    """Return the headers that concern more than one connection.
+
+    >>> keep_end_to_end([(b'Connection', b'x-a'), (b'X-A', b'1'), (b'b', b'')])
+    [(b'b', b'')]
+    """
+    headers = tuple(headers)
+    named = {
+        name.strip().lower()
+        for field in find_all(headers, b'connection')
+        for name in field.split(b',')
+    }
+    dropped = _HOP_BY_HOP | named
+    return [
+        (name, field) for name, field in headers if name.lower() not in dropped
+    ]
+
+
+def encode_request(head: RequestHead, body: bytes) -> bytes:
+    r"""Return a whole request with the length of its body.
+
+    >>> encode_request(RequestHead(b'GET', b'/a?b', ()), b'')
+    b'GET /a?b HTTP/1.1\r\n\r\n'
+    """
+    lines = [b'%b %b HTTP/1.1' % (head.method, head.path)]
+    lines.extend(b'%b: %b' % header for header in head.headers)
+    if body or head.method not in {b'GET', b'HEAD', b'DELETE'}:
+        lines.append(b'Content-Length: %d' % len(body))
+    return _LINE_END.join((*lines, b'', body))
+
+
+def encode_answer(head: AnswerHead) -> bytes:
+    r"""Return the head of an answer.
+
+    >>> encode_answer(AnswerHead(503, ((b'Retry-After', b'1'),)))
+    b'HTTP/1.1 503 Service Unavailable\\r\\nRetry-After: 1\r\n\r\n'
+    """
+    lines = [b'HTTP/1.1 %d %b' % (head.status, _name_status(head.status))]
+    lines.extend(b'%b: %b' % header for header in head.headers)
+    return _LINE_END.join((*lines, b'', b''))
+
+
+def _name_status(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b'Status'
--- /dev/null
+++ b/galenaswitch/connections/requests.py
@@ -0,0 +1,187 @@
+"""Parsing of callers' requests; anything ambiguous is rejected.
+
+A request that two parsers could read differently must not be passed on:
+conflicting lengths, folded headers, unknown transfer codings.
+"""
+
+from collections import deque
+from http import HTTPStatus
+from typing import NamedTuple
+
+import httptools
+
+from galenaswitch.connections.errors import RequestRejectedError
+from galenaswitch.connections.heads import (
+    Header,
+    RequestHead,
+    find_all,
+)
+
+
+class InboundLimits(NamedTuple):
+    """What a caller may send, and how long it may take.
+
+    :param header_bytes: largest head.
+    :param body_bytes: largest body.
+    :param header_seconds: longest time for a head to arrive.
+    :param idle_seconds: longest time without a request.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_seconds: float = 3
+    idle_seconds: float = 15
+
+
+class InboundRequest(NamedTuple):
+    """A whole request of a caller.
+
+    :param received_at: monotonic time of its first byte in seconds.
+    :param keep_alive: whether the caller may use the connection again.
+    """
+
+    head: RequestHead
+    body: bytes
+    received_at: float
+    keep_alive: bool
+
+
+class RequestParser:
+    """Turns the bytes of one connection into requests."""
+
+    def __init__(self) -> None:
+        """Start before the first request."""
+        self.limits = InboundLimits()
+        self.requests: deque[InboundRequest] = deque()
+        self.begun_at: float | None = None
+        self.head_complete = False
+        self.wants_continue = False
+        self._parser = httptools.HttpRequestParser(self)
+        self._now = 0.0
+        self._path = b''
+        self._headers: list[Header] = []
+        self._head_bytes = 0
+        self._unparsed = 0
+        self._body = bytearray()
+
+    def feed(self, chunk: bytes, now: float) -> None:
+        """Parse bytes that arrived at a monotonic time.
+
+        :raises RequestRejectedError: when they can't be passed on.
+        """
+        self._now = now
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade as error:
+            raise _reject('another protocol is asked for') from error
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if isinstance(cause, RequestRejectedError):
+                raise cause from error
+            raise
+        except httptools.HttpParserError as error:
+            raise _reject(f'not HTTP: {error}') from error
+        if self.begun_at is not None and not self.head_complete:
+            self._count_unparsed(len(chunk))
+
+    def on_message_begin(self) -> None:
+        """Start a request; called by the parser."""
+        self.begun_at = self._now
+        self.head_complete = False
+        self._path = b''
+        self._headers = []
+        self._head_bytes = 0
+        self._unparsed = 0
+        self._body = bytearray()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request target; called by the parser."""
+        self._path += url
+        self._count(len(url))
+
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Take a header; called by the parser."""
+        self._count(len(name) + len(field))
+        if b'\n' in field or b'\r' in field:
+            raise _reject('a folded header')
+        self._headers.append((name, field))
+
+    def on_headers_complete(self) -> None:
+        """Check the head; called by the parser."""
+        self.head_complete = True
+        _check_framing(self._headers)
+        for length in find_all(self._headers, b'content-length'):
+            if int(length) > self.limits.body_bytes:
+                raise RequestRejectedError(
+                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                    f'a body of {int(length)} bytes',
+                )
+        expected = find_all(self._headers, b'expect')
+        self.wants_continue = any(
+            field.lower() == b'100-continue' for field in expected
+        )
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body; called by the parser."""
+        self._body += body
+        if len(self._body) > self.limits.body_bytes:
+            raise RequestRejectedError(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f'a body of over {self.limits.body_bytes} bytes',
+            )
+
+    def on_message_complete(self) -> None:
+        """Keep the whole request; called by the parser."""
+        head = RequestHead(
+            self._parser.get_method(),
+            self._path,
+            tuple(self._headers),
+        )
+        begun = self._now if self.begun_at is None else self.begun_at
+        self.requests.append(
+            InboundRequest(
+                head,
+                bytes(self._body),
+                begun,
+                self._parser.should_keep_alive(),
+            ),
+        )
+        self.begun_at = None
+        self.head_complete = False
+        self.wants_continue = False
+        self._body = bytearray()
+
+    def _count_unparsed(self, count: int) -> None:
+        """Bound a header that the parser still gathers."""
+        self._unparsed += count
+        if self._unparsed > 2 * self.limits.header_bytes:
+            raise RequestRejectedError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                'a head without an end',
+            )
+
+    def _count(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self.limits.header_bytes:
+            raise RequestRejectedError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                f'a head of over {self.limits.header_bytes} bytes',
+            )
+
+
+def _check_framing(headers: list[Header]) -> None:
+    """Reject a head whose body could be read in two ways."""
+    lengths = find_all(headers, b'content-length')
+    codings = find_all(headers, b'transfer-encoding')
+    if len(lengths) > 1 or (lengths and codings):
+        raise _reject('conflicting lengths')
+    if lengths and not lengths[0].isdigit():
+        raise _reject('a length that is no number')
+    if codings and codings != [b'chunked']:
+        raise _reject('an unknown transfer coding')
+    if len(find_all(headers, b'host')) != 1:
+        raise _reject('not one host')
+
+
+def _reject(reason: str) -> RequestRejectedError:
+    return RequestRejectedError(HTTPStatus.BAD_REQUEST, reason)
--- a/galenaswitch/errors.py
+++ b/galenaswitch/errors.py
@@ -57,6 +57,10 @@
         self.current = current
 
 
+class StoreHistoryLostError(StoreError):
+    """A watch asked for changes that the store has dropped."""
+
+
 class TargetError(GalenaError):
     """Base class of failures of one attempt at a target."""
 
--- /dev/null
+++ b/galenaswitch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to services whose routes the platform configures."""
--- /dev/null
+++ b/galenaswitch/gateway/calls.py
@@ -0,0 +1,188 @@
+"""One caller's request, whatever its wire format."""
+
+from typing import NamedTuple, Protocol
+
+from galenaswitch.connections.heads import AnswerHead, RequestHead
+from galenaswitch.gateway.routes import Route
+from galenaswitch.membership.lists import Target
+
+
+class PromptPart(NamedTuple):
+    """A part of a prompt that requests may share.
+
+    :param ident: equal parts have equal ids.
+    :param tokens: its length.
+    """
+
+    ident: str
+    tokens: int
+
+
+class CallFields(NamedTuple):
+    """What a request's head says.
+
+    :param ident: id of the caller's attempt, empty when it sent none.
+    :param path: path without the query.
+    :param key: the caller's API key, empty when it sent none.
+    :param patience: seconds that the caller waits, ``None`` when not told.
+    :param prompt_tokens: tokens of the prompt.
+    :param answer_tokens: expected tokens of the answer.
+    :param parts: parts of the prompt in order.
+    :param pieces: pieces of each stage.
+    :param piece_key: names the input of pieces without earlier stages.
+    :param last_event: event after which the caller resumes a stream.
+    """
+
+    ident: str
+    host: str
+    path: str
+    key: str
+    patience: float | None
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+    pieces: tuple[int, ...] = ()
+    piece_key: str = ''
+    last_event: str = ''
+
+
+class Call(NamedTuple):
+    """A request that passed its checks.
+
+    :param head: head as the caller sent it.
+    :param workspace: customer whose key it bears, empty without a key.
+    :param started: monotonic time of its first byte in seconds.
+    :param deadline: monotonic time at which it has to be answered.
+    :param objective: monotonic time at which it should be answered.
+    """
+
+    fields: CallFields
+    head: RequestHead
+    body: bytes
+    route: Route
+    service: str
+    workspace: str
+    priority: int
+    started: float
+    deadline: float
+    objective: float
+
+    @property
+    def ident(self) -> str:
+        """Id of the caller's attempt."""
+        return self.fields.ident
+
+
+class Load(NamedTuple):
+    """Load that a target told with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class AnswerFields(NamedTuple):
+    """What the head of a target's answer says.
+
+    :param echoes: whether it names the request that was sent.
+    :param genuine: whether the target itself made it, body as sent.
+    :param not_run: the target says that it did not run the request.
+    :param misdirected: another target has the address.
+    :param load: its load, ``None`` when not told.
+    """
+
+    status: int
+    echoes: bool
+    genuine: bool
+    not_run: bool
+    misdirected: bool
+    load: Load | None
+
+
+class Piece(NamedTuple):
+    """One piece of a stage of a request.
+
+    :param ident: id of the caller's attempt.
+    :param stage: number of the stage.
+    :param number: number of the piece in its stage.
+    :param key: input of a stage without earlier stages.
+    :param inputs: results of all earlier stages' pieces, else empty.
+    """
+
+    ident: str
+    stage: int
+    number: int
+    key: str
+    inputs: tuple[str, ...]
+
+
+class PieceResult(NamedTuple):
+    """Outcome of one piece.
+
+    :param handle: where the result lies, empty on failure.
+    :param failure: why there is none, empty on success.
+    """
+
+    handle: str
+    failure: str
+
+
+class Wire(Protocol):
+    """Names and formats of one platform; decides nothing."""
+
+    def read_call(self, head: RequestHead) -> CallFields:
+        """Decode a request's head."""
+
+    def make_request(
+        self,
+        call: Call,
+        target: Target,
+        seconds: float,
+        inputs: tuple[str, ...],
+        last_event: str,
+    ) -> RequestHead:
+        """Encode the head for a target, with the time left in seconds."""
+
+    def read_answer(self, call: Call, head: AnswerHead) -> AnswerFields:
+        """Decode the head of a target's answer."""
+
+    def make_pieces(
+        self,
+        pieces: tuple[Piece, ...],
+        seconds: tuple[float, ...],
+        target: Target,
+    ) -> tuple[RequestHead, bytes]:
+        """Encode a call for pieces, with the time left of each."""
+
+    def read_load(self, head: AnswerHead) -> Load | None:
+        """Decode the load that an answer tells."""
+
+    def is_not_run(self, head: AnswerHead) -> bool:
+        """Tell whether a target says that it has not run a call."""
+
+    def read_pieces(self, body: bytes) -> tuple[PieceResult, ...]:
+        """Decode the outcomes of a call for pieces.
+
+        :raises InvalidInputError: when the body is no such answer.
+        """
+
+    def make_release(
+        self,
+        handles: tuple[str, ...],
+        target: Target,
+    ) -> tuple[RequestHead, bytes]:
+        """Encode a call that gives results up."""
+
+    def make_refusal(
+        self,
+        ident: str,
+        status: int,
+        retry_after: float,
+    ) -> AnswerHead:
+        """Encode the head of an answer of our own.
+
+        :param retry_after: seconds, 0 for none.
+        """
+
+    def find_maker(self, handle: str) -> str:
+        """Return the address of the target that holds a result."""
--- /dev/null
+++ b/galenaswitch/gateway/checks.py
@@ -0,0 +1,56 @@
+"""From a caller's request to a checked call."""
+
+from galenaswitch.connections.requests import InboundRequest
+from galenaswitch.gateway.calls import Call, CallFields, Wire
+from galenaswitch.gateway.routes import Route, RouteTable, Workspace
+from galenaswitch.refusals import Reason, RefusedError
+
+
+def check_request(
+    request: InboundRequest,
+    table: RouteTable,
+    wire: Wire,
+) -> Call:
+    """Find route and workspace of a request.
+
+    :raises RefusedError: when the configuration doesn't allow it, or none
+        is known.
+    """
+    fields = wire.read_call(request.head)
+    if not table.version:
+        raise RefusedError(Reason.not_ready)
+    route = table.find_route(fields.host, fields.path)
+    if route is None:
+        raise RefusedError(Reason.unknown_path)
+    workspace = _find_workspace(fields, route, table)
+    patience = route.timeout
+    if fields.patience is not None:
+        patience = min(patience or fields.patience, fields.patience)
+    priority = route.priority
+    if workspace and workspace.priority is not None:
+        priority = workspace.priority
+    return Call(
+        fields=fields,
+        head=request.head,
+        body=request.body,
+        route=route,
+        service=route.pick_service(fields.ident),
+        workspace=workspace.name if workspace else '',
+        priority=priority,
+        started=request.received_at,
+        deadline=request.received_at + patience,
+        objective=request.received_at + route.objective,
+    )
+
+
+def _find_workspace(
+    fields: CallFields,
+    route: Route,
+    table: RouteTable,
+) -> Workspace | None:
+    workspace = table.workspaces.get(fields.key)
+    if workspace or not table.checks_keys:
+        return workspace
+    if route.anonymous and not fields.key:
+        return None
+    raise RefusedError(Reason.unauthorized)
--- /dev/null
+++ b/galenaswitch/gateway/duties.py
@@ -0,0 +1,126 @@
+"""Which machine decides for a service, and how it is asked.
+
+Every machine ranks the live ones for a service in the same order, so the
+first that can be reached decides for all. Two that decide at one time only
+fill targets less well; nothing rests on there being one.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from galenaswitch.errors import PeerError, PeerTimeoutError
+from galenaswitch.membership.links import Link
+from galenaswitch.membership.lists import Members
+from galenaswitch.membership.mesh import Mesh, Ping
+from galenaswitch.membership.ranking import rank_nodes
+from galenaswitch.operations.logs import get_logger
+
+# Seconds to open a stream to the deciding machine: above a round trip
+# between zones, below what a request can spare.
+REACH_SECONDS = 0.25
+# Seconds without a reply after which the machine is asked whether it lives.
+CHECK_SECONDS = 0.4
+PONG_SECONDS = 0.3
+# Seconds for which a silent machine isn't asked again.
+SUSPECT_SECONDS = 2.0
+# Machines tried before this one decides for itself.
+MAX_TRIES = 2
+
+Reply = TypeVar('Reply')
+
+
+class Duties:
+    """Asks the machine that decides for a service."""
+
+    def __init__(self, members: Members, mesh: Mesh) -> None:
+        """Choose among the live ``members`` that ``mesh`` reaches."""
+        self._members = members
+        self._mesh = mesh
+        self._suspects: dict[str, float] = {}
+
+    def find_holder(self, service: str) -> str:
+        """Return the machine that decides for a service, as seen here."""
+        now = time.monotonic()
+        names = {machine.name for machine in self._members.machines()}
+        names.add(self._mesh.node)
+        usable = [name for name in names if self._suspects.get(name, 0) <= now]
+        return rank_nodes(f'holder/{service}', usable or names)[0]
+
+    async def ask(
+        self,
+        service: str,
+        question: Any,
+        seconds: float,
+        decide: Callable[[Any], Awaitable[Reply]],
+    ) -> tuple[str, Reply]:
+        """Ask the deciding machine, or decide here when none is reached.
+
+        :param seconds: longest wait for its reply.
+        :param decide: decides on this machine.
+        :returns: the machine that decided, and its reply.
+        """
+        for _ in range(MAX_TRIES):
+            holder = self.find_holder(service)
+            if holder == self._mesh.node:
+                break
+            try:
+                return holder, await self._ask_peer(holder, question, seconds)
+            except PeerError as error:
+                self._suspect(holder, service, error)
+        return self._mesh.node, await decide(question)
+
+    def tell(
+        self,
+        holder: str,
+        message: Any,
+        take: Callable[[Any], None],
+    ) -> None:
+        """Push a message to the machine that decided before."""
+        if holder == self._mesh.node:
+            take(message)
+            return
+        link = self._mesh.find(holder)
+        if link is None:
+            return
+        try:
+            link.send(message)
+        except PeerError as error:
+            get_logger().info('push_failed', peer=holder, reason=str(error))
+
+    async def _ask_peer(
+        self,
+        holder: str,
+        question: Any,
+        seconds: float,
+    ) -> Any:
+        link = await self._mesh.reach(holder, REACH_SECONDS)
+        asked = asyncio.ensure_future(link.request(question, seconds))
+        try:
+            while not asked.done():
+                await asyncio.wait({asked}, timeout=CHECK_SECONDS)
+                if not asked.done():
+                    await _check(link)
+            return asked.result()
+        finally:
+            asked.cancel()
+
+    def _suspect(self, holder: str, service: str, error: PeerError) -> None:
+        self._suspects[holder] = time.monotonic() + SUSPECT_SECONDS
+        get_logger().warning(
+            'holder_lost',
+            service=service,
+            peer=holder,
+            reason=str(error),
+        )
+
+
+async def _check(link: Link) -> None:
+    """Make sure that a machine whose reply takes long still lives.
+
+    :raises PeerError: when it doesn't answer.
+    """
+    reply = await link.request(Ping(), PONG_SECONDS)
+    if reply is None:
+        raise PeerTimeoutError(f'{link.peer.node} did not answer')
--- /dev/null
+++ b/galenaswitch/gateway/gatherer.py
@@ -0,0 +1,317 @@
+"""Making the pieces of a service's stages for all machines."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from galenaswitch.errors import (
+    GalenaError,
+    InvalidInputError,
+    TargetBusyError,
+    TargetError,
+    TargetUnreachableError,
+)
+from galenaswitch.gateway.calls import Piece, PieceResult, Wire
+from galenaswitch.gateway.messages import (
+    PiecesCancel,
+    PiecesQuestion,
+    PiecesReply,
+    ReleaseNote,
+)
+from galenaswitch.gateway.results import StoredResult, StoredResults
+from galenaswitch.gateway.routes import BatchLimits
+from galenaswitch.gateway.sending import Sender
+from galenaswitch.limits.retries import RetryBudgets
+from galenaswitch.membership.lists import Members
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.process import TaskGroup
+from galenaswitch.pipelines.gathering import Demand, Gathering, PieceCall
+
+# Seconds that a connection to a target may have been idle.
+MAX_IDLE_SECONDS = 3.0
+# A call is given up after its expected time this many times, and a pause.
+PATIENCE_FACTOR = 2.5
+PATIENCE_SECONDS = 0.3
+# Sends of one piece, the first included.
+MAX_SENDS = 3
+# Seconds between two looks for free targets while pieces wait.
+LOOK_SECONDS = 0.05
+# Seconds for which a target without room for a result gets no calls.
+ROOM_PAUSE_SECONDS = 0.1
+_LATE = 'late'
+_ROOM = 'room'
+_GONE = 'gone'
+OK = 200
+
+
+class Gatherer:
+    """Pieces of one service."""
+
+    def __init__(
+        self,
+        service: str,
+        find_limits: Callable[[str], BatchLimits | None],
+        members: Members,
+        sender: Sender,
+        wire: Wire,
+        budgets: RetryBudgets,
+        tasks: TaskGroup,
+    ) -> None:
+        """Send calls to the ``members`` that serve ``service``."""
+        self._service = service
+        self._find_limits = find_limits
+        self._members = members
+        self._sender = sender
+        self._wire = wire
+        self._budgets = budgets
+        self._tasks = tasks
+        self._gathering = Gathering()
+        self._done: dict[str, asyncio.Event] = {}
+        self._stored = StoredResults(
+            members,
+            sender,
+            wire,
+            tasks,
+            self._free_room,
+        )
+        self._looking: asyncio.TimerHandle | None = None
+
+    async def make(self, question: PiecesQuestion) -> PiecesReply:
+        """Make the pieces of a question."""
+        now = time.monotonic()
+        budget = self._budgets.of(self._service)
+        for _ in question.pieces:
+            budget.note_request(now)
+        limits = self._find_limits(self._service)
+        targets = self._members.usable(self._service)
+        if limits is None or not targets:
+            return PiecesReply((), 'no-target', 1)
+        wait = self._gathering.expect_wait(
+            targets,
+            limits,
+            len(question.pieces),
+        )
+        if wait > question.left:
+            get_logger().info(
+                'pieces_refused',
+                request=question.ident,
+                service=self._service,
+                wait=round(wait, 3),
+                left=round(question.left, 3),
+                waiting=self._gathering.waiting(),
+            )
+            return PiecesReply((), 'out-of-capacity', wait - question.left)
+        demand = _make_demand(question, now)
+        key = f'{question.ident}/{question.pieces[0].stage}'
+        return await self._wait(key, demand, question)
+
+    def cancel(self, message: PiecesCancel) -> None:
+        """Forget the pieces of a request that have not been sent."""
+        for key in list(self._done):
+            if key.startswith(f'{message.ident}/'):
+                self._gathering.remove(key)
+                self._done[key].set()
+
+    def release(self, message: ReleaseNote) -> None:
+        """Give results up."""
+        self._stored.release(message.handles)
+
+    def dump(self) -> dict[str, float]:
+        """Return counts for the state dump."""
+        return {**self._gathering.dump(), 'stored': len(self._stored)}
+
+    async def _wait(
+        self,
+        key: str,
+        demand: Demand,
+        question: PiecesQuestion,
+    ) -> PiecesReply:
+        done = asyncio.Event()
+        self._done[key] = done
+        self._gathering.add(key, demand)
+        self._look()
+        try:
+            async with asyncio.timeout(question.left):
+                await done.wait()
+        except TimeoutError:
+            demand.failure = demand.failure or _LATE
+        finally:
+            self._gathering.remove(key)
+            self._done.pop(key, None)
+        if demand.missing:
+            self._release_unused(demand)
+            return PiecesReply((), demand.failure or 'cancelled', 0.1)
+        handles = tuple(
+            demand.handles[piece.number] for piece in question.pieces
+        )
+        return PiecesReply(handles)
+
+    def _release_unused(self, demand: Demand) -> None:
+        self._stored.release(tuple(demand.handles.values()))
+
+    def _free_room(self, stored: StoredResult) -> None:
+        self._gathering.release(stored.target, stored.size)
+
+    def _look(self) -> None:
+        """Start all calls that can be started now."""
+        if self._looking:
+            self._looking.cancel()
+            self._looking = None
+        self._stored.drop_expired()
+        limits = self._find_limits(self._service)
+        while limits:
+            call = self._gathering.next_call(
+                self._members.usable(self._service),
+                limits,
+                time.monotonic(),
+            )
+            if call is None:
+                break
+            self._tasks.start(self._run(call, limits))
+        if self._gathering.waiting():
+            loop = asyncio.get_running_loop()
+            self._looking = loop.call_later(LOOK_SECONDS, self._look)
+
+    async def _run(self, call: PieceCall, limits: BatchLimits) -> None:
+        begun = time.monotonic()
+        worker = self._gathering.worker(call.target)
+        try:
+            made = await self._send(call)
+        except (TargetError, InvalidInputError) as error:
+            worker.pause(time.monotonic())
+            get_logger().info(
+                'pieces_failed',
+                service=self._service,
+                target=call.target.name,
+                requests=[demand.ident for demand, _ in call.pieces],
+                failure=type(error).__name__,
+                reason=str(error),
+                seconds=round(time.monotonic() - begun, 3),
+            )
+            self._fail(call, error, limits)
+        else:
+            seconds = time.monotonic() - begun
+            worker.learn(seconds / max(call.expected, limits.call_seconds))
+            self._take(call, made, limits)
+            get_logger().info(
+                'pieces_made',
+                service=self._service,
+                target=call.target.name,
+                requests=[demand.ident for demand, _ in call.pieces],
+                seconds=round(seconds, 3),
+            )
+        finally:
+            self._gathering.finish(call)
+            self._look()
+
+    async def _send(self, call: PieceCall) -> tuple[PieceResult, ...]:
+        now = time.monotonic()
+        pieces = tuple(piece for _, piece in call.pieces)
+        left = tuple(demand.deadline - now for demand, _ in call.pieces)
+        head, body = self._wire.make_pieces(pieces, left, call.target)
+        seconds = call.expected * PATIENCE_FACTOR + PATIENCE_SECONDS
+        async with self._sender.send(
+            call.target.url,
+            head,
+            body,
+            MAX_IDLE_SECONDS,
+        ) as attempt:
+            answer = await attempt.read_head(seconds)
+            content = await attempt.read_whole(seconds)
+        if self._wire.is_not_run(answer):
+            raise TargetBusyError(f'status {answer.status}')
+        if answer.status != OK:
+            raise InvalidInputError(f'status {answer.status}')
+        outcomes = self._wire.read_pieces(content)
+        if len(outcomes) != len(call.pieces):
+            raise InvalidInputError('not one outcome for each piece')
+        return outcomes
+
+    def _take(
+        self,
+        call: PieceCall,
+        outcomes: tuple[PieceResult, ...],
+        limits: BatchLimits,
+    ) -> None:
+        full = False
+        until = time.monotonic() + limits.keep_seconds
+        for (demand, piece), made in zip(call.pieces, outcomes, strict=True):
+            size = demand.result_bytes
+            if not made.handle:
+                self._gathering.release(call.target, size)
+                self._retry(demand, piece, made.failure)
+                full = full or made.failure == _ROOM
+                continue
+            self._stored.add(
+                made.handle,
+                StoredResult(call.target, size, until),
+            )
+            self._accept(demand, piece, made.handle)
+        if full:
+            self._gathering.worker(call.target).wait_for_room(
+                time.monotonic() + ROOM_PAUSE_SECONDS,
+            )
+
+    def _accept(self, demand: Demand, piece: Piece, handle: str) -> None:
+        key = f'{demand.ident}/{piece.stage}'
+        if key not in self._done or piece.number in demand.handles:
+            self._stored.release((handle,))
+            return
+        demand.handles[piece.number] = handle
+        demand.missing -= 1
+        if not demand.missing:
+            self._done[key].set()
+
+    def _fail(
+        self,
+        call: PieceCall,
+        error: GalenaError,
+        limits: BatchLimits,
+    ) -> None:
+        """Let the pieces of a failed call wait again.
+
+        The target may make results all the same, which take room there.
+        """
+        size = sum(demand.result_bytes for demand, _ in call.pieces)
+        if isinstance(error, (TargetBusyError, TargetUnreachableError)):
+            self._gathering.release(call.target, size)
+        else:
+            until = time.monotonic() + call.expected + limits.keep_seconds
+            self._stored.add_unknown(StoredResult(call.target, size, until))
+        for demand, piece in call.pieces:
+            self._retry(demand, piece, type(error).__name__)
+
+    def _retry(self, demand: Demand, piece: Piece, failure: str) -> None:
+        """Let a piece wait again, or fail its request."""
+        key = f'{demand.ident}/{piece.stage}'
+        demand.repeats += 1
+        now = time.monotonic()
+        again = now < demand.deadline and (
+            failure == _ROOM
+            or (
+                failure not in {_LATE, _GONE}
+                and demand.repeats < MAX_SENDS * (demand.missing + 1)
+                and self._budgets.of(self._service).take(now)
+            )
+        )
+        if again:
+            demand.unsent.insert(0, piece)
+            return
+        demand.failure = failure
+        self._finish(key)
+
+    def _finish(self, key: str) -> None:
+        done = self._done.get(key)
+        if done:
+            done.set()
+
+
+def _make_demand(question: PiecesQuestion, now: float) -> Demand:
+    return Demand(
+        question.ident,
+        question.pieces,
+        question.result_bytes,
+        question.zone,
+        now + question.start_in,
+        now + question.left,
+    )
--- /dev/null
+++ b/galenaswitch/gateway/handling.py
@@ -0,0 +1,114 @@
+"""Callers' requests of all kinds, from their first byte to the answer."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from galenaswitch.connections.inbound import AnswerWriter
+from galenaswitch.connections.requests import InboundRequest
+from galenaswitch.gateway.answers import refuse
+from galenaswitch.gateway.calls import Call, Wire
+from galenaswitch.gateway.checks import check_request
+from galenaswitch.gateway.plain import PlainRunner
+from galenaswitch.gateway.routes import CallKind, RouteTable
+from galenaswitch.gateway.streams import StreamRunner
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.metrics import Metrics
+from galenaswitch.refusals import Reason, RefusedError, Run
+
+MILLISECONDS = 1000
+
+
+class Gateway:
+    """Handles the requests of the callers' port."""
+
+    def __init__(
+        self,
+        find_table: Callable[[], RouteTable],
+        wire: Wire,
+        plain: PlainRunner,
+        streams: StreamRunner,
+        metrics: Metrics,
+    ) -> None:
+        """Handle requests under the configuration in force.
+
+        :param find_table: returns it; a request keeps it to its end.
+        """
+        self._find_table = find_table
+        self._wire = wire
+        self._plain = plain
+        self._streams = streams
+        self._metrics = metrics
+
+    async def handle(
+        self,
+        request: InboundRequest,
+        writer: AnswerWriter,
+    ) -> None:
+        """Answer a request through ``writer``."""
+        table = self._find_table()
+        try:
+            call = check_request(request, table, self._wire)
+        except RefusedError as error:
+            ident = self._wire.read_call(request.head).ident
+            self._log(ident, '', table, request.received_at, error)
+            refuse(writer, self._wire, ident, error)
+            return
+        await self._answer(call, table, writer)
+
+    async def _answer(
+        self,
+        call: Call,
+        table: RouteTable,
+        writer: AnswerWriter,
+    ) -> None:
+        outcome: RefusedError | None = None
+        try:
+            async with asyncio.timeout(call.deadline - time.monotonic()):
+                await self._run(call, table, writer)
+        except RefusedError as error:
+            outcome = error
+        except TimeoutError:
+            outcome = RefusedError(Reason.deadline, Run.unknown)
+        except asyncio.CancelledError:
+            self._metrics.count('caller_left')
+            get_logger().info('caller_left', request=call.ident)
+            raise
+        if outcome:
+            refuse(writer, self._wire, call.ident, outcome)
+        self._log(call.ident, call.route.name, table, call.started, outcome)
+
+    async def _run(
+        self,
+        call: Call,
+        table: RouteTable,
+        writer: AnswerWriter,
+    ) -> None:
+        if call.route.kind is CallKind.stream:
+            await self._streams.run(call, table, writer)
+        else:
+            await self._plain.run(call, writer)
+
+    def _log(
+        self,
+        ident: str,
+        route: str,
+        table: RouteTable,
+        started: float,
+        outcome: RefusedError | None,
+    ) -> None:
+        seconds = time.monotonic() - started
+        name = outcome.reason.value if outcome else 'answered'
+        self._metrics.count(f'request.{name}')
+        self._metrics.time('request', seconds * MILLISECONDS)
+        get_logger().info(
+            'request_ended',
+            request=ident,
+            route=route,
+            outcome=name,
+            run=outcome.run.value if outcome else 'run',
+            detail=outcome.detail if outcome else '',
+            retry_after=outcome.retry_after if outcome else 0,
+            configuration=table.version,
+            seconds=round(seconds, 3),
+        )
--- /dev/null
+++ b/galenaswitch/gateway/learning.py
@@ -0,0 +1,287 @@
+"""What a VM learns: configuration, targets and machines.
+
+Each VM follows the store itself, so that none depends on another. What the
+store tells only some of them reaches the others by the exchange between
+peers, where a newer version always wins.
+"""
+
+import asyncio
+import time
+from typing import Any, Protocol
+
+from galenaswitch.configuration.catalog import Catalog, Item
+from galenaswitch.configuration.relay import Relay
+from galenaswitch.errors import (
+    InvalidInputError,
+    PeerError,
+    StoreConflictError,
+    StoreError,
+)
+from galenaswitch.gateway.routes import EMPTY_TABLE, RouteTable
+from galenaswitch.membership.directory import Directory
+from galenaswitch.membership.links import Service, dial
+from galenaswitch.membership.lists import Machine, MemberList, Target
+from galenaswitch.membership.messages import ListQuestion
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.process import TaskGroup
+from galenaswitch.store.client import ABSENT, Listing, StoredObject
+from galenaswitch.store.registry import Follower, HeldObjects, Registry
+
+CONFIGURATION = 'config'
+CONFIGURATION_NAME = 'main'
+TARGETS = 'servers'
+MACHINES = 'galena-vms'
+# Seconds between two looks at the list of VMs, which changes rarely.
+MACHINES_SECONDS = 3.0
+# Seconds between two tries to learn from the seeds while the store is away.
+SEEDS_SECONDS = 0.5
+REPLY_SECONDS = 1.0
+# Seconds between two looks at the clocks, and the difference between them
+# that shows that the VM was suspended.
+CLOCK_SECONDS = 0.2
+SUSPENDED_SECONDS = 0.5
+
+
+class Documents(Protocol):
+    """Reads the platform's documents."""
+
+    def read_configuration(self, document: Any) -> RouteTable:
+        """Check a configuration; raises ``InvalidInputError``."""
+
+    def read_target(self, name: str, document: Any) -> Target:
+        """Check the entry of a target; raises ``InvalidInputError``."""
+
+
+class Store(Registry, Protocol):
+    """The platform's store."""
+
+    async def write(
+        self,
+        kind: str,
+        name: str,
+        body: dict[str, Any],
+        replaces: int,
+    ) -> int:
+        """Write an object if it is still at a revision."""
+
+
+class Tables:
+    """The configuration in force."""
+
+    def __init__(self, documents: Documents) -> None:
+        """Start without configuration."""
+        self.current = EMPTY_TABLE
+        self._documents = documents
+
+    def take(self, item: Item) -> None:
+        """Bring a newer configuration into force, if it can be read."""
+        try:
+            table = self._documents.read_configuration(item.body)
+        except InvalidInputError as error:
+            get_logger().error(
+                'configuration_rejected',
+                revision=item.version,
+                in_force=self.current.version,
+                reason=str(error),
+            )
+            return
+        self.current = table
+        get_logger().info(
+            'route_table_in_force',
+            configuration=table.version,
+            revision=item.version,
+            routes=sum(len(routes) for routes in table.routes.values()),
+            keys=len(table.workspaces),
+        )
+
+
+class Learning:
+    """Follows the store and levels with peers."""
+
+    def __init__(
+        self,
+        store: Store,
+        documents: Documents,
+        directory: Directory,
+        own: Machine,
+        tasks: TaskGroup,
+    ) -> None:
+        """Keep ``directory`` and the tables up to date."""
+        self.tables = Tables(documents)
+        self.catalog = Catalog()
+        self.relay: Relay | None = None
+        self._store = store
+        self._documents = documents
+        self._directory = directory
+        self._own = own
+        self._tasks = tasks
+        self._followers = (
+            Follower(store, CONFIGURATION, self._take_configuration),
+            Follower(store, TARGETS, self._take_targets),
+        )
+        self._following: list[asyncio.Task[None]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether configuration and targets are known."""
+        return bool(self.tables.current.version and self._directory.targets)
+
+    def share_through(self, relay: Relay) -> None:
+        """Level configuration with peers through ``relay``."""
+        self.relay = relay
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        self._restart()
+        for follower in self._followers:
+            self._tasks.start_duty(follower.settle())
+        self._tasks.start_duty(self._follow_machines())
+        self._tasks.start_duty(self._watch_clocks())
+
+    def publish(self, message: Any) -> None:
+        """Take what came from a peer into force."""
+        for item in message.items:
+            self.tables.take(item)
+
+    async def learn_from_seeds(
+        self,
+        seeds: tuple[tuple[str, int], ...],
+        service: Service,
+    ) -> None:
+        """Ask seeds for their list until the store has told its own."""
+        while not self._directory.machines_told:
+            for address, port in seeds:
+                if address == self._own.address:
+                    continue
+                try:
+                    await self._ask_seed(address, port, service)
+                except PeerError as error:
+                    get_logger().info(
+                        'seed_unreachable',
+                        address=address,
+                        reason=str(error),
+                    )
+            await asyncio.sleep(SEEDS_SECONDS)
+
+    def _restart(self) -> None:
+        for task in self._following:
+            task.cancel()
+        self._following = [
+            self._tasks.start(follower.follow()) for follower in self._followers
+        ]
+
+    async def _ask_seed(
+        self,
+        address: str,
+        port: int,
+        service: Service,
+    ) -> None:
+        link = await dial(address, port, service)
+        serving = self._tasks.start(link.serve())
+        try:
+            listed = await link.request(ListQuestion(), REPLY_SECONDS)
+        finally:
+            serving.cancel()
+            link.close()
+        if isinstance(listed, MemberList):
+            self._directory.take_list(listed)
+
+    def _keep(self, items: tuple[Item, ...]) -> None:
+        for item in self.catalog.accept(items):
+            self.tables.take(item)
+
+    def _take_configuration(self, held: HeldObjects) -> None:
+        items = tuple(
+            Item(CONFIGURATION, stored.name, stored.version, stored.body)
+            for stored in held.objects.values()
+            if stored.name == CONFIGURATION_NAME
+        )
+        if self.relay:
+            self.relay.synced_store = True
+            self.relay.accept(items)
+        else:
+            self._keep(items)
+
+    def _take_targets(self, held: HeldObjects) -> None:
+        targets = []
+        for stored in held.objects.values():
+            try:
+                target = self._documents.read_target(stored.name, stored.body)
+            except InvalidInputError as error:
+                get_logger().info(
+                    'target_unreadable',
+                    target=stored.name,
+                    revision=stored.version,
+                    reason=str(error),
+                )
+                continue
+            targets.append(target)
+        self._directory.take_targets(targets)
+
+    async def _follow_machines(self) -> None:
+        """Enter this VM and look at the list again and again."""
+        entered = False
+        while True:
+            try:
+                listing = await self._store.list_kind(MACHINES, stale=entered)
+                entered = entered or await self._enter(listing)
+                self._take_machines(listing)
+            except StoreError as error:
+                get_logger().info('machines_unknown', reason=str(error))
+            await asyncio.sleep(MACHINES_SECONDS if entered else SEEDS_SECONDS)
+
+    async def _enter(self, listing: Listing) -> bool:
+        """Write this VM's own entry where it is missing or out of date."""
+        body = self._own._asdict()
+        for stored in listing.objects:
+            if stored.name != self._own.name:
+                continue
+            if stored.body == body:
+                return True
+            return await self._write(body, stored.version)
+        return await self._write(body, ABSENT)
+
+    async def _write(self, body: dict[str, Any], replaces: int) -> bool:
+        try:
+            await self._store.write(MACHINES, self._own.name, body, replaces)
+        except StoreConflictError as error:
+            # An earlier write whose answer was lost; the next list shows it.
+            get_logger().info('entry_changed', reason=str(error))
+            return False
+        return True
+
+    def _take_machines(self, listing: Listing) -> None:
+        machines = []
+        for stored in listing.objects:
+            machine = _read_machine(stored)
+            if machine:
+                machines.append(machine)
+        self._directory.take_machines(machines)
+
+    async def _watch_clocks(self) -> None:
+        """Learn anew after a suspension, in which the steady clock stood."""
+        drift = _find_drift()
+        while True:
+            await asyncio.sleep(CLOCK_SECONDS)
+            now = _find_drift()
+            if now - drift > SUSPENDED_SECONDS:
+                get_logger().warning('suspended', seconds=round(now - drift, 3))
+                self._restart()
+            drift = now
+
+
+def _read_machine(stored: StoredObject) -> Machine | None:
+    try:
+        return Machine(**stored.body)
+    except TypeError as error:
+        get_logger().info(
+            'machine_unreadable',
+            machine=stored.name,
+            reason=str(error),
+        )
+        return None
+
+
+def _find_drift() -> float:
+    """Return the seconds that the steady clock has not counted."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- /dev/null
+++ b/galenaswitch/gateway/messages.py
@@ -0,0 +1,102 @@
+"""Messages between the machines about places and pieces.
+
+Times travel as seconds that are left, never as clock times.
+"""
+
+from typing import NamedTuple
+
+from galenaswitch.gateway.calls import Piece, PromptPart
+
+
+class PiecesQuestion(NamedTuple):
+    """Make the results of one stage of a request.
+
+    :param start_in: seconds until the last call that is still on time.
+    :param left: seconds until the results are of no use.
+    """
+
+    service: str
+    ident: str
+    pieces: tuple[Piece, ...]
+    result_bytes: int
+    zone: str
+    start_in: float
+    left: float
+
+
+class PiecesReply(NamedTuple):
+    """Outcome of a stage of a request.
+
+    :param handles: the results in the order of the pieces, none on failure.
+    :param failure: why there are none, empty on success.
+    :param retry_after: seconds after which another try is likely to do.
+    """
+
+    handles: tuple[str, ...]
+    failure: str = ''
+    retry_after: float = 0
+
+
+class PiecesCancel(NamedTuple):
+    """A request needs no more pieces."""
+
+    service: str
+    ident: str
+
+
+class ReleaseNote(NamedTuple):
+    """Results that nobody needs any more."""
+
+    service: str
+    handles: tuple[str, ...]
+
+
+class PlaceQuestion(NamedTuple):
+    """Find an engine for a request.
+
+    :param priority: 0 is the most urgent.
+    :param start_in: seconds until the last start that is still on time.
+    :param left: seconds until the request has to be answered.
+    """
+
+    service: str
+    ident: str
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    answer_tokens: int
+    zone: str
+    result_bytes: dict[str, int]
+    avoided: tuple[str, ...]
+    priority: int
+    start_in: float
+    left: float
+
+
+class PlaceReply(NamedTuple):
+    """The engine for a request.
+
+    :param target: name of the engine, empty when there is none.
+    :param retry_after: seconds after which a place is likely.
+    """
+
+    target: str
+    retry_after: float = 0
+
+
+class PlaceEnd(NamedTuple):
+    """A request has left its engine.
+
+    :param failed: whether the engine failed it.
+    """
+
+    service: str
+    ident: str
+    target: str
+    failed: bool
+
+
+class PlaceFirst(NamedTuple):
+    """The first event of a request has come."""
+
+    service: str
+    ident: str
--- /dev/null
+++ b/galenaswitch/gateway/results.py
@@ -0,0 +1,124 @@
+"""Results of pieces that take room at their makers."""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from galenaswitch.errors import TargetError
+from galenaswitch.gateway.calls import Wire
+from galenaswitch.gateway.sending import Sender
+from galenaswitch.membership.lists import Members, Target
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.process import TaskGroup
+
+# Seconds in which released results are collected for one call.
+RELEASE_SECONDS = 0.05
+# Seconds in which a call that gives results up is answered.
+RELEASE_TIMEOUT_SECONDS = 1.0
+# Seconds that a connection to a target may have been idle.
+MAX_IDLE_SECONDS = 3.0
+
+
+class StoredResult(NamedTuple):
+    """A result that takes room at its maker.
+
+    :param size: its bytes.
+    :param until: monotonic time at which the maker drops it by itself.
+    """
+
+    target: Target
+    size: int
+    until: float
+
+
+class StoredResults:
+    """Results of one service that their makers still hold.
+
+    Room counts as free only once the maker has confirmed a release, or has
+    dropped the result by itself.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        sender: Sender,
+        wire: Wire,
+        tasks: TaskGroup,
+        free_room: Callable[[StoredResult], None],
+    ) -> None:
+        """Call ``free_room`` for each result that is gone."""
+        self._members = members
+        self._sender = sender
+        self._wire = wire
+        self._tasks = tasks
+        self._free_room = free_room
+        self._stored: dict[str, StoredResult] = {}
+        self._unknown: deque[StoredResult] = deque()
+        self._releases: dict[str, list[str]] = {}
+
+    def __len__(self) -> int:
+        """Count the results."""
+        return len(self._stored) + len(self._unknown)
+
+    def add(self, handle: str, stored: StoredResult) -> None:
+        """Note a result."""
+        self._stored[handle] = stored
+
+    def add_unknown(self, stored: StoredResult) -> None:
+        """Note what a call may have made whose answer was lost."""
+        self._unknown.append(stored)
+
+    def release(self, handles: tuple[str, ...]) -> None:
+        """Give results up; calls collect them for a short time."""
+        for handle in handles:
+            maker = self._wire.find_maker(handle)
+            collected = self._releases.setdefault(maker, [])
+            collected.append(handle)
+            if len(collected) == 1:
+                self._tasks.start(self._send(maker))
+
+    def drop_expired(self) -> None:
+        """Forget what the makers have dropped by themselves."""
+        now = time.monotonic()
+        expired = [
+            handle
+            for handle, stored in self._stored.items()
+            if stored.until < now
+        ]
+        self._forget(expired)
+        while self._unknown and self._unknown[0].until < now:
+            self._free_room(self._unknown.popleft())
+
+    async def _send(self, maker: str) -> None:
+        await asyncio.sleep(RELEASE_SECONDS)
+        handles = tuple(self._releases.pop(maker))
+        target = self._members.find_address(maker)
+        if target is None:
+            return
+        head, body = self._wire.make_release(handles, target)
+        try:
+            async with self._sender.send(
+                maker,
+                head,
+                body,
+                MAX_IDLE_SECONDS,
+            ) as attempt:
+                await attempt.read_head(RELEASE_TIMEOUT_SECONDS)
+                await attempt.read_whole(RELEASE_TIMEOUT_SECONDS)
+        except TargetError as error:
+            # The maker drops results by itself some seconds later.
+            get_logger().info(
+                'release_failed',
+                target=target.name,
+                reason=str(error),
+            )
+            return
+        self._forget(handles)
+
+    def _forget(self, handles: tuple[str, ...] | list[str]) -> None:
+        for handle in handles:
+            stored = self._stored.pop(handle, None)
+            if stored:
+                self._free_room(stored)
--- /dev/null
+++ b/galenaswitch/gateway/routes.py
@@ -0,0 +1,189 @@
+"""Routes, services and keys of one version of the configuration."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from galenaswitch.connections.requests import InboundLimits
+
+# Number of hashes, which spread a route's requests over its services.
+HASH_RANGE = 18_446_744_073_709_551_616
+
+
+class CallKind(StrEnum):
+    """What may be done again for one request."""
+
+    repeatable = 'repeatable'
+    once = 'once'
+    stream = 'stream'
+
+
+class Split(NamedTuple):
+    """Part of a route's requests that a service gets.
+
+    :param weight: its part in relation to the other weights.
+    """
+
+    service: str
+    weight: float
+
+
+class StageSpec(NamedTuple):
+    """Work that has to be done before a request can run.
+
+    :param service: service that makes the results.
+    :param after: numbers of the stages whose results it reads.
+    :param result_bytes: approximate size of one result.
+    """
+
+    service: str
+    after: tuple[int, ...]
+    result_bytes: int
+
+
+class Route(NamedTuple):
+    """Where the requests of a host and path go.
+
+    :param timeout: longest time in seconds that a request is kept.
+    :param objective: time in seconds to the answer, or its first event.
+    :param priority: 0 is the most urgent.
+    :param attempts: most targets that one request may be sent to.
+    :param pause: longest time in seconds between two events.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: CallKind
+    timeout: float
+    objective: float
+    priority: int
+    splits: tuple[Split, ...]
+    attempts: int
+    stages: tuple[StageSpec, ...]
+    anonymous: bool
+    resumable: bool
+    pause: float
+
+    def pick_service(self, ident: str) -> str:
+        """Return the service for a request, the same for equal ids."""
+        if len(self.splits) == 1:
+            return self.splits[0].service
+        total = sum(split.weight for split in self.splits)
+        share = xxh3_64_intdigest(ident.encode()) / HASH_RANGE * total
+        for split in self.splits:
+            share -= split.weight
+            if share < 0:
+                return split.service
+        return self.splits[-1].service
+
+    def final_stages(self) -> tuple[int, ...]:
+        """Return the stages whose results the request itself reads."""
+        read = {number for stage in self.stages for number in stage.after}
+        return tuple(
+            number for number in range(len(self.stages)) if number not in read
+        )
+
+
+class BatchLimits(NamedTuple):
+    """How a target of a stage works on calls.
+
+    :param slots: calls in progress at one time.
+    :param batch: most pieces in one call.
+    :param call_seconds: time of a call without pieces.
+    :param piece_seconds: approximate time of one piece.
+    :param room_bytes: room for results.
+    :param keep_seconds: time for which a result is kept.
+    """
+
+    slots: int
+    batch: int
+    call_seconds: float
+    piece_seconds: float
+    room_bytes: float
+    keep_seconds: float
+
+
+class EngineLimits(NamedTuple):
+    """What a model engine holds.
+
+    :param slots: requests that it works on at one time.
+    :param memory_tokens: tokens of running requests and cached parts.
+    """
+
+    slots: int
+    memory_tokens: int
+
+
+class Service(NamedTuple):
+    """A set of equal targets.
+
+    :param max_connections: connections that one target accepts in all.
+    """
+
+    name: str
+    max_connections: int
+    engine: EngineLimits | None = None
+    batches: BatchLimits | None = None
+
+
+class Workspace(NamedTuple):
+    """A customer.
+
+    :param priority: goes before the route's, ``None`` when it has none.
+    """
+
+    name: str
+    priority: int | None
+
+
+class RouteTable(NamedTuple):
+    """One version of the configuration, checked.
+
+    :param version: the operator's number of it.
+    :param routes: routes by host, the longest prefix first.
+    :param workspaces: customers by their keys.
+    """
+
+    version: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, Service]
+    workspaces: dict[str, Workspace]
+    checks_keys: bool
+    limits: InboundLimits
+
+    def find_batches(self, service: str) -> BatchLimits | None:
+        """Return how targets of a service work on calls."""
+        found = self.services.get(service)
+        return found.batches if found else None
+
+    def find_engine(self, service: str) -> EngineLimits | None:
+        """Return what engines of a service hold."""
+        found = self.services.get(service)
+        return found.engine if found else None
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+EMPTY_TABLE = RouteTable(0, {}, {}, {}, True, InboundLimits())
+
+
+def order_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
+    """Return routes by host, the longest prefix first."""
+    hosts: dict[str, list[Route]] = {}
+    for route in routes:
+        hosts.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(found, key=_prefix_length, reverse=True))
+        for host, found in hosts.items()
+    }
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
--- /dev/null
+++ b/galenaswitch/gateway/stages.py
@@ -0,0 +1,289 @@
+"""The stages of one request, each begun when those before it are done."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from itertools import chain
+from typing import NamedTuple
+
+from galenaswitch.gateway.calls import Call, Piece, Wire
+from galenaswitch.gateway.duties import Duties
+from galenaswitch.gateway.gatherer import Gatherer
+from galenaswitch.gateway.messages import (
+    PiecesCancel,
+    PiecesQuestion,
+    PiecesReply,
+    ReleaseNote,
+)
+from galenaswitch.gateway.routes import RouteTable
+from galenaswitch.membership.lists import Members
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.refusals import Reason, RefusedError, Run
+
+# Seconds from the last result to the first event of a model engine: reading
+# of a usual prompt and one step.
+ENGINE_SECONDS = 0.25
+# Seconds that a reply may take beyond the time in which it is of use.
+REPLY_SLACK_SECONDS = 0.1
+# Seconds that a request needs at the least behind its stages.
+LEAST_ENGINE_SECONDS = 0.05
+
+
+class StageResults(NamedTuple):
+    """Results that a request reads.
+
+    :param handles: where they lie, in the order of stages and pieces.
+    :param zone_bytes: size of the results in each zone.
+    """
+
+    handles: tuple[str, ...]
+    zone_bytes: dict[str, int]
+
+
+class StageJob:
+    """The stages of one request."""
+
+    def __init__(
+        self, call: Call, table: RouteTable, runner: 'StageRunner'
+    ) -> None:
+        """Run the stages of ``call`` as ``table`` has them."""
+        self._call = call
+        self._table = table
+        self._runner = runner
+        self._handles: dict[int, tuple[str, ...]] = {}
+        self._holders: dict[str, str] = {}
+        self._done = [asyncio.Event() for _ in call.route.stages]
+
+    async def run(self) -> StageResults:
+        """Run all stages.
+
+        :returns: the results that the request itself reads.
+        :raises RefusedError: when one can't be made in time.
+        """
+        tasks = [
+            asyncio.create_task(self._run_stage(number))
+            for number, _ in enumerate(self._done)
+        ]
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+        final = self._call.route.final_stages()
+        read = [self._handles[number] for number in final]
+        return StageResults(tuple(chain.from_iterable(read)), self._sum_zones())
+
+    def cancel(self) -> None:
+        """Tell the gatherers that no more pieces are needed."""
+        stages = self._call.route.stages
+        services = {stage.service for stage in stages}
+        for service in services:
+            self._runner.cancel(
+                self._holders.get(service, ''),
+                service,
+                self._call.ident,
+            )
+
+    def release(self) -> None:
+        """Give all results up."""
+        for number, handles in self._handles.items():
+            self._release(number, handles)
+        self._handles = {}
+
+    def _release(self, number: int, handles: tuple[str, ...]) -> None:
+        service = self._call.route.stages[number].service
+        holder = self._holders.get(service)
+        if handles and holder:
+            self._runner.release(holder, service, handles)
+
+    async def _run_stage(self, number: int) -> None:
+        stage = self._call.route.stages[number]
+        for before in stage.after:
+            await self._done[before].wait()
+        pieces = self._make_pieces(number)
+        if pieces:
+            reply = await self._ask(number, pieces)
+            self._handles[number] = reply.handles
+        else:
+            self._handles[number] = ()
+        self._done[number].set()
+        self._release_inputs(number)
+
+    def _make_pieces(self, number: int) -> tuple[Piece, ...]:
+        fields = self._call.fields
+        stage = self._call.route.stages[number]
+        count = fields.pieces[number] if number < len(fields.pieces) else 0
+        inputs = tuple(
+            handle for before in stage.after for handle in self._handles[before]
+        )
+        return tuple(
+            Piece(
+                fields.ident,
+                number,
+                piece,
+                '' if stage.after else fields.piece_key,
+                inputs,
+            )
+            for piece in range(count)
+        )
+
+    async def _ask(
+        self,
+        number: int,
+        pieces: tuple[Piece, ...],
+    ) -> PiecesReply:
+        stage = self._call.route.stages[number]
+        now = time.monotonic()
+        own = self._call_seconds(number)
+        rest = self._rest_seconds(number)
+        left = self._call.deadline - now - rest - LEAST_ENGINE_SECONDS
+        if left <= 0:
+            raise RefusedError(Reason.deadline)
+        question = PiecesQuestion(
+            stage.service,
+            self._call.ident,
+            pieces,
+            stage.result_bytes,
+            self._runner.zone,
+            self._call.objective - now - own - rest - ENGINE_SECONDS,
+            left,
+        )
+        holder, reply = await self._runner.ask(question)
+        self._holders[stage.service] = holder
+        if reply.failure:
+            get_logger().info(
+                'stage_failed',
+                request=self._call.ident,
+                stage=number,
+                service=stage.service,
+                holder=holder,
+                failure=reply.failure,
+                left=round(self._call.deadline - time.monotonic(), 3),
+            )
+            raise RefusedError(
+                Reason.capacity,
+                Run.not_run,
+                reply.failure,
+                reply.retry_after,
+            )
+        return reply
+
+    def _release_inputs(self, number: int) -> None:
+        """Give up results whose last reader has finished."""
+        stages = self._call.route.stages
+        for before in stages[number].after:
+            readers = [
+                reader
+                for reader, stage in enumerate(stages)
+                if before in stage.after
+            ]
+            if all(self._done[reader].is_set() for reader in readers):
+                self._release(before, self._handles[before])
+                self._handles[before] = ()
+
+    def _rest_seconds(self, number: int) -> float:
+        """Return the usual seconds of the stages behind one."""
+        stages = self._call.route.stages
+        behind = [
+            self._call_seconds(later) + self._rest_seconds(later)
+            for later in range(number + 1, len(stages))
+            if number in stages[later].after
+        ]
+        return max(behind, default=0)
+
+    def _call_seconds(self, number: int) -> float:
+        """Return the seconds of one call for the pieces of a stage."""
+        stage = self._call.route.stages[number]
+        batches = self._table.find_batches(stage.service)
+        pieces = self._call.fields.pieces
+        count = pieces[number] if number < len(pieces) else 0
+        if batches is None or not count:
+            return 0
+        in_call = min(count, batches.batch)
+        return batches.call_seconds + in_call * batches.piece_seconds
+
+    def _sum_zones(self) -> dict[str, int]:
+        sizes: dict[str, int] = {}
+        for number in self._call.route.final_stages():
+            stage = self._call.route.stages[number]
+            for handle in self._handles[number]:
+                zone = self._runner.find_zone(handle)
+                sizes[zone] = sizes.get(zone, 0) + stage.result_bytes
+        return sizes
+
+
+class StageRunner:
+    """Asks the gatherers of the services for pieces."""
+
+    def __init__(
+        self,
+        zone: str,
+        members: Members,
+        wire: Wire,
+        duties: Duties,
+        find_gatherer: Callable[[str], Gatherer],
+    ) -> None:
+        """Ask through ``duties``.
+
+        :param find_gatherer: returns this machine's gatherer of a service.
+        """
+        self.zone = zone
+        self._members = members
+        self._wire = wire
+        self._duties = duties
+        self._find_gatherer = find_gatherer
+
+    def open_job(self, call: Call, table: RouteTable) -> StageJob:
+        """Begin the stages of a request."""
+        return StageJob(call, table, self)
+
+    async def ask(self, question: PiecesQuestion) -> tuple[str, PiecesReply]:
+        """Let the results of a stage be made."""
+        return await self._duties.ask(
+            question.service,
+            question,
+            question.left + REPLY_SLACK_SECONDS,
+            self.decide,
+        )
+
+    async def decide(self, question: PiecesQuestion) -> PiecesReply:
+        """Make pieces on this machine."""
+        return await self._find_gatherer(question.service).make(question)
+
+    def cancel(self, holder: str, service: str, ident: str) -> None:
+        """Cancel the pieces of a request.
+
+        :param holder: machine that makes them, empty while it hasn't
+            replied.
+        """
+        self._duties.tell(
+            holder or self._duties.find_holder(service),
+            PiecesCancel(service, ident),
+            self.take_cancel,
+        )
+
+    def release(
+        self,
+        holder: str,
+        service: str,
+        handles: tuple[str, ...],
+    ) -> None:
+        """Give results up."""
+        self._duties.tell(
+            holder,
+            ReleaseNote(service, handles),
+            self.take_release,
+        )
+
+    def take_cancel(self, message: PiecesCancel) -> None:
+        """Cancel pieces that are made on this machine."""
+        self._find_gatherer(message.service).cancel(message)
+
+    def take_release(self, message: ReleaseNote) -> None:
+        """Give up results that were made through this machine."""
+        self._find_gatherer(message.service).release(message)
+
+    def find_zone(self, handle: str) -> str:
+        """Return the zone in which a result lies, empty when unknown."""
+        target = self._members.find_address(self._wire.find_maker(handle))
+        return target.zone if target else ''
--- /dev/null
+++ b/galenaswitch/gateway/streams.py
@@ -0,0 +1,321 @@
+"""Generated answers: stages, a place on an engine, and its events."""
+
+import time
+from collections.abc import Callable
+
+from galenaswitch.connections.heads import AnswerHead
+from galenaswitch.connections.inbound import AnswerWriter
+from galenaswitch.errors import (
+    TargetBrokenError,
+    TargetBusyError,
+    TargetError,
+    TargetUnreachableError,
+)
+from galenaswitch.gateway.answers import (
+    check_answer,
+    is_success,
+    pass_on,
+    send_whole,
+)
+from galenaswitch.gateway.calls import Call, Wire
+from galenaswitch.gateway.duties import Duties
+from galenaswitch.gateway.events import EventBuffer
+from galenaswitch.gateway.messages import (
+    PlaceEnd,
+    PlaceFirst,
+    PlaceQuestion,
+    PlaceReply,
+)
+from galenaswitch.gateway.places import PlaceHolder
+from galenaswitch.gateway.routes import RouteTable
+from galenaswitch.gateway.sending import Attempt, Sender
+from galenaswitch.gateway.stages import StageJob, StageResults, StageRunner
+from galenaswitch.limits.retries import RetryBudgets
+from galenaswitch.membership.lists import Members, Target
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.refusals import Reason, RefusedError, Run
+
+# Seconds that a connection to an engine may have been idle.
+MAX_IDLE_SECONDS = 3.0
+# Engines tried where none has run the request.
+MAX_TRIES = 4
+# Seconds of silence after which a stream that may be resumed goes on at
+# another engine: callers leave after two.
+SILENT_SECONDS = 1.2
+# Seconds that a reply may take beyond the time in which it is of use.
+REPLY_SLACK_SECONDS = 0.1
+
+
+class StreamJob:
+    """One request for a generated answer."""
+
+    def __init__(
+        self,
+        call: Call,
+        writer: AnswerWriter,
+        stages: StageJob,
+    ) -> None:
+        """Answer ``call`` through ``writer``."""
+        self.call = call
+        self.writer = writer
+        self.stages = stages
+        self.inputs = StageResults((), {})
+        self.events = EventBuffer(call.fields.last_event)
+        self.tried: list[str] = []
+        self.sent = 0
+        self.holder = ''
+        self.first_seen = False
+
+    @property
+    def run(self) -> Run:
+        """What a refusal may say now."""
+        return Run.unknown if self.sent else Run.not_run
+
+    @property
+    def left(self) -> float:
+        """Seconds until the deadline."""
+        return self.call.deadline - time.monotonic()
+
+
+class StreamRunner:
+    """Runs requests for generated answers."""
+
+    def __init__(
+        self,
+        members: Members,
+        sender: Sender,
+        wire: Wire,
+        budgets: RetryBudgets,
+        duties: Duties,
+        stages: StageRunner,
+        find_holder: Callable[[str], PlaceHolder],
+    ) -> None:
+        """Ask for places through ``duties``.
+
+        :param find_holder: returns this machine's places of a service.
+        """
+        self._members = members
+        self._sender = sender
+        self._wire = wire
+        self._budgets = budgets
+        self._duties = duties
+        self._stages = stages
+        self._find_holder = find_holder
+
+    async def run(
+        self,
+        call: Call,
+        table: RouteTable,
+        writer: AnswerWriter,
+    ) -> None:
+        """Run a request and send its answer.
+
+        :raises RefusedError: when it can't be answered whole in time.
+        """
+        self._budgets.of(call.service).note_request(time.monotonic())
+        job = StreamJob(call, writer, self._stages.open_job(call, table))
+        finished = False
+        try:
+            job.inputs = await job.stages.run()
+            await self._generate(job)
+            finished = True
+        finally:
+            if not finished:
+                job.stages.cancel()
+            job.stages.release()
+
+    async def decide(self, question: PlaceQuestion) -> PlaceReply:
+        """Find a place on this machine."""
+        return await self._find_holder(question.service).place(question)
+
+    def take_first(self, message: PlaceFirst) -> None:
+        """Note the first event of a request that was placed here."""
+        self._find_holder(message.service).note_first(message)
+
+    def take_end(self, message: PlaceEnd) -> None:
+        """Note the end of a request that was placed here."""
+        self._find_holder(message.service).note_end(message)
+
+    async def _generate(self, job: StreamJob) -> None:
+        while True:
+            target = await self._find_place(job)
+            failed = False
+            try:
+                await self._attempt(job, target)
+            except TargetError as error:
+                failed = not isinstance(error, TargetBusyError)
+                self._judge(job, target, error)
+            else:
+                return
+            finally:
+                self._end_place(job, target, failed)
+
+    async def _find_place(self, job: StreamJob) -> Target:
+        call = job.call
+        now = time.monotonic()
+        if now >= call.deadline:
+            raise RefusedError(Reason.deadline, job.run)
+        question = PlaceQuestion(
+            call.service,
+            call.ident,
+            call.fields.parts,
+            call.fields.prompt_tokens,
+            call.fields.answer_tokens,
+            self._stages.zone,
+            job.inputs.zone_bytes,
+            tuple(job.tried),
+            call.priority,
+            call.objective - now,
+            job.left,
+        )
+        holder, reply = await self._duties.ask(
+            call.service,
+            question,
+            job.left + REPLY_SLACK_SECONDS,
+            self.decide,
+        )
+        job.holder = holder
+        for target in self._members.usable(call.service):
+            if target.name == reply.target:
+                return target
+        raise RefusedError(
+            Reason.stage_failed if job.sent else Reason.capacity,
+            job.run,
+            'no engine has room',
+            reply.retry_after,
+        )
+
+    async def _attempt(self, job: StreamJob, target: Target) -> None:
+        job.tried.append(target.name)
+        head = self._wire.make_request(
+            job.call,
+            target,
+            job.left,
+            job.inputs.handles,
+            job.events.last_id,
+        )
+        async with self._sender.send(
+            target.url,
+            head,
+            job.call.body,
+            MAX_IDLE_SECONDS,
+        ) as attempt:
+            job.sent += 1
+            answer = await attempt.read_head(self._find_patience(job))
+            fields = check_answer(job.call, answer, self._wire)
+            if not is_success(fields):
+                await self._pass_failure(job, attempt, answer)
+                return
+            await self._pass_events(job, attempt, answer)
+
+    async def _pass_failure(
+        self,
+        job: StreamJob,
+        attempt: Attempt,
+        answer: AnswerHead,
+    ) -> None:
+        """Pass on an engine's own failure, unless a stream has begun."""
+        body = await attempt.read_whole(job.left)
+        if job.writer.started:
+            raise TargetBrokenError(f'the engine answered {answer.status}')
+        await send_whole(job.writer, answer, body)
+
+    async def _pass_events(
+        self,
+        job: StreamJob,
+        attempt: Attempt,
+        answer: AnswerHead,
+    ) -> None:
+        while chunk := await attempt.read(self._find_patience(job)):
+            whole = job.events.feed(chunk)
+            if job.events.overfull:
+                raise TargetBrokenError('an event without an end')
+            if whole:
+                self._note_first(job)
+                await _send_events(job.writer, answer, whole)
+        if job.events.pending:
+            raise TargetBrokenError('the stream ended in an event')
+        if not job.writer.started:
+            job.writer.start(pass_on(answer), None)
+        job.writer.finish()
+
+    def _find_patience(self, job: StreamJob) -> float:
+        """Return the seconds that an engine may be silent."""
+        if job.call.route.resumable and job.sent < job.call.route.attempts:
+            return min(SILENT_SECONDS, job.left)
+        return job.left
+
+    def _note_first(self, job: StreamJob) -> None:
+        if job.first_seen:
+            return
+        job.first_seen = True
+        now = time.monotonic()
+        get_logger().info(
+            'first_event',
+            request=job.call.ident,
+            target=job.tried[-1],
+            seconds=round(now - job.call.started, 3),
+            objective_left=round(job.call.objective - now, 3),
+        )
+        job.stages.release()
+        message = PlaceFirst(job.call.service, job.call.ident)
+        self._duties.tell(job.holder, message, self.take_first)
+
+    def _end_place(self, job: StreamJob, target: Target, failed: bool) -> None:
+        call = job.call
+        message = PlaceEnd(call.service, call.ident, target.name, failed)
+        self._duties.tell(job.holder, message, self.take_end)
+
+    def _judge(
+        self,
+        job: StreamJob,
+        target: Target,
+        error: TargetError,
+    ) -> None:
+        """Return when another engine may be tried, else refuse.
+
+        :raises RefusedError: when the stream can't go on elsewhere.
+        """
+        known = isinstance(error, (TargetUnreachableError, TargetBusyError))
+        if isinstance(error, TargetBusyError):
+            job.sent -= 1
+        job.events.drop_pending()
+        get_logger().info(
+            'attempt_failed',
+            request=job.call.ident,
+            target=target.name,
+            failure=type(error).__name__,
+            reason=str(error),
+            last_event=job.events.last_id,
+            left=round(job.left, 3),
+        )
+        if job.left <= 0:
+            raise RefusedError(Reason.deadline, job.run)
+        if not self._may_go_on(job, error, known):
+            reason = Reason.stage_failed if job.sent else Reason.capacity
+            raise RefusedError(reason, job.run)
+
+    def _may_go_on(
+        self,
+        job: StreamJob,
+        error: TargetError,
+        known: bool,
+    ) -> bool:
+        route = job.call.route
+        if not known and not route.resumable:
+            return False
+        if job.sent >= route.attempts or len(job.tried) >= MAX_TRIES:
+            return False
+        if isinstance(error, TargetUnreachableError):
+            return True
+        return self._budgets.of(job.call.service).take(time.monotonic())
+
+
+async def _send_events(
+    writer: AnswerWriter,
+    answer: AnswerHead,
+    events: bytes,
+) -> None:
+    if not writer.started:
+        writer.start(pass_on(answer), None)
+    await writer.write(events)
--- a/galenaswitch/membership/lists.py
+++ b/galenaswitch/membership/lists.py
@@ -184,6 +184,7 @@
         """Start with no machine and no target."""
         self.listed = EMPTY
         self._live: dict[str, tuple[Machine, ...]] = {}
+        self._pools: dict[str, tuple[Target, ...]] = {}
         self._leaving: set[LeavingSign] = set()
         self._loaded: dict[str, tuple[str, ...]] = {}
 
@@ -199,6 +200,11 @@
             for zone in zones
         }
         self._live[''] = tuple(live)
+        pools = {target.pool for target in listed.targets}
+        self._pools = {
+            pool: tuple(one for one in listed.targets if one.pool == pool)
+            for pool in pools
+        }
         named = {target.name for target in listed.targets}
         self._leaving = {sign for sign in self._leaving if sign.target in named}
         return True
@@ -224,8 +230,8 @@
         """Return the targets of a pool that may get new work."""
         return tuple(
             target
-            for target in self.listed.targets
-            if target.pool == pool and not self.is_leaving(target)
+            for target in self._pools.get(pool, ())
+            if not self.is_leaving(target)
         )
 
     def is_leaving(self, target: Target) -> bool:
@@ -243,6 +249,13 @@
         """Return a target's models: its own word goes before the list's."""
         return self._loaded.get(target.name, target.models)
 
+    def find_address(self, address: str) -> Target | None:
+        """Return the target at an address that may get new work."""
+        for target in self.listed.targets:
+            if target.url == address and not self.is_leaving(target):
+                return target
+        return None
+
     def find_machine(self, name: str) -> Machine | None:
         """Return a listed machine, also one that is leaving."""
         for machine in self.listed.machines:
--- a/galenaswitch/operations/logs.py
+++ b/galenaswitch/operations/logs.py
@@ -6,6 +6,8 @@
 
 import structlog
 
+from galenaswitch.operations.sink import LineSink
+
 _SECRET_KEYS = frozenset(('token', 'secret', 'authorization'))
 
 
@@ -25,12 +27,18 @@
     }
 
 
-def configure_logs(program: str, node: str) -> None:
-    """Send key=value lines to standard error.
+def configure_logs(
+    program: str,
+    node: str,
+    sink: LineSink | None = None,
+) -> None:
+    """Send key=value lines to a sink, or to standard error.
 
     :param program: name of the binary, bound to each line.
     :param node: name of the machine, bound to each line.
+    :param sink: takes the lines without blocking.
     """
+    printing = structlog.PrintLoggerFactory(sys.stderr)
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -43,7 +51,7 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=(lambda *names: sink) if sink else printing,
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(program=program, node=node)
--- a/galenaswitch/operations/process.py
+++ b/galenaswitch/operations/process.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -101,8 +102,20 @@
     The exit code is 2 with one sentence on standard error when the
     settings are wrong or a port can't be opened.
     """
+    run_loop(path, partial(load_settings, shape=shape), program)
+
+
+def run_loop(
+    path: Path,
+    load: Callable[[Path], Shape],
+    program: Callable[[Shape], Coroutine[Any, Any, None]],
+) -> None:
+    """Run a program on settings of any format until it ends.
+
+    :param load: reads the file; raises ``SettingsError``.
+    """
     try:
-        uvloop.run(program(load_settings(path, shape)))
+        uvloop.run(program(load(path)))
     except SettingsError as error:
         sys.exit(_complain(f'{path}: {error}'))
     except OSError as error:
--- a/galenaswitch/pipelines/requests.py
+++ b/galenaswitch/pipelines/requests.py
@@ -74,6 +74,18 @@
             return Run.unknown
         return Run.partial if self._sent else Run.not_run
 
+    @property
+    def sent(self) -> int:
+        """Attempts that have run or may have run.
+
+        >>> progress = Progress()
+        >>> progress.note_sent(repeatable=True)
+        >>> progress.note_not_run()
+        >>> progress.sent, progress.attempts
+        (0, 1)
+        """
+        return self._sent
+
     def note_sent(self, *, repeatable: bool) -> None:
         """Note, before an attempt, that its bytes may leave."""
         self.attempts += 1
--- a/galenaswitch/programs/control.py
+++ b/galenaswitch/programs/control.py
@@ -22,6 +22,7 @@
 )
 from galenaswitch.configuration.relay import Relay
 from galenaswitch.configuration.status import REPORT_SECONDS, ZoneStatus
+from galenaswitch.configuration.watch import StoreWatch
 from galenaswitch.errors import DutyError, PeerClosedError
 from galenaswitch.limits.shared import SharedLimits
 from galenaswitch.membership.links import Identity, Link, Service, listen
@@ -157,7 +158,7 @@
         self.subscribers = Subscribers()
         publish = self._publish
         self.mesh = Mesh(self.service, self.members, tasks)
-        self.relay = Relay(self.catalog, self.store, self.mesh, publish)
+        self.relay = Relay(self.catalog, self.mesh, publish)
         self.roster = Roster(self.members, self.store, self.mesh, publish)
         self.status = ZoneStatus(self.mesh, self.store)
         self.loads = LoadCollector(
@@ -202,7 +203,7 @@
     def start(self, tasks: TaskGroup) -> None:
         """Start the background duties."""
         tasks.start_duty(self.mesh.steer())
-        tasks.start_duty(self.relay.watch())
+        tasks.start_duty(StoreWatch(self.relay, self.store, self.mesh).watch())
         tasks.start_duty(self.relay.repair())
         tasks.start_duty(
             run_every(POLL_SECONDS, self.roster.poll, 'list_failed'),
--- /dev/null
+++ b/galenaswitch/programs/edge.py
@@ -0,0 +1,364 @@
+"""``galena-edge``: the whole path of requests on one VM of the platform."""
+
+import asyncio
+import os
+import secrets
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any, TypeVar
+
+import defopt
+
+from galenaswitch.configuration.messages import Digest, Items, Versions
+from galenaswitch.configuration.relay import Relay
+from galenaswitch.connections.heads import AnswerHead
+from galenaswitch.connections.inbound import AnswerWriter, Listener
+from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.requests import InboundLimits, InboundRequest
+from galenaswitch.gateway.duties import Duties
+from galenaswitch.gateway.gatherer import Gatherer
+from galenaswitch.gateway.handling import Gateway
+from galenaswitch.gateway.learning import Learning
+from galenaswitch.gateway.messages import (
+    PiecesCancel,
+    PiecesQuestion,
+    PiecesReply,
+    PlaceEnd,
+    PlaceFirst,
+    PlaceQuestion,
+    PlaceReply,
+    ReleaseNote,
+)
+from galenaswitch.gateway.places import PlaceHolder
+from galenaswitch.gateway.plain import PlainRunner
+from galenaswitch.gateway.routes import (
+    BatchLimits,
+    EngineLimits,
+    RouteTable,
+)
+from galenaswitch.gateway.sending import Sender
+from galenaswitch.gateway.stages import StageRunner
+from galenaswitch.gateway.streams import StreamRunner
+from galenaswitch.limits.retries import RetryBudgets
+from galenaswitch.membership.directory import Directory
+from galenaswitch.membership.frames import Vocabulary
+from galenaswitch.membership.links import Identity, Link, Service, listen
+from galenaswitch.membership.lists import Machine, MemberList, Members
+from galenaswitch.membership.mesh import Mesh, Ping, Pong, answer_ping
+from galenaswitch.membership.messages import ListQuestion
+from galenaswitch.operations.logs import configure_logs, get_logger
+from galenaswitch.operations.metrics import LocalMetrics
+from galenaswitch.operations.process import (
+    TaskGroup,
+    run_every,
+    run_loop,
+    wait_for_stop,
+)
+from galenaswitch.operations.sink import open_sink
+from galenaswitch.platform.documents import PlatformDocuments
+from galenaswitch.platform.headers import PlatformWire
+from galenaswitch.platform.objects import PlatformStore
+from galenaswitch.platform.settings import (
+    VmSettings,
+    find_path,
+    load_vm_settings,
+)
+from galenaswitch.routing.choice import LeastOutstanding
+from galenaswitch.routing.loads import LoadView
+
+SECRET_VARIABLE = 'GALENA_PEER_SECRET'
+# Seconds that the balancer takes to see that a VM is not ready: it asks
+# once a second and goes by two misses.
+BALANCER_SECONDS = 2.5
+# Seconds before the platform's SIGKILL at which requests are broken off.
+LAST_SECONDS = 0.6
+STOP_POLL_SECONDS = 0.05
+CLOSE_STALE_SECONDS = 1.0
+READY = 200
+NOT_READY = 503
+
+VOCABULARY = Vocabulary(
+    Digest,
+    Items,
+    ListQuestion,
+    MemberList,
+    PiecesCancel,
+    PiecesQuestion,
+    PiecesReply,
+    Ping,
+    PlaceEnd,
+    PlaceFirst,
+    PlaceQuestion,
+    PlaceReply,
+    Pong,
+    ReleaseNote,
+    Versions,
+)
+Opened = TypeVar('Opened')
+
+
+class Edge:
+    """The slices of one VM, put together."""
+
+    def __init__(self, settings: VmSettings, tasks: TaskGroup) -> None:
+        """Build all slices; nothing runs yet."""
+        self._settings = settings
+        self._tasks = tasks
+        self.metrics = LocalMetrics()
+        self.stopping = False
+        self.pool = ConnectionPool(settings.address)
+        own = Machine(settings.node, settings.zone, *settings.peers)
+        self.members = Members()
+        self.directory = Directory(self.members, own)
+        self.service = self._make_service()
+        self.mesh = Mesh(self.service, self.members, tasks)
+        store = PlatformStore(self.pool, settings.store)
+        self.learning = Learning(
+            store,
+            PlatformDocuments(),
+            self.directory,
+            own,
+            tasks,
+        )
+        self.relay = Relay(
+            self.learning.catalog,
+            self.mesh,
+            self.learning.publish,
+        )
+        self.learning.share_through(self.relay)
+        self.budgets = RetryBudgets(
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_slack,
+            settings.bounds.retry_window,
+        )
+        self._gatherers: dict[str, Gatherer] = {}
+        self._holders: dict[str, PlaceHolder] = {}
+        self._wire = PlatformWire()
+        self._sender = Sender(self.pool)
+        self._duties = Duties(self.members, self.mesh)
+        self.stages = StageRunner(
+            settings.zone,
+            self.members,
+            self._wire,
+            self._duties,
+            self.find_gatherer,
+        )
+        self.streams = StreamRunner(
+            self.members,
+            self._sender,
+            self._wire,
+            self.budgets,
+            self._duties,
+            self.stages,
+            self.find_holder,
+        )
+        self.callers = Listener(self._make_gateway(), self.find_limits)
+        self._add_handlers()
+
+    def find_limits(self) -> InboundLimits:
+        """Return what callers may send."""
+        return self._find_table().limits
+
+    def find_gatherer(self, service: str) -> Gatherer:
+        """Return this VM's gatherer of a service."""
+        if service not in self._gatherers:
+            self._gatherers[service] = Gatherer(
+                service,
+                self.find_batches,
+                self.members,
+                self._sender,
+                self._wire,
+                self.budgets,
+                self._tasks,
+            )
+        return self._gatherers[service]
+
+    def find_holder(self, service: str) -> PlaceHolder:
+        """Return this VM's places on the engines of a service."""
+        if service not in self._holders:
+            self._holders[service] = PlaceHolder(
+                service,
+                self.find_engine,
+                self.members,
+            )
+        return self._holders[service]
+
+    def find_batches(self, service: str) -> BatchLimits | None:
+        """Return how targets of a service work on calls."""
+        return self._find_table().find_batches(service)
+
+    def find_engine(self, service: str) -> EngineLimits | None:
+        """Return what engines of a service hold."""
+        return self._find_table().find_engine(service)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return self.learning.ready and not self.stopping
+
+    def start(self) -> None:
+        """Begin to learn."""
+        self.learning.start()
+        self._tasks.start_duty(self.mesh.steer())
+        self._tasks.start_duty(self.relay.repair())
+        self._tasks.start(
+            self.learning.learn_from_seeds(self._settings.seeds, self.service),
+        )
+        self._tasks.start_duty(
+            run_every(CLOSE_STALE_SECONDS, self.look_around, 'look_failed'),
+        )
+
+    async def look_around(self) -> None:
+        """Close stale connections and count the machines."""
+        self.pool.close_stale()
+        self.budgets.share_between(len(self.members.machines()))
+
+    async def stop(self) -> None:
+        """Leave gracefully: no request in progress is cut off."""
+        self.stopping = True
+        begun = time.monotonic()
+        await asyncio.sleep(BALANCER_SECONDS)
+        self.callers.closing = True
+        end = begun + self._settings.bounds.grace - LAST_SECONDS
+        while time.monotonic() < end:
+            self.callers.close_idle()
+            if not self.callers.connections:
+                break
+            await asyncio.sleep(STOP_POLL_SECONDS)
+
+    async def answer_list(
+        self,
+        link: Link,
+        question: ListQuestion,
+    ) -> MemberList:
+        """Answer a VM that can't reach the store."""
+        return self.members.listed
+
+    async def answer_pieces(
+        self,
+        link: Link,
+        question: PiecesQuestion,
+    ) -> PiecesReply:
+        """Make pieces for another VM."""
+        return await self.stages.decide(question)
+
+    async def answer_place(
+        self,
+        link: Link,
+        question: PlaceQuestion,
+    ) -> PlaceReply:
+        """Find a place for another VM's request."""
+        return await self.streams.decide(question)
+
+    def _find_table(self) -> RouteTable:
+        return self.learning.tables.current
+
+    def _make_service(self) -> Service:
+        identity = Identity(
+            self._settings.node,
+            self._settings.zone,
+            'edge',
+            secrets.token_hex(4),
+        )
+        return Service(
+            identity,
+            os.environ.get(SECRET_VARIABLE, ''),
+            VOCABULARY,
+            {},
+            address=self._settings.address,
+            traffic=Counter(),
+            heard={},
+        )
+
+    def _add_handlers(self) -> None:
+        handlers: dict[type[Any], Any] = {
+            Digest: self.relay.answer_digest,
+            Items: self.relay.receive_items,
+            ListQuestion: self.answer_list,
+            PiecesCancel: lambda link, note: self.stages.take_cancel(note),
+            PiecesQuestion: self.answer_pieces,
+            Ping: answer_ping,
+            PlaceEnd: lambda link, note: self.streams.take_end(note),
+            PlaceFirst: lambda link, note: self.streams.take_first(note),
+            PlaceQuestion: self.answer_place,
+            ReleaseNote: lambda link, note: self.stages.take_release(note),
+            Versions: self.relay.answer_versions,
+        }
+        self.service.handlers.update(handlers)  # type: ignore[attr-defined]
+
+    def _make_gateway(self) -> Gateway:
+        loads = LoadView()
+        plain = PlainRunner(
+            self._settings.zone,
+            self.members,
+            self._sender,
+            self._wire,
+            self.budgets,
+            LeastOutstanding(loads),
+            loads,
+        )
+        return Gateway(
+            self._find_table,
+            self._wire,
+            plain,
+            self.streams,
+            self.metrics,
+        )
+
+
+class Readiness:
+    """Answers the balancer."""
+
+    def __init__(self, edge: Edge) -> None:
+        """Answer for ``edge``."""
+        self._edge = edge
+
+    async def handle(
+        self,
+        request: InboundRequest,
+        writer: AnswerWriter,
+    ) -> None:
+        """Answer whether callers should be sent here."""
+        status = READY if self._edge.is_ready() else NOT_READY
+        writer.start(AnswerHead(status, ()), 0)
+        writer.finish()
+
+
+async def run_edge(settings: VmSettings) -> None:
+    """Run the process until SIGTERM and its last request."""
+    sink = open_sink()
+    configure_logs('galena-edge', settings.node, sink)
+    tasks = TaskGroup()
+    tasks.start(sink.keep_flushing())
+    edge = Edge(settings, tasks)
+    loop = asyncio.get_running_loop()
+    readiness = Listener(Readiness(edge), InboundLimits)
+    await loop.create_server(readiness.open_connection, *settings.readiness)
+    await loop.create_server(edge.callers.open_connection, *settings.callers)
+    await listen(*settings.peers, edge.service, tasks)
+    edge.start()
+    get_logger().info('started', zone=settings.zone)
+    await wait_for_stop()
+    get_logger().info('stopping', connections=len(edge.callers.connections))
+    await edge.stop()
+    get_logger().info('stopped', connections=len(edge.callers.connections))
+    await tasks.stop()
+    sink.flush()
+
+
+def serve(*, settings: Path | None = None) -> None:
+    """Run the process of an entry VM on the platform.
+
+    :param settings: path of the platform's settings file
+    """
+    path = settings or find_path()
+    run_loop(path, load_vm_settings, run_edge)
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    defopt.run(serve)
+
+
+if __name__ == '__main__':
+    main()
--- a/galenaswitch/refusals.py
+++ b/galenaswitch/refusals.py
@@ -98,6 +98,8 @@
     :param reason: kind of the refusal.
     :param run: what is known of the request.
     :param detail: one sentence for the caller.
+    :param retry_after: seconds after which a retry may do, the rule's own
+        when not given.
     """
 
     def __init__(
@@ -105,12 +107,14 @@
         reason: Reason,
         run: Run = Run.not_run,
         detail: str = '',
+        retry_after: float = 0,
     ) -> None:
-        """Keep kind, knowledge and detail."""
+        """Keep kind, knowledge, detail and time."""
         super().__init__(f'{reason} ({run}) {detail}'.strip())
         self.reason = reason
         self.run = run
         self.detail = detail
+        self.retry_after = retry_after or float(self.rule.retry)
 
     @property
     def rule(self) -> Rule:
--- /dev/null
+++ b/galenaswitch/routing/engines.py
@@ -0,0 +1,302 @@
+"""Which model engine a request goes to, for all machines together.
+
+Pattern answered: many machines send long prompts that share their
+beginnings. Each prompt is read where most of it is held, until the wait for
+prefill there costs more than reading it again elsewhere; what was sent but
+not yet read counts at once, so that machines don't herd on one engine.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from galenaswitch.gateway.calls import PromptPart
+from galenaswitch.gateway.routes import EngineLimits
+from galenaswitch.membership.lists import Target
+from galenaswitch.routing.ejection import Ejector
+
+# Prompt tokens that an engine reads in a second, until answers show it.
+DEFAULT_PREFILL_RATE = 40_000.0
+# Seconds to the first event besides prefill: one way and one step.
+BASE_SECONDS = 0.02
+# Shortest prompt in tokens from which a reading rate is learned.
+MIN_LEARNED_TOKENS = 400
+SMOOTHING = 0.15
+# Bounds of the reading rate in tokens a second, against outliers.
+LEAST_RATE = 2_000.0
+MOST_RATE = 400_000.0
+# Weight of engine time spent on reading again what another engine holds,
+# beside the wait that it causes to the request itself.
+READ_AGAIN_WEIGHT = 1.0
+# Seconds that moving a megabyte of stage results to another zone counts.
+CROSSING_SECONDS_PER_MB = 0.012
+# Seconds by which one running request slows a new one down.
+RUNNING_SECONDS = 0.001
+# Part of an engine's memory that running requests may take.
+MEMORY_PART = 0.9
+# Slowest that an engine is believed to be in relation to the others.
+MOST_SLOWNESS = 20.0
+LEAST_SLOWNESS = 0.5
+# Least ratio of a time to the expected one that is learned from.
+LEAST_RATIO = 0.2
+MEGABYTE = 1_000_000
+
+
+class PlaceRequest(NamedTuple):
+    """What a request needs of an engine.
+
+    :param ident: id of the caller's attempt.
+    :param result_bytes: size of the stage results in each zone.
+    :param avoided: names of the engines that have failed it.
+    """
+
+    ident: str
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    answer_tokens: int
+    zone: str
+    result_bytes: dict[str, int]
+    avoided: tuple[str, ...] = ()
+
+
+class Placement(NamedTuple):
+    """The engine for a request.
+
+    :param first_seconds: expected time to the first event.
+    :param new_tokens: prompt tokens that have to be read.
+    """
+
+    target: Target
+    first_seconds: float
+    new_tokens: int
+
+
+class Running:
+    """A request placed on an engine."""
+
+    def __init__(self, placement: Placement, size: int, now: float) -> None:
+        """Note a placement of ``size`` tokens at a monotonic time."""
+        self.placement = placement
+        self.size = size
+        self.placed_at = now
+        self.first_at: float | None = None
+
+
+class Engine:
+    """What is known of one engine."""
+
+    def __init__(self) -> None:
+        """Start idle and with nothing held."""
+        self.running: dict[str, Running] = {}
+        self.slowness = 1.0
+        self._held: OrderedDict[int, int] = OrderedDict()
+
+    def used_tokens(self) -> int:
+        """Return the memory that running requests take."""
+        return sum(one.size for one in self.running.values())
+
+    def match(self, chain: tuple[tuple[int, int], ...]) -> int:
+        """Return the tokens of a prompt's beginning that are held."""
+        matched = 0
+        for key, tokens in chain:
+            if key not in self._held:
+                break
+            matched += tokens
+        return matched
+
+    def hold(self, chain: tuple[tuple[int, int], ...], room: int) -> None:
+        """Note a prompt as held; the least recently used parts yield."""
+        for key, tokens in reversed(chain):
+            self._held[key] = tokens
+            self._held.move_to_end(key)
+        total = sum(self._held.values())
+        while self._held and total > room:
+            _, tokens = self._held.popitem(last=False)
+            total -= tokens
+
+    def unread_tokens(self, now: float, rate: float) -> float:
+        """Return the prompt tokens that wait to be read."""
+        unread = 0.0
+        oldest = now
+        for one in self.running.values():
+            if one.first_at is None:
+                unread += one.placement.new_tokens
+                oldest = min(oldest, one.placed_at)
+        return max(0.0, unread - (now - oldest) * rate / self.slowness)
+
+
+class EnginePlaces:
+    """Requests placed on the engines of one service."""
+
+    def __init__(self, ejector: Ejector) -> None:
+        """Keep away from the engines that ``ejector`` has ejected."""
+        self._ejector = ejector
+        self._engines: dict[str, Engine] = {}
+        self._where: dict[str, str] = {}
+        self._rate = DEFAULT_PREFILL_RATE
+
+    def place(
+        self,
+        wanted: PlaceRequest,
+        targets: Iterable[Target],
+        limits: EngineLimits,
+        now: float,
+    ) -> Placement | None:
+        """Choose an engine with room, ``None`` when there is none.
+
+        :param now: monotonic time in seconds.
+        """
+        able = [
+            target for target in targets if target.name not in wanted.avoided
+        ]
+        kept = set(
+            self._ejector.select([target.name for target in able], now),
+        )
+        chain = make_chain(wanted.parts)
+        best: tuple[float, Placement] | None = None
+        for target in able:
+            engine = self._engine(target)
+            if target.name not in kept or not _has_room(engine, wanted, limits):
+                continue
+            scored = self._score(target, engine, wanted, chain, now)
+            if best is None or scored[0] < best[0]:
+                best = scored
+        if best is None:
+            return None
+        self._note(best[1], wanted, chain, limits, now)
+        return best[1]
+
+    def note_first(self, ident: str, now: float) -> None:
+        """Note that the first event of a request has come."""
+        engine = self._find(ident)
+        if engine is None:
+            return
+        one = engine.running[ident]
+        if one.first_at is None:
+            one.first_at = now
+            self._learn(engine, one, now - one.placed_at)
+
+    def note_end(self, ident: str) -> None:
+        """Note that a request has ended, however it ended."""
+        engine = self._find(ident)
+        self._where.pop(ident, None)
+        if engine:
+            engine.running.pop(ident, None)
+
+    def forget(self, target: str) -> None:
+        """Forget what an engine held: it failed or was started again."""
+        engine = self._engines.get(target)
+        if engine:
+            kept = Engine()
+            kept.running = engine.running
+            self._engines[target] = kept
+
+    def running(self) -> int:
+        """Return the requests in progress on all engines."""
+        return len(self._where)
+
+    def dump(self) -> dict[str, dict[str, float]]:
+        """Return the state of each engine."""
+        return {
+            name: {
+                'running': len(engine.running),
+                'used_tokens': engine.used_tokens(),
+                'slowness': round(engine.slowness, 2),
+            }
+            for name, engine in self._engines.items()
+        }
+
+    def _score(
+        self,
+        target: Target,
+        engine: Engine,
+        wanted: PlaceRequest,
+        chain: tuple[tuple[int, int], ...],
+        now: float,
+    ) -> tuple[float, Placement]:
+        new = max(1, wanted.prompt_tokens - engine.match(chain))
+        reading = new * engine.slowness / self._rate
+        waiting = (
+            engine.unread_tokens(now, self._rate) * engine.slowness / self._rate
+        )
+        step = len(engine.running) * RUNNING_SECONDS * engine.slowness
+        first = BASE_SECONDS * engine.slowness + waiting + reading + step
+        elsewhere = sum(
+            size
+            for zone, size in wanted.result_bytes.items()
+            if zone != target.zone
+        )
+        crossing = elsewhere / MEGABYTE * CROSSING_SECONDS_PER_MB
+        cost = first + reading * READ_AGAIN_WEIGHT + crossing
+        return cost, Placement(target, first, new)
+
+    def _note(
+        self,
+        placement: Placement,
+        wanted: PlaceRequest,
+        chain: tuple[tuple[int, int], ...],
+        limits: EngineLimits,
+        now: float,
+    ) -> None:
+        engine = self._engine(placement.target)
+        size = wanted.prompt_tokens + wanted.answer_tokens
+        engine.running[wanted.ident] = Running(placement, size, now)
+        engine.hold(chain, limits.memory_tokens - engine.used_tokens())
+        self._where[wanted.ident] = placement.target.incarnation
+
+    def _engine(self, target: Target) -> Engine:
+        return self._engines.setdefault(target.incarnation, Engine())
+
+    def _find(self, ident: str) -> Engine | None:
+        engine = self._engines.get(self._where.get(ident, ''))
+        return engine if engine and ident in engine.running else None
+
+    def _learn(self, engine: Engine, one: Running, seconds: float) -> None:
+        """Take the time to a first event into rate and slowness."""
+        tokens = one.placement.new_tokens
+        expected = one.placement.first_seconds
+        ratio = seconds / max(expected, BASE_SECONDS)
+        slowness = engine.slowness * min(max(ratio, LEAST_RATIO), MOST_SLOWNESS)
+        engine.slowness += SMOOTHING * (slowness - engine.slowness)
+        engine.slowness = min(
+            max(engine.slowness, LEAST_SLOWNESS),
+            MOST_SLOWNESS,
+        )
+        alone = len(engine.running) == 1 and tokens >= MIN_LEARNED_TOKENS
+        if alone and seconds > BASE_SECONDS:
+            rate = tokens / (seconds - BASE_SECONDS / 2)
+            self._rate += SMOOTHING * (rate - self._rate)
+            self._rate = min(max(self._rate, LEAST_RATE), MOST_RATE)
+
+
+def make_chain(parts: tuple[PromptPart, ...]) -> tuple[tuple[int, int], ...]:
+    """Return a key for each beginning of a prompt, with its last tokens.
+
+    A part counts as held only together with all parts before it.
+
+    >>> one, two = PromptPart('a', 5), PromptPart('b', 7)
+    >>> make_chain((one, two))[0] == make_chain((one,))[0]
+    True
+    >>> make_chain((two,)) == make_chain((one, two))[1:]
+    False
+    """
+    key = 0
+    chain = []
+    for part in parts:
+        key = xxh3_64_intdigest(part.ident.encode(), seed=key)
+        chain.append((key, part.tokens))
+    return tuple(chain)
+
+
+def _has_room(
+    engine: Engine,
+    wanted: PlaceRequest,
+    limits: EngineLimits,
+) -> bool:
+    if len(engine.running) >= limits.slots:
+        return False
+    size = wanted.prompt_tokens + wanted.answer_tokens
+    used = engine.used_tokens()
+    return not used or used + size <= limits.memory_tokens * MEMORY_PART
