Requests are begun only when all their pieces have room; engines are assigned

Ruled out: too few targets (calls were half empty while pieces waited). Change: room is reserved for all pieces of a request, begun requests go first; large results are made no earlier than needed; an engine is assigned to each shared beginning, reading again and lateness count in its choice.

--- a/galenaswitch/connections/heads.py
+++ b/galenaswitch/connections/heads.py
@@ -104,7 +104,7 @@
     r"""Return the head of an answer.
 
     >>> encode_answer(AnswerHead(503, ((b'Retry-After', b'1'),)))
-    b'HTTP/1.1 503 Service Unavailable\\r\\nRetry-After: 1\r\n\r\n'
+    b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\r\n'
     """
     lines = [b'HTTP/1.1 %d %b' % (head.status, _name_status(head.status))]
     lines.extend(b'%b: %b' % header for header in head.headers)
--- a/galenaswitch/gateway/gatherer.py
+++ b/galenaswitch/gateway/gatherer.py
@@ -86,10 +86,10 @@
         targets = self._members.usable(self._service)
         if limits is None or not targets:
             return PiecesReply((), 'no-target', 1)
-        wait = self._gathering.expect_wait(
-            targets,
+        wait = expect_wait(
+            self._gathering.waiting() + len(question.pieces),
+            len(targets),
             limits,
-            len(question.pieces),
         )
         if wait > question.left:
             get_logger().info(
@@ -315,3 +315,15 @@
         now + question.start_in,
         now + question.left,
     )
+
+
+def expect_wait(pieces: int, targets: int, limits: BatchLimits) -> float:
+    """Return the seconds until so many pieces are made by idle targets.
+
+    >>> limits = BatchLimits(1, 4, 0.2, 0.05, 9e6, 4)
+    >>> expect_wait(4, 2, limits), expect_wait(9, 2, limits)
+    (0.4, 0.8)
+    """
+    whole = limits.call_seconds + limits.batch * limits.piece_seconds
+    calls = -(-pieces // limits.batch)
+    return -(-calls // (targets * limits.slots)) * whole
--- a/galenaswitch/gateway/places.py
+++ b/galenaswitch/gateway/places.py
@@ -143,5 +143,6 @@
         question.answer_tokens,
         question.zone,
         question.result_bytes,
+        question.start_in,
         question.avoided,
     )
--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -19,10 +19,16 @@
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.refusals import Reason, RefusedError, Run
+from galenaswitch.routing.engines import assign_engine
 
 # Seconds from the last result to the first event of a model engine: reading
 # of a usual prompt and one step.
 ENGINE_SECONDS = 0.25
+# Results of this many bytes are made near their reader, and not earlier
+# than needed: they fill their maker's room and the links between zones.
+LARGE_RESULT_BYTES = 200_000
+# Part of the time that a stage has to spare in which it isn't begun.
+SPARE_PART = 0.8
 # Seconds that a reply may take beyond the time in which it is of use.
 REPLY_SLACK_SECONDS = 0.1
 # Seconds that a request needs at the least behind its stages.
@@ -75,9 +81,7 @@
 
     def cancel(self) -> None:
         """Tell the gatherers that no more pieces are needed."""
-        stages = self._call.route.stages
-        services = {stage.service for stage in stages}
-        for service in services:
+        for service in self._call.route.stage_services():
             self._runner.cancel(
                 self._holders.get(service, ''),
                 service,
@@ -100,6 +104,8 @@
         stage = self._call.route.stages[number]
         for before in stage.after:
             await self._done[before].wait()
+        if not stage.after:
+            await asyncio.sleep(self._find_spare(number))
         pieces = self._make_pieces(number)
         if pieces:
             reply = await self._ask(number, pieces)
@@ -109,6 +115,27 @@
         self._done[number].set()
         self._release_inputs(number)
 
+    def _find_spare(self, number: int) -> float:
+        """Return the seconds that a stage can wait for longer ones beside it.
+
+        Its results would only take room until those are done.
+        """
+        if self._call.route.stages[number].result_bytes < LARGE_RESULT_BYTES:
+            return 0
+        paths = [
+            self._call_seconds(other) + self._rest_seconds(other)
+            for other, stage in enumerate(self._call.route.stages)
+            if not stage.after
+        ]
+        own = self._call_seconds(number) + self._rest_seconds(number)
+        return (max(paths) - own) * SPARE_PART
+
+    def _find_zone(self, result_bytes: int) -> str:
+        """Return the zone of the engine that is likely to read results."""
+        if result_bytes < LARGE_RESULT_BYTES:
+            return ''
+        return self._runner.guess_zone(self._call)
+
     def _make_pieces(self, number: int) -> tuple[Piece, ...]:
         fields = self._call.fields
         stage = self._call.route.stages[number]
@@ -144,7 +171,7 @@
             self._call.ident,
             pieces,
             stage.result_bytes,
-            self._runner.zone,
+            self._find_zone(stage.result_bytes),
             self._call.objective - now - own - rest - ENGINE_SECONDS,
             left,
         )
@@ -233,6 +260,14 @@
         self._duties = duties
         self._find_gatherer = find_gatherer
 
+    def guess_zone(self, call: Call) -> str:
+        """Return the zone of the engine that a request is likely to get."""
+        engine = assign_engine(
+            call.fields.parts,
+            self._members.usable(call.service),
+        )
+        return engine.zone if engine else ''
+
     def open_job(self, call: Call, table: RouteTable) -> StageJob:
         """Begin the stages of a request."""
         return StageJob(call, table, self)
--- a/galenaswitch/pipelines/gathering.py
+++ b/galenaswitch/pipelines/gathering.py
@@ -4,27 +4,26 @@
 costs much and a piece in it little, and each request brings a few pieces.
 Calls are filled over all requests that wait, the most urgent first, and
 sent whenever a target is free, so that calls fill themselves as load grows.
+
+Results take room at their makers until all pieces of their request are made
+and read. A request is begun only when there is room for all of its pieces:
+half-made ones would hold room that none can use.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from galenaswitch.gateway.calls import Piece
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.membership.lists import Target
+from galenaswitch.pipelines.workers import Worker
 
-# Part of the room for results that calls may fill.
-ROOM_PART = 0.95
-SMOOTHING = 0.3
-# Slowest that a target is believed to be in relation to the others.
-MOST_SLOWNESS = 20.0
-LEAST_SLOWNESS = 0.5
-# A target this many times slower than the fastest gets no calls while a
-# faster one will be free before it would be done.
+# A target this many times slower than the fastest gets no calls while the
+# faster ones can take what waits.
 SLOW_FACTOR = 1.6
-# Seconds for which a target that failed a call gets no other.
-FAILURE_PAUSE_SECONDS = 0.5
-MAX_PAUSE_SECONDS = 8.0
+# A request that waits for room keeps back those behind it whose results are
+# larger than this part of its own.
+BLOCKING_PART = 0.25
 
 
 class Demand:
@@ -42,7 +41,7 @@
         """Ask for ``pieces``.
 
         :param result_bytes: size of one result.
-        :param zone: zone in which the results are preferred.
+        :param zone: zone in which the results are preferred, empty for any.
         :param start_by: monotonic time until which a call has to start so
             that the request can be on time.
         :param deadline: monotonic time after which results are of no use.
@@ -54,13 +53,14 @@
         self.zone = zone
         self.start_by = start_by
         self.deadline = deadline
+        self.begun = False
         self.handles: dict[int, str] = {}
         self.failure = ''
         self.repeats = 0
 
-    def rank(self, now: float) -> tuple[bool, float]:
-        """Order demands: those that can be on time, by their last start."""
-        return (self.start_by < now, self.start_by)
+    def rank(self, now: float) -> tuple[bool, bool, float]:
+        """Order demands: begun ones, then those that can be on time."""
+        return (not self.begun, self.start_by < now, self.start_by)
 
 
 class PieceCall(NamedTuple):
@@ -74,39 +74,6 @@
     expected: float
 
 
-class Worker:
-    """What is known of one target of a stage."""
-
-    def __init__(self) -> None:
-        """Start idle."""
-        self.calls = 0
-        self.slowness = 1.0
-        self.held_bytes = 0
-        self.paused_until = 0.0
-        self.free_at = 0.0
-        self._pause = 0.0
-
-    def learn(self, ratio: float) -> None:
-        """Take the time of a call in relation to the expected one."""
-        self._pause = 0.0
-        seen = self.slowness * min(ratio, MOST_SLOWNESS)
-        self.slowness += SMOOTHING * (seen - self.slowness)
-        self.slowness = min(
-            max(self.slowness, LEAST_SLOWNESS),
-            MOST_SLOWNESS,
-        )
-
-    def wait_for_room(self, until: float) -> None:
-        """Keep calls away for a moment; results have to be given up."""
-        self.paused_until = max(self.paused_until, until)
-
-    def pause(self, now: float) -> None:
-        """Keep calls away after a failure, longer at each one."""
-        doubled = max(self._pause * 2, FAILURE_PAUSE_SECONDS)
-        self._pause = min(doubled, MAX_PAUSE_SECONDS)
-        self.paused_until = now + self._pause
-
-
 class Gathering:
     """Pieces that wait for the targets of one service."""
 
@@ -133,25 +100,25 @@
 
     def next_call(
         self,
-        targets: Iterable[Target],
+        targets: Sequence[Target],
         limits: BatchLimits,
         now: float,
     ) -> PieceCall | None:
         """Take pieces for the best free target.
 
-        :returns: ``None`` when nothing waits or no target is free.
+        :returns: ``None`` when nothing can be sent now.
         """
         waiting = [one for one in self.demands.values() if one.unsent]
         if not waiting:
             return None
         waiting.sort(key=lambda demand: demand.rank(now))
-        target = self._pick_target(targets, limits, waiting[0], now)
-        if target is None:
-            return None
-        pieces = _fill(waiting, limits, self.worker(target))
-        if not pieces:
-            return None
-        return self._start(target, pieces, limits, now)
+        first = waiting[0].zone
+        for target in self._order_free(targets, limits, first, now):
+            filling = _Filling(self, target, targets, limits, now)
+            pieces = filling.take(waiting)
+            if pieces:
+                return self._start(target, pieces, limits, now)
+        return None
 
     def finish(self, call: PieceCall) -> None:
         """Note that a call has ended, however it ended."""
@@ -159,21 +126,7 @@
 
     def release(self, target: Target, size: int) -> None:
         """Note that results of ``size`` bytes were given up."""
-        worker = self.worker(target)
-        worker.held_bytes = max(0, worker.held_bytes - size)
-
-    def expect_wait(
-        self,
-        targets: Iterable[Target],
-        limits: BatchLimits,
-        pieces: int,
-    ) -> float:
-        """Return the seconds until so many more pieces would be done."""
-        count = max(1, sum(1 for _ in targets))
-        whole = limits.call_seconds + limits.batch * limits.piece_seconds
-        calls = -(-(self.waiting() + pieces) // limits.batch)
-        rounds = -(-calls // (count * limits.slots))
-        return rounds * whole
+        self.worker(target).release(size)
 
     def dump(self) -> dict[str, float]:
         """Return counts for the state dump."""
@@ -181,46 +134,35 @@
             'demands': len(self.demands),
             'waiting_pieces': self.waiting(),
             'calls': sum(one.calls for one in self._workers.values()),
+            'held_bytes': sum(one.held_bytes for one in self._workers.values()),
         }
 
-    def _pick_target(
+    def _order_free(
         self,
-        targets: Iterable[Target],
+        targets: Sequence[Target],
         limits: BatchLimits,
-        first: Demand,
+        zone: str,
         now: float,
-    ) -> Target | None:
+    ) -> list[Target]:
+        """Return the free targets, the best first."""
         every = [(target, self.worker(target)) for target in targets]
+        if not every:
+            return []
         free = [
             (target, worker)
             for target, worker in every
-            if worker.calls < limits.slots
-            and worker.paused_until <= now
-            and _has_room(worker, first, limits)
+            if worker.calls < limits.slots and worker.paused_until <= now
         ]
-        if not free:
-            return None
         fastest = min(worker.slowness for _, worker in every)
         quick = [
-            pair for pair in free if pair[1].slowness <= fastest * SLOW_FACTOR
+            target
+            for target, worker in every
+            if worker.slowness <= fastest * SLOW_FACTOR
         ]
-        if not quick and not self._is_worth_waiting_for(every, limits):
-            quick = free
-        if not quick:
-            return None
-        return min(quick, key=lambda pair: _rank(pair, first))[0]
-
-    def _is_worth_waiting_for(
-        self,
-        every: list[tuple[Target, Worker]],
-        limits: BatchLimits,
-    ) -> bool:
-        """Tell whether the faster targets can take what waits soon."""
-        fastest = min(worker.slowness for _, worker in every)
-        quick = sum(
-            1 for _, worker in every if worker.slowness <= fastest * SLOW_FACTOR
-        )
-        return self.waiting() <= quick * limits.batch
+        if self.waiting() <= len(quick) * limits.batch:
+            free = [pair for pair in free if pair[0] in quick]
+        free.sort(key=lambda pair: (pair[0].zone != zone, pair[1].slowness))
+        return [target for target, _ in free]
 
     def _start(
         self,
@@ -238,28 +180,88 @@
         return PieceCall(target, pieces, expected)
 
 
-def _rank(pair: tuple[Target, Worker], first: Demand) -> tuple[bool, float]:
-    target, worker = pair
-    return (target.zone != first.zone, worker.slowness)
+class _Filling:
+    """One call that is being filled for a target."""
 
-
-def _has_room(worker: Worker, demand: Demand, limits: BatchLimits) -> bool:
-    room = limits.room_bytes * ROOM_PART
-    return worker.held_bytes + demand.result_bytes <= room
-
-
-def _fill(
-    waiting: list[Demand],
-    limits: BatchLimits,
-    worker: Worker,
-) -> tuple[tuple[Demand, Piece], ...]:
-    """Take pieces in order until the call or the room is full."""
-    taken: list[tuple[Demand, Piece]] = []
-    room = limits.room_bytes * ROOM_PART - worker.held_bytes
-    for demand in waiting:
-        while demand.unsent and len(taken) < limits.batch:
-            if demand.result_bytes > room:
+    def __init__(
+        self,
+        gathering: Gathering,
+        target: Target,
+        targets: Sequence[Target],
+        limits: BatchLimits,
+        now: float,
+    ) -> None:
+        self._gathering = gathering
+        self._target = target
+        self._targets = targets
+        self._limits = limits
+        self._now = now
+        worker = gathering.worker(target)
+        self._room = limits.room_bytes - worker.held_bytes
+        self._taken: list[tuple[Demand, Piece]] = []
+        self._ahead: dict[str, int] = {}
+
+    def take(
+        self,
+        waiting: list[Demand],
+    ) -> tuple[tuple[Demand, Piece], ...]:
+        """Take pieces in the order of ``waiting``."""
+        blocked = 0.0
+        for demand in waiting:
+            if len(self._taken) >= self._limits.batch:
                 break
-            room -= demand.result_bytes
-            taken.append((demand, demand.unsent.pop(0)))
-    return tuple(taken)
+            if blocked and demand.result_bytes > blocked * BLOCKING_PART:
+                continue
+            if self._waits_at_home(demand):
+                continue
+            if not demand.begun and not self._has_room(demand):
+                blocked = max(blocked, demand.result_bytes)
+                continue
+            self._add(demand)
+        return tuple(self._taken)
+
+    def _add(self, demand: Demand) -> None:
+        while demand.unsent and len(self._taken) < self._limits.batch:
+            if demand.result_bytes > self._room:
+                return
+            demand.begun = True
+            self._room -= demand.result_bytes
+            self._taken.append((demand, demand.unsent.pop(0)))
+
+    def _has_room(self, demand: Demand) -> bool:
+        """Tell whether all pieces of a demand have room somewhere."""
+        size = demand.result_bytes
+        if not size:
+            return True
+        places = self._room // size
+        for target in self._targets:
+            if target is not self._target:
+                worker = self._gathering.worker(target)
+                places += (self._limits.room_bytes - worker.held_bytes) // size
+        promised = sum(
+            len(other.unsent) * other.result_bytes
+            for other in self._gathering.demands.values()
+            if other.begun
+        )
+        most = len(self._targets) * (self._limits.room_bytes // size)
+        wanted = min(len(demand.unsent), most)
+        return places - promised / size >= wanted
+
+    def _waits_at_home(self, demand: Demand) -> bool:
+        """Tell whether a demand can be on time at a target of its zone."""
+        if not demand.zone or demand.zone == self._target.zone:
+            return False
+        free = [
+            self._gathering.worker(target).free_at
+            for target in self._targets
+            if target.zone == demand.zone
+        ]
+        if not free:
+            return False
+        ahead = self._ahead.get(demand.zone, 0)
+        self._ahead[demand.zone] = ahead + len(demand.unsent)
+        whole = self._limits.call_seconds
+        whole += self._limits.batch * self._limits.piece_seconds
+        rounds = ahead // (self._limits.batch * len(free))
+        start = max(self._now, min(free)) + rounds * whole
+        return start <= demand.start_by
--- /dev/null
+++ b/galenaswitch/pipelines/workers.py
@@ -0,0 +1,54 @@
+"""What is known of a target that works on calls for pieces."""
+
+SMOOTHING = 0.3
+# Bounds of the speed of a target in relation to the expected one.
+MOST_SLOWNESS = 20.0
+LEAST_SLOWNESS = 0.5
+# Seconds for which a target that failed a call gets no other, doubled at
+# each failure up to the longest pause.
+FAILURE_PAUSE_SECONDS = 0.5
+MAX_PAUSE_SECONDS = 8.0
+
+
+class Worker:
+    """One target of a stage.
+
+    :ivar calls: calls in progress.
+    :ivar slowness: its time for a call in relation to the expected one.
+    :ivar held_bytes: room that results take or will take.
+    :ivar paused_until: monotonic time before which it gets no calls.
+    :ivar free_at: monotonic time at which its call should end.
+    """
+
+    def __init__(self) -> None:
+        """Start idle."""
+        self.calls = 0
+        self.slowness = 1.0
+        self.held_bytes = 0.0
+        self.paused_until = 0.0
+        self.free_at = 0.0
+        self._pause = 0.0
+
+    def learn(self, ratio: float) -> None:
+        """Take the time of a call in relation to the expected one."""
+        self._pause = 0.0
+        seen = self.slowness * min(ratio, MOST_SLOWNESS)
+        self.slowness += SMOOTHING * (seen - self.slowness)
+        self.slowness = min(
+            max(self.slowness, LEAST_SLOWNESS),
+            MOST_SLOWNESS,
+        )
+
+    def release(self, size: float) -> None:
+        """Note that results of ``size`` bytes are gone."""
+        self.held_bytes = max(0, self.held_bytes - size)
+
+    def wait_for_room(self, until: float) -> None:
+        """Keep calls away for a moment; results have to be given up."""
+        self.paused_until = max(self.paused_until, until)
+
+    def pause(self, now: float) -> None:
+        """Keep calls away after a failure, longer at each one."""
+        doubled = max(self._pause * 2, FAILURE_PAUSE_SECONDS)
+        self._pause = min(doubled, MAX_PAUSE_SECONDS)
+        self.paused_until = now + self._pause
--- a/galenaswitch/routing/engines.py
+++ b/galenaswitch/routing/engines.py
@@ -7,7 +7,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from xxhash import xxh3_64_intdigest
@@ -15,6 +15,7 @@
 from galenaswitch.gateway.calls import PromptPart
 from galenaswitch.gateway.routes import EngineLimits
 from galenaswitch.membership.lists import Target
+from galenaswitch.membership.ranking import rank_nodes
 from galenaswitch.routing.ejection import Ejector
 
 # Prompt tokens that an engine reads in a second, until answers show it.
@@ -28,10 +29,17 @@
 LEAST_RATE = 2_000.0
 MOST_RATE = 400_000.0
 # Weight of engine time spent on reading again what another engine holds,
-# beside the wait that it causes to the request itself.
-READ_AGAIN_WEIGHT = 1.0
+# beside the wait of the request itself: it keeps others waiting, and takes
+# memory from what others have there.
+READ_AGAIN_WEIGHT = 5.0
 # Seconds that moving a megabyte of stage results to another zone counts.
-CROSSING_SECONDS_PER_MB = 0.012
+CROSSING_SECONDS_PER_MB = 0.05
+# Seconds that a first event behind the objective counts, and the margin.
+LATE_SECONDS = 2.0
+LATE_MARGIN_SECONDS = 0.03
+# Seconds by which the engine that a prompt's shared beginning is assigned
+# to goes before others when nobody holds it.
+ASSIGNED_SECONDS = 0.03
 # Seconds by which one running request slows a new one down.
 RUNNING_SECONDS = 0.001
 # Part of an engine's memory that running requests may take.
@@ -49,6 +57,7 @@
 
     :param ident: id of the caller's attempt.
     :param result_bytes: size of the stage results in each zone.
+    :param start_in: seconds left for the first event to be on time.
     :param avoided: names of the engines that have failed it.
     """
 
@@ -58,6 +67,7 @@
     answer_tokens: int
     zone: str
     result_bytes: dict[str, int]
+    start_in: float
     avoided: tuple[str, ...] = ()
 
 
@@ -140,7 +150,7 @@
     def place(
         self,
         wanted: PlaceRequest,
-        targets: Iterable[Target],
+        targets: Sequence[Target],
         limits: EngineLimits,
         now: float,
     ) -> Placement | None:
@@ -155,12 +165,19 @@
             self._ejector.select([target.name for target in able], now),
         )
         chain = make_chain(wanted.parts)
+        most = max(
+            (self._engine(target).match(chain) for target in able),
+            default=0,
+        )
+        assigned = assign_engine(wanted.parts, able)
         best: tuple[float, Placement] | None = None
         for target in able:
             engine = self._engine(target)
             if target.name not in kept or not _has_room(engine, wanted, limits):
                 continue
-            scored = self._score(target, engine, wanted, chain, now)
+            scored = self._score(target, engine, wanted, chain, most, now)
+            if target is not assigned:
+                scored = (scored[0] + ASSIGNED_SECONDS, scored[1])
             if best is None or scored[0] < best[0]:
                 best = scored
         if best is None:
@@ -214,9 +231,11 @@
         engine: Engine,
         wanted: PlaceRequest,
         chain: tuple[tuple[int, int], ...],
+        most: int,
         now: float,
     ) -> tuple[float, Placement]:
-        new = max(1, wanted.prompt_tokens - engine.match(chain))
+        held = engine.match(chain)
+        new = max(1, wanted.prompt_tokens - held)
         reading = new * engine.slowness / self._rate
         waiting = (
             engine.unread_tokens(now, self._rate) * engine.slowness / self._rate
@@ -229,7 +248,9 @@
             if zone != target.zone
         )
         crossing = elsewhere / MEGABYTE * CROSSING_SECONDS_PER_MB
-        cost = first + reading * READ_AGAIN_WEIGHT + crossing
+        again = (most - held) / self._rate * READ_AGAIN_WEIGHT
+        late = first > wanted.start_in - LATE_MARGIN_SECONDS
+        cost = first + again + crossing + late * LATE_SECONDS
         return cost, Placement(target, first, new)
 
     def _note(
@@ -271,6 +292,22 @@
             self._rate = min(max(self._rate, LEAST_RATE), MOST_RATE)
 
 
+def assign_engine(
+    parts: tuple[PromptPart, ...],
+    targets: Sequence[Target],
+) -> Target | None:
+    """Return the engine for prompts with the same shared beginning.
+
+    The last part is a request's own. All machines assign alike without a
+    word between them, as long as they know the same targets.
+    """
+    if not targets:
+        return None
+    key = '/'.join(part.ident for part in parts[:-1])
+    named = {target.name: target for target in targets}
+    return named[rank_nodes(key, named)[0]]
+
+
 def make_chain(parts: tuple[PromptPart, ...]) -> tuple[tuple[int, int], ...]:
     """Return a key for each beginning of a prompt, with its last tokens.
 
