Full calls before near results; machines hand their duty over before they stop

After stops and kills two machines decided at one time, and each thought the room free. Change: split under load, no waiting for a busy near target, releases after 5 ms and by the front itself when its holder is gone; a machine that leaves, was silent or has just started is asked last.

--- a/galenaswitch/gateway/duties.py
+++ b/galenaswitch/gateway/duties.py
@@ -13,7 +13,7 @@
 from galenaswitch.errors import PeerError, PeerTimeoutError
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members
-from galenaswitch.membership.mesh import Mesh, Ping
+from galenaswitch.membership.mesh import Leaving, Mesh, Ping, Pong
 from galenaswitch.membership.ranking import rank_nodes
 from galenaswitch.operations.logs import get_logger
 
@@ -25,6 +25,9 @@
 PONG_SECONDS = 0.3
 # Seconds for which a silent machine isn't asked again.
 SUSPECT_SECONDS = 2.0
+# Seconds after its start in which a machine decides for nobody: it knows
+# nothing yet of what others have sent to targets.
+SETTLE_SECONDS = 3.0
 # Machines tried before this one decides for itself.
 MAX_TRIES = 2
 
@@ -39,14 +42,44 @@
         self._members = members
         self._mesh = mesh
         self._suspects: dict[str, float] = {}
+        self._started: dict[str, float] = {mesh.node: time.monotonic()}
+        self._leaving: dict[str, str] = {}
 
     def find_holder(self, service: str) -> str:
-        """Return the machine that decides for a service, as seen here."""
-        now = time.monotonic()
+        """Return the machine that decides for a service, as seen here.
+
+        Machines that leave, were silent or have just started come last.
+        """
         names = {machine.name for machine in self._members.machines()}
         names.add(self._mesh.node)
-        usable = [name for name in names if self._suspects.get(name, 0) <= now]
-        return rank_nodes(f'holder/{service}', usable or names)[0]
+        ranked = rank_nodes(f'holder/{service}', names)
+        return min(ranked, key=self._find_doubt)
+
+    async def greet(self, link: Link) -> None:
+        """Learn how long a peer whose stream just opened has run."""
+        node = link.peer.node
+        if self._leaving.get(node) != link.peer.incarnation:
+            self._leaving.pop(node, None)
+        try:
+            pong = await link.request(Ping(), PONG_SECONDS)
+        except PeerError as error:
+            get_logger().info('peer_silent', peer=node, reason=str(error))
+            return
+        self._started[node] = time.monotonic() - pong.uptime
+
+    async def take_leaving(self, link: Link, message: Leaving) -> None:
+        """Ask a machine that is about to stop no more."""
+        self._leaving[link.peer.node] = link.peer.incarnation
+        get_logger().info('peer_leaving', peer=link.peer.node)
+
+    def answer_ping(self) -> Pong:
+        """Tell a peer that this process lives, and for how long."""
+        return Pong(time.monotonic() - self._started[self._mesh.node])
+
+    def leave(self) -> None:
+        """Tell all peers that this process is about to stop."""
+        self._leaving[self._mesh.node] = ''
+        self._mesh.broadcast(Leaving())
 
     async def ask(
         self,
@@ -77,17 +110,19 @@
         message: Any,
         take: Callable[[Any], None],
     ) -> None:
-        """Push a message to the machine that decided before."""
-        if holder == self._mesh.node:
-            take(message)
-            return
+        """Push a message to the machine that decided before.
+
+        When it can't be reached, ``take`` does here what can be done.
+        """
         link = self._mesh.find(holder)
         if link is None:
+            take(message)
             return
         try:
             link.send(message)
         except PeerError as error:
             get_logger().info('push_failed', peer=holder, reason=str(error))
+            take(message)
 
     async def _ask_peer(
         self,
@@ -106,6 +141,15 @@
         finally:
             asked.cancel()
 
+    def _find_doubt(self, node: str) -> int:
+        """Return how much speaks against asking a machine."""
+        now = time.monotonic()
+        if node in self._leaving:
+            return 3
+        if self._suspects.get(node, 0) > now:
+            return 2
+        return int(now - self._started.get(node, 0) < SETTLE_SECONDS)
+
     def _suspect(self, holder: str, service: str, error: PeerError) -> None:
         self._suspects[holder] = time.monotonic() + SUSPECT_SECONDS
         get_logger().warning(
--- a/galenaswitch/gateway/gatherer.py
+++ b/galenaswitch/gateway/gatherer.py
@@ -19,13 +19,15 @@
     ReleaseNote,
 )
 from galenaswitch.gateway.results import StoredResult, StoredResults
+from galenaswitch.gateway.rooms import Rooms
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.gateway.sending import Sender
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
-from galenaswitch.pipelines.gathering import Demand, Gathering, PieceCall
+from galenaswitch.pipelines.demands import Demand
+from galenaswitch.pipelines.gathering import Gathering, PieceCall
 
 # Seconds that a connection to a target may have been idle.
 MAX_IDLE_SECONDS = 3.0
@@ -74,6 +76,13 @@
             tasks,
             self._free_room,
         )
+        self._rooms = Rooms(
+            self._gathering,
+            sender,
+            wire,
+            tasks,
+            self._stored.add_unknown,
+        )
         self._looking: asyncio.TimerHandle | None = None
 
     async def make(self, question: PiecesQuestion) -> PiecesReply:
@@ -86,12 +95,12 @@
         targets = self._members.usable(self._service)
         if limits is None or not targets:
             return PiecesReply((), 'no-target', 1)
-        wait = expect_wait(
-            self._gathering.waiting() + len(question.pieces),
-            len(targets),
-            limits,
-        )
+        self._rooms.greet(targets, limits)
+        key = f'{question.ident}/{question.pieces[0].stage}'
+        demand = _make_demand(question, now)
+        wait = self._gathering.add(key, demand, targets, limits, now)
         if wait > question.left:
+            self._gathering.remove(key)
             get_logger().info(
                 'pieces_refused',
                 request=question.ident,
@@ -101,8 +110,6 @@
                 waiting=self._gathering.waiting(),
             )
             return PiecesReply((), 'out-of-capacity', wait - question.left)
-        demand = _make_demand(question, now)
-        key = f'{question.ident}/{question.pieces[0].stage}'
         return await self._wait(key, demand, question)
 
     def cancel(self, message: PiecesCancel) -> None:
@@ -128,7 +135,6 @@
     ) -> PiecesReply:
         done = asyncio.Event()
         self._done[key] = done
-        self._gathering.add(key, demand)
         self._look()
         try:
             async with asyncio.timeout(question.left):
@@ -193,12 +199,18 @@
             seconds = time.monotonic() - begun
             worker.learn(seconds / max(call.expected, limits.call_seconds))
             self._take(call, made, limits)
+            self._gathering.note_made(len(made), time.monotonic())
             get_logger().info(
                 'pieces_made',
                 service=self._service,
                 target=call.target.name,
                 requests=[demand.ident for demand, _ in call.pieces],
+                failures=[one.failure for one in made if one.failure],
                 seconds=round(seconds, 3),
+                expected=round(call.expected, 3),
+                waiting=self._gathering.waiting(),
+                held_bytes=round(worker.held_bytes),
+                stored=len(self._stored),
             )
         finally:
             self._gathering.finish(call)
@@ -248,6 +260,7 @@
             )
             self._accept(demand, piece, made.handle)
         if full:
+            self._rooms.ask(call.target, limits)
             self._gathering.worker(call.target).wait_for_room(
                 time.monotonic() + ROOM_PAUSE_SECONDS,
             )
@@ -315,15 +328,3 @@
         now + question.start_in,
         now + question.left,
     )
-
-
-def expect_wait(pieces: int, targets: int, limits: BatchLimits) -> float:
-    """Return the seconds until so many pieces are made by idle targets.
-
-    >>> limits = BatchLimits(1, 4, 0.2, 0.05, 9e6, 4)
-    >>> expect_wait(4, 2, limits), expect_wait(9, 2, limits)
-    (0.4, 0.8)
-    """
-    whole = limits.call_seconds + limits.batch * limits.piece_seconds
-    calls = -(-pieces // limits.batch)
-    return -(-calls // (targets * limits.slots)) * whole
--- a/galenaswitch/gateway/results.py
+++ b/galenaswitch/gateway/results.py
@@ -14,7 +14,7 @@
 from galenaswitch.operations.process import TaskGroup
 
 # Seconds in which released results are collected for one call.
-RELEASE_SECONDS = 0.02
+RELEASE_SECONDS = 0.005
 # Seconds in which a call that gives results up is answered.
 RELEASE_TIMEOUT_SECONDS = 1.0
 # Seconds that a connection to a target may have been idle.
--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import chain
 from typing import NamedTuple
 
@@ -15,7 +15,7 @@
     PiecesReply,
     ReleaseNote,
 )
-from galenaswitch.gateway.routes import RouteTable
+from galenaswitch.gateway.routes import BatchLimits, RouteTable
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.refusals import Reason, RefusedError, Run
@@ -29,6 +29,8 @@
 LARGE_RESULT_BYTES = 200_000
 # Part of the time that a stage has to spare in which it isn't begun.
 SPARE_PART = 0.8
+# Usual wait in seconds for a target that is in a call: half of a short one.
+WAIT_SECONDS = 0.1
 # Seconds that a reply may take beyond the time in which it is of use.
 REPLY_SLACK_SECONDS = 0.1
 # Seconds that a request needs at the least behind its stages.
@@ -58,7 +60,9 @@
         self._runner = runner
         self._handles: dict[int, tuple[str, ...]] = {}
         self._holders: dict[str, str] = {}
-        self._done = [asyncio.Event() for _ in call.route.stages]
+        self._made_at: dict[int, float] = {}
+        self._stages = call.route.stages
+        self._done = [asyncio.Event() for _ in self._stages]
 
     async def run(self) -> StageResults:
         """Run all stages.
@@ -77,7 +81,9 @@
                 task.cancel()
         final = self._call.route.final_stages()
         read = [self._handles[number] for number in final]
-        return StageResults(tuple(chain.from_iterable(read)), self._sum_zones())
+        return StageResults(
+            tuple(chain.from_iterable(read)), self._sum_zones(final)
+        )
 
     def cancel(self) -> None:
         """Tell the gatherers that no more pieces are needed."""
@@ -95,13 +101,13 @@
         self._handles = {}
 
     def _release(self, number: int, handles: tuple[str, ...]) -> None:
-        service = self._call.route.stages[number].service
+        service = self._stages[number].service
         holder = self._holders.get(service)
         if handles and holder:
             self._runner.release(holder, service, handles)
 
     async def _run_stage(self, number: int) -> None:
-        stage = self._call.route.stages[number]
+        stage = self._stages[number]
         for before in stage.after:
             await self._done[before].wait()
         if not stage.after:
@@ -112,6 +118,7 @@
             self._handles[number] = reply.handles
         else:
             self._handles[number] = ()
+        self._made_at[number] = time.monotonic()
         self._done[number].set()
         self._release_inputs(number)
 
@@ -120,25 +127,33 @@
 
         Its results would only take room until those are done.
         """
-        if self._call.route.stages[number].result_bytes < LARGE_RESULT_BYTES:
+        if self._stages[number].result_bytes < LARGE_RESULT_BYTES:
             return 0
         paths = [
             self._call_seconds(other) + self._rest_seconds(other)
-            for other, stage in enumerate(self._call.route.stages)
+            for other, stage in enumerate(self._stages)
             if not stage.after
         ]
         own = self._call_seconds(number) + self._rest_seconds(number)
         return (max(paths) - own) * SPARE_PART
 
-    def _find_zone(self, result_bytes: int) -> str:
-        """Return the zone of the engine that is likely to read results."""
-        if result_bytes < LARGE_RESULT_BYTES:
+    def _find_zone(self, number: int) -> str:
+        """Return the zone in which results should be made, empty for any.
+
+        That is where the inputs lie, which every piece reads, or else where
+        the engine is that is likely to read large results.
+        """
+        stage = self._stages[number]
+        sizes = self._sum_zones(stage.after)
+        if sizes:
+            return max(sizes, key=sizes.__getitem__)
+        if stage.result_bytes < LARGE_RESULT_BYTES:
             return ''
         return self._runner.guess_zone(self._call)
 
     def _make_pieces(self, number: int) -> tuple[Piece, ...]:
         fields = self._call.fields
-        stage = self._call.route.stages[number]
+        stage = self._stages[number]
         count = fields.pieces[number] if number < len(fields.pieces) else 0
         inputs = tuple(
             handle for before in stage.after for handle in self._handles[before]
@@ -159,11 +174,12 @@
         number: int,
         pieces: tuple[Piece, ...],
     ) -> PiecesReply:
-        stage = self._call.route.stages[number]
+        stage = self._stages[number]
         now = time.monotonic()
         own = self._call_seconds(number)
         rest = self._rest_seconds(number)
         left = self._call.deadline - now - rest - LEAST_ENGINE_SECONDS
+        left = min(left, self._find_kept(stage.after, now))
         if left <= 0:
             raise RefusedError(Reason.deadline)
         question = PiecesQuestion(
@@ -171,7 +187,7 @@
             self._call.ident,
             pieces,
             stage.result_bytes,
-            self._find_zone(stage.result_bytes),
+            self._find_zone(number),
             self._call.objective - now - own - rest - ENGINE_SECONDS,
             left,
         )
@@ -197,7 +213,7 @@
 
     def _release_inputs(self, number: int) -> None:
         """Give up results whose last reader has finished."""
-        stages = self._call.route.stages
+        stages = self._stages
         for before in stages[number].after:
             readers = [
                 reader
@@ -208,9 +224,22 @@
                 self._release(before, self._handles[before])
                 self._handles[before] = ()
 
+    def _find_kept(self, numbers: Iterable[int], now: float) -> float:
+        """Return the seconds for which makers keep the results of stages."""
+        kept = [
+            self._made_at[number] + batches.keep_seconds - now
+            for number in numbers
+            if self._handles[number] and (batches := self._find_batches(number))
+        ]
+        return min(kept, default=float('inf'))
+
+    def _find_batches(self, number: int) -> BatchLimits | None:
+        stage = self._stages[number]
+        return self._table.find_batches(stage.service)
+
     def _rest_seconds(self, number: int) -> float:
         """Return the usual seconds of the stages behind one."""
-        stages = self._call.route.stages
+        stages = self._stages
         behind = [
             self._call_seconds(later) + self._rest_seconds(later)
             for later in range(number + 1, len(stages))
@@ -220,19 +249,20 @@
 
     def _call_seconds(self, number: int) -> float:
         """Return the seconds of one call for the pieces of a stage."""
-        stage = self._call.route.stages[number]
-        batches = self._table.find_batches(stage.service)
+        batches = self._find_batches(number)
         pieces = self._call.fields.pieces
         count = pieces[number] if number < len(pieces) else 0
         if batches is None or not count:
             return 0
         in_call = min(count, batches.batch)
-        return batches.call_seconds + in_call * batches.piece_seconds
+        call = batches.call_seconds + in_call * batches.piece_seconds
+        return call + WAIT_SECONDS
 
-    def _sum_zones(self) -> dict[str, int]:
+    def _sum_zones(self, numbers: Iterable[int]) -> dict[str, int]:
+        """Return the bytes in each zone of the results of some stages."""
         sizes: dict[str, int] = {}
-        for number in self._call.route.final_stages():
-            stage = self._call.route.stages[number]
+        for number in numbers:
+            stage = self._stages[number]
             for handle in self._handles[number]:
                 zone = self._runner.find_zone(handle)
                 sizes[zone] = sizes.get(zone, 0) + stage.result_bytes
--- a/galenaswitch/membership/mesh.py
+++ b/galenaswitch/membership/mesh.py
@@ -53,7 +53,16 @@
 
 
 class Pong(NamedTuple):
-    """The peer lives."""
+    """The peer lives.
+
+    :param uptime: seconds since its process started, 0 when not told.
+    """
+
+    uptime: float = 0
+
+
+class Leaving(NamedTuple):
+    """The sender's process is about to stop."""
 
 
 class Mesh:
--- /dev/null
+++ b/galenaswitch/pipelines/demands.py
@@ -0,0 +1,44 @@
+"""The pieces of one stage of one request, as they wait and are made."""
+
+from collections.abc import Iterable
+
+from galenaswitch.gateway.calls import Piece
+
+
+class Demand:
+    """The pieces of one stage of one request."""
+
+    def __init__(
+        self,
+        ident: str,
+        pieces: Iterable[Piece],
+        result_bytes: int,
+        zone: str,
+        start_by: float,
+        deadline: float,
+    ) -> None:
+        """Ask for ``pieces``.
+
+        :param result_bytes: size of one result.
+        :param zone: zone in which the results are preferred, empty for any.
+        :param start_by: monotonic time until which a call has to start so
+            that the request can be on time.
+        :param deadline: monotonic time after which results are of no use.
+        """
+        self.ident = ident
+        self.unsent = list(pieces)
+        self.missing = len(self.unsent)
+        self.result_bytes = result_bytes
+        self.zone = zone
+        self.start_by = start_by
+        self.deadline = deadline
+        self.begun = False
+        self.late = False
+        self.handles: dict[int, str] = {}
+        self.failure = ''
+        self.repeats = 0
+
+    def rank(self, now: float) -> tuple[bool, bool, float]:
+        """Order demands: begun ones, then those that can be on time."""
+        late = self.late or self.start_by < now
+        return (not self.begun, late, self.start_by)
--- a/galenaswitch/pipelines/gathering.py
+++ b/galenaswitch/pipelines/gathering.py
@@ -10,57 +10,22 @@
 half-made ones would hold room that none can use.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from galenaswitch.gateway.calls import Piece
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.membership.lists import Target
+from galenaswitch.pipelines.demands import Demand
+from galenaswitch.pipelines.filling import Filling, View, WorkerView
+from galenaswitch.pipelines.throughput import Throughput
 from galenaswitch.pipelines.workers import Worker
 
 # A target this many times slower than the fastest gets no calls while the
 # faster ones can take what waits.
 SLOW_FACTOR = 1.6
-# A request that waits for room keeps back those behind it whose results are
-# larger than this part of its own.
-BLOCKING_PART = 0.25
-
-
-class Demand:
-    """The pieces of one stage of one request."""
-
-    def __init__(
-        self,
-        ident: str,
-        pieces: Iterable[Piece],
-        result_bytes: int,
-        zone: str,
-        start_by: float,
-        deadline: float,
-    ) -> None:
-        """Ask for ``pieces``.
-
-        :param result_bytes: size of one result.
-        :param zone: zone in which the results are preferred, empty for any.
-        :param start_by: monotonic time until which a call has to start so
-            that the request can be on time.
-        :param deadline: monotonic time after which results are of no use.
-        """
-        self.ident = ident
-        self.unsent = list(pieces)
-        self.missing = len(self.unsent)
-        self.result_bytes = result_bytes
-        self.zone = zone
-        self.start_by = start_by
-        self.deadline = deadline
-        self.begun = False
-        self.handles: dict[int, str] = {}
-        self.failure = ''
-        self.repeats = 0
-
-    def rank(self, now: float) -> tuple[bool, bool, float]:
-        """Order demands: begun ones, then those that can be on time."""
-        return (not self.begun, self.start_by < now, self.start_by)
+# Part of the room for results that is used: their sizes are approximate.
+ROOM_PART = 0.97
 
 
 class PieceCall(NamedTuple):
@@ -81,10 +46,40 @@
         """Start with nothing waiting."""
         self.demands: dict[str, Demand] = {}
         self._workers: dict[str, Worker] = {}
+        self._rate = Throughput()
+
+    def add(
+        self,
+        key: str,
+        demand: Demand,
+        targets: Sequence[Target],
+        limits: BatchLimits,
+        now: float,
+    ) -> float:
+        """Let a demand wait.
 
-    def add(self, key: str, demand: Demand) -> None:
-        """Let a demand wait."""
+        One that can't be on time behind those that can goes behind them at
+        once: serving the most urgent first would make all of them late.
+
+        :returns: expected seconds until its pieces are made.
+        """
+        rate = self._rate.find(find_full_rate(len(targets), limits))
+        ahead = sum(
+            len(other.unsent)
+            for other in self.demands.values()
+            if not other.late
+        )
+        late = now + ahead / rate > demand.start_by
+        demand.late = late and ahead > limits.batch
         self.demands[key] = demand
+        if late:
+            ahead = self.waiting()
+        return ahead / rate
+
+    def note_made(self, pieces: int, now: float) -> None:
+        """Note pieces made, from which the rate is learned."""
+        waiting = self.waiting() > 0
+        self._rate.note(pieces, now, waiting=waiting)
 
     def remove(self, key: str) -> None:
         """Forget a demand that has ended."""
@@ -114,12 +109,37 @@
         waiting.sort(key=lambda demand: demand.rank(now))
         first = waiting[0].zone
         for target in self._order_free(targets, limits, first, now):
-            filling = _Filling(self, target, targets, limits, now)
-            pieces = filling.take(waiting)
-            if pieces:
+            filling = Filling(self.view(targets, limits, now), target)
+            filling.plan(waiting)
+            if filling.planned:
+                pieces = filling.take()
                 return self._start(target, pieces, limits, now)
         return None
 
+    def view(
+        self,
+        targets: Sequence[Target],
+        limits: BatchLimits,
+        now: float,
+    ) -> View:
+        """Return what the filling of a call goes by."""
+        promised = sum(
+            len(demand.unsent) * demand.result_bytes
+            for demand in self.demands.values()
+            if demand.begun
+        )
+        room = limits.room_bytes * ROOM_PART
+        workers = [self.worker(target) for target in targets]
+        states = tuple(
+            WorkerView(
+                target,
+                room - worker.held_bytes,
+                worker.is_idle(limits.slots, now),
+            )
+            for target, worker in zip(targets, workers, strict=True)
+        )
+        return View(states, limits, self.waiting(), promised, now)
+
     def finish(self, call: PieceCall) -> None:
         """Note that a call has ended, however it ended."""
         self.worker(call.target).calls -= 1
@@ -151,7 +171,7 @@
         free = [
             (target, worker)
             for target, worker in every
-            if worker.calls < limits.slots and worker.paused_until <= now
+            if worker.is_idle(limits.slots, now)
         ]
         fastest = min(worker.slowness for _, worker in every)
         quick = [
@@ -176,92 +196,14 @@
         worker.held_bytes += sum(demand.result_bytes for demand, _ in pieces)
         plain = limits.call_seconds + len(pieces) * limits.piece_seconds
         expected = plain * worker.slowness
-        worker.free_at = now + expected
         return PieceCall(target, pieces, expected)
 
 
-class _Filling:
-    """One call that is being filled for a target."""
-
-    def __init__(
-        self,
-        gathering: Gathering,
-        target: Target,
-        targets: Sequence[Target],
-        limits: BatchLimits,
-        now: float,
-    ) -> None:
-        self._gathering = gathering
-        self._target = target
-        self._targets = targets
-        self._limits = limits
-        self._now = now
-        worker = gathering.worker(target)
-        self._room = limits.room_bytes - worker.held_bytes
-        self._taken: list[tuple[Demand, Piece]] = []
-        self._ahead: dict[str, int] = {}
-
-    def take(
-        self,
-        waiting: list[Demand],
-    ) -> tuple[tuple[Demand, Piece], ...]:
-        """Take pieces in the order of ``waiting``."""
-        blocked = 0.0
-        for demand in waiting:
-            if len(self._taken) >= self._limits.batch:
-                break
-            if blocked and demand.result_bytes > blocked * BLOCKING_PART:
-                continue
-            if self._waits_at_home(demand):
-                continue
-            if not demand.begun and not self._has_room(demand):
-                blocked = max(blocked, demand.result_bytes)
-                continue
-            self._add(demand)
-        return tuple(self._taken)
-
-    def _add(self, demand: Demand) -> None:
-        while demand.unsent and len(self._taken) < self._limits.batch:
-            if demand.result_bytes > self._room:
-                return
-            demand.begun = True
-            self._room -= demand.result_bytes
-            self._taken.append((demand, demand.unsent.pop(0)))
-
-    def _has_room(self, demand: Demand) -> bool:
-        """Tell whether all pieces of a demand have room somewhere."""
-        size = demand.result_bytes
-        if not size:
-            return True
-        places = self._room // size
-        for target in self._targets:
-            if target is not self._target:
-                worker = self._gathering.worker(target)
-                places += (self._limits.room_bytes - worker.held_bytes) // size
-        promised = sum(
-            len(other.unsent) * other.result_bytes
-            for other in self._gathering.demands.values()
-            if other.begun
-        )
-        most = len(self._targets) * (self._limits.room_bytes // size)
-        wanted = min(len(demand.unsent), most)
-        return places - promised / size >= wanted
+def find_full_rate(targets: int, limits: BatchLimits) -> float:
+    """Return the pieces a second that targets make in full calls.
 
-    def _waits_at_home(self, demand: Demand) -> bool:
-        """Tell whether a demand can be on time at a target of its zone."""
-        if not demand.zone or demand.zone == self._target.zone:
-            return False
-        free = [
-            self._gathering.worker(target).free_at
-            for target in self._targets
-            if target.zone == demand.zone
-        ]
-        if not free:
-            return False
-        ahead = self._ahead.get(demand.zone, 0)
-        self._ahead[demand.zone] = ahead + len(demand.unsent)
-        whole = self._limits.call_seconds
-        whole += self._limits.batch * self._limits.piece_seconds
-        rounds = ahead // (self._limits.batch * len(free))
-        start = max(self._now, min(free)) + rounds * whole
-        return start <= demand.start_by
+    >>> find_full_rate(2, BatchLimits(1, 4, 0.2, 0.05, 9e6, 4))
+    20.0
+    """
+    whole = limits.call_seconds + limits.batch * limits.piece_seconds
+    return max(1, targets) * limits.slots * limits.batch / whole
--- a/galenaswitch/pipelines/workers.py
+++ b/galenaswitch/pipelines/workers.py
@@ -17,7 +17,6 @@
     :ivar slowness: its time for a call in relation to the expected one.
     :ivar held_bytes: room that results take or will take.
     :ivar paused_until: monotonic time before which it gets no calls.
-    :ivar free_at: monotonic time at which its call should end.
     """
 
     def __init__(self) -> None:
@@ -26,9 +25,12 @@
         self.slowness = 1.0
         self.held_bytes = 0.0
         self.paused_until = 0.0
-        self.free_at = 0.0
         self._pause = 0.0
 
+    def is_idle(self, slots: int, now: float) -> bool:
+        """Tell whether it can get a call at a monotonic time."""
+        return self.calls < slots and self.paused_until <= now
+
     def learn(self, ratio: float) -> None:
         """Take the time of a call in relation to the expected one."""
         self._pause = 0.0
--- a/galenaswitch/platform/documents.py
+++ b/galenaswitch/platform/documents.py
@@ -21,9 +21,12 @@
     order_routes,
 )
 from galenaswitch.membership.lists import LEAVING, LIVE, Target
-from galenaswitch.platform.headers import MALFORMED, MILLISECONDS
+from galenaswitch.platform.headers import (
+    MALFORMED,
+    MEGABYTE,
+    MILLISECONDS,
+)
 
-MEGABYTE = 1_000_000
 _KINDS = {
     'idempotent': CallKind.repeatable,
     'non_idempotent': CallKind.once,
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -23,6 +23,7 @@
 from galenaswitch.membership.lists import Target
 
 MILLISECONDS = 1000
+MEGABYTE = 1_000_000
 # What reading a document of another form than expected raises.
 MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
 MISDIRECTED = 421
@@ -159,6 +160,24 @@
         except MALFORMED as error:
             raise InvalidInputError(f'no outcomes: {error}') from error
 
+    def make_room_question(self, target: Target) -> RequestHead:
+        """Encode the question how much room a target has left."""
+        headers = (
+            (b'Host', target.url.encode()),
+            (_INSTANCE, target.name.encode('latin-1')),
+        )
+        return RequestHead(b'GET', b'/api/report', headers)
+
+    def read_room(self, body: bytes) -> float:
+        """Decode the bytes of room that a target has left.
+
+        :raises InvalidInputError: when the body doesn't tell it.
+        """
+        try:
+            return float(orjson.loads(body)['free-mb']) * MEGABYTE
+        except MALFORMED as error:
+            raise InvalidInputError(f'no room told: {error}') from error
+
     def make_release(
         self,
         handles: tuple[str, ...],
--- a/galenaswitch/platform/settings.py
+++ b/galenaswitch/platform/settings.py
@@ -8,8 +8,7 @@
 
 from galenaswitch.errors import SettingsError
 from galenaswitch.operations.settings import Port, check_shape
-from galenaswitch.platform.documents import MEGABYTE
-from galenaswitch.platform.headers import MILLISECONDS
+from galenaswitch.platform.headers import MEGABYTE, MILLISECONDS
 
 PATH_VARIABLE = 'GALENASWITCH_CONFIG'
 DEFAULT_PATH = '/etc/galenaswitch/settings.conf'
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -45,7 +45,7 @@
 from galenaswitch.membership.frames import Vocabulary
 from galenaswitch.membership.links import Identity, Link, Service, listen
 from galenaswitch.membership.lists import Machine, MemberList, Members
-from galenaswitch.membership.mesh import Mesh, Ping, Pong, answer_ping
+from galenaswitch.membership.mesh import Leaving, Mesh, Ping, Pong
 from galenaswitch.membership.messages import ListQuestion
 from galenaswitch.operations.logs import configure_logs, get_logger
 from galenaswitch.operations.metrics import LocalMetrics
@@ -81,6 +81,7 @@
 VOCABULARY = Vocabulary(
     Digest,
     Items,
+    Leaving,
     ListQuestion,
     MemberList,
     PiecesCancel,
@@ -155,6 +156,7 @@
         )
         self.callers = Listener(self._make_gateway(), self.find_limits)
         self._add_handlers()
+        self.mesh.on_open.append(self._greet)
 
     def find_limits(self) -> InboundLimits:
         """Return what callers may send."""
@@ -216,6 +218,7 @@
     async def stop(self) -> None:
         """Leave gracefully: no request in progress is cut off."""
         self.stopping = True
+        self._duties.leave()
         begun = time.monotonic()
         await asyncio.sleep(BALANCER_SECONDS)
         self.callers.closing = True
@@ -234,6 +237,10 @@
         """Answer a VM that can't reach the store."""
         return self.members.listed
 
+    async def answer_ping(self, link: Link, message: Ping) -> Pong:
+        """Answer a peer that checks whether this process lives."""
+        return self._duties.answer_ping()
+
     async def answer_pieces(
         self,
         link: Link,
@@ -250,6 +257,10 @@
         """Find a place for another VM's request."""
         return await self.streams.decide(question)
 
+    def _greet(self, link: Link) -> None:
+        self._tasks.start(self._duties.greet(link))
+        self._tasks.start(self.relay.greet_peer(link))
+
     def _find_table(self) -> RouteTable:
         return self.learning.tables.current
 
@@ -277,7 +288,8 @@
             ListQuestion: self.answer_list,
             PiecesCancel: lambda link, note: self.stages.take_cancel(note),
             PiecesQuestion: self.answer_pieces,
-            Ping: answer_ping,
+            Leaving: self._duties.take_leaving,
+            Ping: self.answer_ping,
             PlaceEnd: lambda link, note: self.streams.take_end(note),
             PlaceFirst: lambda link, note: self.streams.take_first(note),
             PlaceQuestion: self.answer_place,
