--- a/galenaswitch/gateway/duties.py
+++ b/galenaswitch/gateway/duties.py
@@ -72,7 +72,7 @@
         self._leaving[link.peer.node] = link.peer.incarnation
         get_logger().info('peer_leaving', peer=link.peer.node)
 
-    def answer_ping(self) -> Pong:
+    async def answer_ping(self, link: Link, message: Ping) -> Pong:
         """Tell a peer that this process lives, and for how long."""
         return Pong(time.monotonic() - self._started[self._mesh.node])
 
--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -16,6 +16,7 @@
     ReleaseNote,
 )
 from galenaswitch.gateway.routes import BatchLimits, RouteTable
+from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.refusals import Reason, RefusedError, Run
@@ -311,6 +312,14 @@
             self.decide,
         )
 
+    async def answer(
+        self,
+        link: Link,
+        question: PiecesQuestion,
+    ) -> PiecesReply:
+        """Make pieces for another VM."""
+        return await self.decide(question)
+
     async def decide(self, question: PiecesQuestion) -> PiecesReply:
         """Make pieces on this machine."""
         return await self._find_gatherer(question.service).make(question)
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -31,6 +31,7 @@
 from galenaswitch.gateway.sending import Attempt, Sender
 from galenaswitch.gateway.stages import StageJob, StageResults, StageRunner
 from galenaswitch.limits.retries import RetryBudgets
+from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.refusals import Reason, RefusedError, Run
@@ -124,6 +125,14 @@
                 job.stages.cancel()
             job.stages.release()
 
+    async def answer(
+        self,
+        link: Link,
+        question: PlaceQuestion,
+    ) -> PlaceReply:
+        """Find a place for another VM's request."""
+        return await self.decide(question)
+
     async def decide(self, question: PlaceQuestion) -> PlaceReply:
         """Find a place on this machine."""
         return await self._find_holder(question.service).place(question)
--- a/galenaswitch/limits/retries.py
+++ b/galenaswitch/limits/retries.py
@@ -35,6 +35,12 @@
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def change(self, ratio: float, slack: float, window: float) -> None:
+        """Take other figures into force."""
+        self.slack = slack
+        self._ratio = ratio
+        self._window = window
+
     def note_request(self, now: float) -> None:
         """Count a request at a monotonic time in seconds."""
         self._requests.append(now)
@@ -70,6 +76,14 @@
         self._machines = 1
         self._budgets: dict[str, RetryBudget] = {}
 
+    def change(self, ratio: float, slack: float, window: float) -> None:
+        """Take other figures into force; what was counted stays counted."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+        for budget in self._budgets.values():
+            budget.change(ratio, slack / self._machines, window)
+
     def share_between(self, machines: int) -> None:
         """Take this machine's part of the slack."""
         self._machines = max(1, machines)
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -3,8 +3,10 @@
 import asyncio
 import os
 import secrets
+import signal
 import time
 from collections import Counter
+from functools import partial
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -16,6 +18,7 @@
 from galenaswitch.connections.inbound import AnswerWriter, Listener
 from galenaswitch.connections.outbound import ConnectionPool
 from galenaswitch.connections.requests import InboundLimits, InboundRequest
+from galenaswitch.errors import SettingsError
 from galenaswitch.gateway.duties import Duties
 from galenaswitch.gateway.gatherer import Gatherer
 from galenaswitch.gateway.handling import Gateway
@@ -102,9 +105,18 @@
 class Edge:
     """The slices of one VM, put together."""
 
-    def __init__(self, settings: VmSettings, tasks: TaskGroup) -> None:
-        """Build all slices; nothing runs yet."""
+    def __init__(
+        self,
+        settings: VmSettings,
+        path: Path,
+        tasks: TaskGroup,
+    ) -> None:
+        """Build all slices; nothing runs yet.
+
+        :param path: the settings file, which may change.
+        """
         self._settings = settings
+        self._path = path
         self._tasks = tasks
         self.metrics = LocalMetrics()
         self.stopping = False
@@ -198,6 +210,21 @@
         """Tell whether the balancer should send callers here."""
         return self.learning.ready and not self.stopping
 
+    async def listen(self) -> None:
+        """Open all ports.
+
+        :raises OSError: when one can't be opened.
+        """
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        readiness = Listener(Readiness(self), InboundLimits)
+        for listener, place in (
+            (readiness, settings.readiness),
+            (self.callers, settings.callers),
+        ):
+            await loop.create_server(listener.open_connection, *place)
+        await listen(*settings.peers, self.service, self._tasks)
+
     def start(self) -> None:
         """Begin to learn."""
         self.learning.start()
@@ -211,10 +238,28 @@
         )
 
     async def look_around(self) -> None:
-        """Close stale connections and count the machines."""
+        """Close stale connections, count machines, see changed settings."""
+        self.reload()
         self.pool.close_stale()
         self.budgets.share_between(len(self.members.machines()))
 
+    def reload(self) -> None:
+        """Read the settings file again; a wrong one changes nothing."""
+        try:
+            settings = load_vm_settings(self._path)
+        except SettingsError as error:
+            get_logger().error('settings_rejected', reason=str(error))
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self.budgets.change(
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_slack,
+            settings.bounds.retry_window,
+        )
+        get_logger().info('settings_reloaded', bounds=str(settings.bounds))
+
     async def stop(self) -> None:
         """Leave gracefully: no request in progress is cut off."""
         self.stopping = True
@@ -237,26 +282,6 @@
         """Answer a VM that can't reach the store."""
         return self.members.listed
 
-    async def answer_ping(self, link: Link, message: Ping) -> Pong:
-        """Answer a peer that checks whether this process lives."""
-        return self._duties.answer_ping()
-
-    async def answer_pieces(
-        self,
-        link: Link,
-        question: PiecesQuestion,
-    ) -> PiecesReply:
-        """Make pieces for another VM."""
-        return await self.stages.decide(question)
-
-    async def answer_place(
-        self,
-        link: Link,
-        question: PlaceQuestion,
-    ) -> PlaceReply:
-        """Find a place for another VM's request."""
-        return await self.streams.decide(question)
-
     def _greet(self, link: Link) -> None:
         self._tasks.start(self._duties.greet(link))
         self._tasks.start(self.relay.greet_peer(link))
@@ -287,12 +312,12 @@
             Items: self.relay.receive_items,
             ListQuestion: self.answer_list,
             PiecesCancel: lambda link, note: self.stages.take_cancel(note),
-            PiecesQuestion: self.answer_pieces,
+            PiecesQuestion: self.stages.answer,
             Leaving: self._duties.take_leaving,
-            Ping: self.answer_ping,
+            Ping: self._duties.answer_ping,
             PlaceEnd: lambda link, note: self.streams.take_end(note),
             PlaceFirst: lambda link, note: self.streams.take_first(note),
-            PlaceQuestion: self.answer_place,
+            PlaceQuestion: self.streams.answer,
             ReleaseNote: lambda link, note: self.stages.take_release(note),
             Versions: self.relay.answer_versions,
         }
@@ -336,18 +361,19 @@
         writer.finish()
 
 
-async def run_edge(settings: VmSettings) -> None:
-    """Run the process until SIGTERM and its last request."""
+async def run_edge(path: Path, settings: VmSettings) -> None:
+    """Run the process until SIGTERM and its last request.
+
+    :param path: the settings file, which may change.
+    """
     sink = open_sink()
     configure_logs('galena-edge', settings.node, sink)
     tasks = TaskGroup()
     tasks.start(sink.keep_flushing())
-    edge = Edge(settings, tasks)
+    edge = Edge(settings, path, tasks)
     loop = asyncio.get_running_loop()
-    readiness = Listener(Readiness(edge), InboundLimits)
-    await loop.create_server(readiness.open_connection, *settings.readiness)
-    await loop.create_server(edge.callers.open_connection, *settings.callers)
-    await listen(*settings.peers, edge.service, tasks)
+    loop.add_signal_handler(signal.SIGHUP, edge.reload)
+    await edge.listen()
     edge.start()
     get_logger().info('started', zone=settings.zone)
     await wait_for_stop()
@@ -364,7 +390,7 @@
     :param settings: path of the platform's settings file
     """
     path = settings or find_path()
-    run_loop(path, load_vm_settings, run_edge)
+    run_loop(path, load_vm_settings, partial(run_edge, path))
 
 
 def main() -> None:
