Metrics by prometheus-client; settings of both kinds are checked; tests side by side

Cause: operators read metrics from an address; the demonstration ended by SIGTERM left its processes; the tests took twelve minutes one after another. Change: counters and histograms on a page of text, statsd goes; galenactl settings check knows the platform's file; the demonstration stops at SIGTERM; pytest-xdist runs files side by side; the adapter has its tests.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 KEEP ?= 0
+WORKERS ?= 4
 
 .PHONY: setup demo test check bench clean
 
@@ -23,7 +24,7 @@
 	$(BIN)/mypy -p galenaswitch
 
 test: check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile
 
 bench: setup
 	$(BIN)/python -m bench
--- a/conftest.py
+++ b/conftest.py
@@ -120,11 +120,19 @@
     """Start targets that answer requests with bytes, one after another.
 
     ``late`` is sent on the idle connection after the first answer; a
-    ``reset`` follows the last answer in place of an orderly close.
+    ``reset`` follows the last answer in place of an orderly close; ``keep``
+    leaves the connection open after every answer.
     """
     targets = []
 
-    async def start(answers, *, late=b'', reset=False, read_body=True):
+    async def start(
+        answers,
+        *,
+        late=b'',
+        reset=False,
+        read_body=True,
+        keep=False,
+    ):
         left = list(answers)
 
         async def run(reader, writer):
@@ -136,7 +144,7 @@
                 answer = left.pop(0) if left else answers[-1]
                 writer.write(answer)
                 await writer.drain()
-                if not answer.endswith(WHOLE_ENDS):
+                if not answer or not (keep or answer.endswith(WHOLE_ENDS)):
                     break
                 if late and len(target.requests) == 1:
                     await asyncio.sleep(0.03)
--- a/galenaswitch/operations/metrics.py
+++ b/galenaswitch/operations/metrics.py
@@ -1,9 +1,32 @@
-"""Metrics: counters and timings sent as statsd packets."""
+"""Metrics: counters and histograms of durations."""
 
-from collections import Counter
+import collections
 from typing import Protocol
 
-from statsd import StatsClient
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    generate_latest,
+)
+
+MILLISECONDS = 1000
+# Bounds in seconds of the histograms: from one call inside a zone to the
+# longest deadlines of callers.
+BUCKETS_SECONDS = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1,
+    2,
+    5,
+    10,
+    20,
+)
 
 
 class Metrics(Protocol):
@@ -24,7 +47,7 @@
 
     def __init__(self) -> None:
         """Start with no counts."""
-        self._counts: Counter[str] = Counter()
+        self._counts: collections.Counter[str] = collections.Counter()
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
@@ -39,32 +62,49 @@
         return dict(sorted(self._counts.items()))
 
 
-class StatsdMetrics(LocalMetrics):
-    """Counters that are sent to a statsd daemon as well."""
+class PrometheusMetrics(LocalMetrics):
+    """Counters and histograms in the text format of Prometheus."""
 
-    def __init__(self, client: StatsClient) -> None:
-        """Send through ``client``."""
+    def __init__(self) -> None:
+        """Start with a registry of its own."""
         super().__init__()
-        self._client = client
+        self._registry = CollectorRegistry()
+        self._events = Counter(
+            'galena_events',
+            'Events since the start of the process, by name.',
+            ('event',),
+            registry=self._registry,
+        )
+        self._durations = Histogram(
+            'galena_duration_seconds',
+            'Durations of what ended, by name.',
+            ('name',),
+            buckets=BUCKETS_SECONDS,
+            registry=self._registry,
+        )
 
     def count(self, name: str, amount: int = 1) -> None:
-        """Add to a counter and send it."""
+        """Add to a counter."""
         super().count(name, amount)
-        self._client.incr(name, amount)
+        self._events.labels(name).inc(amount)
 
     def time(self, name: str, milliseconds: float) -> None:
-        """Send one duration."""
+        """Add a duration to a histogram."""
         super().time(name, milliseconds)
-        self._client.timing(name, milliseconds)
+        self._durations.labels(name).observe(milliseconds / MILLISECONDS)
+
+    def render(self) -> bytes:
+        """Return all counters and histograms as text.
 
+        >>> metrics = PrometheusMetrics()
+        >>> metrics.count('hedged')
+        >>> b'galena_events_total{event="hedged"} 1.0' in metrics.render()
+        True
+        """
+        page: bytes = generate_latest(self._registry)
+        return page
 
-def open_metrics(address: str, port: int, program: str) -> Metrics:
-    """Open the metrics of a program.
 
-    :param address: IP number of the statsd daemon, empty for none.
-    :param port: UDP port of the daemon.
-    :param program: first part of each metric's name.
-    """
-    if not address:
-        return LocalMetrics()
-    return StatsdMetrics(StatsClient(address, port, prefix=program))
+def open_metrics() -> PrometheusMetrics:
+    """Return the metrics of a process."""
+    return PrometheusMetrics()
--- a/galenaswitch/operations/settings.py
+++ b/galenaswitch/operations/settings.py
@@ -43,14 +43,14 @@
 
 
 class MetricSettings(NamedTuple):
-    """Section ``[metrics]``: where statsd packets go.
+    """Section ``[metrics]``: where the page of metrics is served.
 
-    :param address: IP number of the statsd daemon; empty turns metrics off.
-    :param port: UDP port of the statsd daemon.
+    :param address: IP number to listen on; empty turns the page off.
+    :param port: TCP port of the page.
     """
 
     address: str = ''
-    port: Port = 8125
+    port: Port = 9464
 
 
 def parse_settings(text: str, shape: type[Shape]) -> Shape:
--- /dev/null
+++ b/galenaswitch/platform/tests/test_documents.py
@@ -0,0 +1,95 @@
+"""Configuration and targets in the platform's store."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from galenaswitch.errors import InvalidInputError
+from galenaswitch.gateway.routes import CallKind
+from galenaswitch.membership.lists import LEAVING, LIVE
+from galenaswitch.platform.documents import read_configuration, read_target
+
+
+def test_configuration_becomes_a_route_table(configuration):
+    table = read_configuration(configuration)
+    route = table.find_route('a.example', '/x/z')
+    assert route.kind is CallKind.stream
+    assert (route.timeout, route.objective, route.pause) == (6, 1.9, 0.3)
+    assert route.stages[1].after == (0,)
+    assert route.final_stages() == (1,)
+    assert table.find_batches('scan').piece_seconds == 0.042
+    assert table.find_engine('llm').memory_tokens == 375109
+    assert table.workspaces['k2'].name == 'lab'
+    assert table.limits.idle_seconds == 15
+    assert table.find_route('a.example', '/other') is None
+
+
+def test_split_and_anonymous_route(configuration):
+    route = read_configuration(configuration).find_route('b.example', '/y/')
+    assert [split.weight for split in route.splits] == [90, 10]
+    assert route.anonymous
+    assert route.kind is CallKind.once
+
+
+@pytest.mark.parametrize(
+    'break_it',
+    [
+        lambda document: document.pop('version'),
+        lambda document: document.pop('services'),
+        lambda document: document['routes'][0].update(kind='odd'),
+        lambda document: document['routes'][0].update(service='none'),
+        lambda document: document['routes'][0].pop('host'),
+        lambda document: document['tenants'][0].pop('api-keys'),
+        lambda document: document['services'][1]['pieces'].pop('batch'),
+    ],
+)
+def test_configuration_is_taken_whole_or_not_at_all(configuration, break_it):
+    break_it(configuration)
+    with pytest.raises(InvalidInputError):
+        read_configuration(configuration)
+
+
+def test_target_entry(entry):
+    target = read_target('i-1', entry)
+    assert (target.pool, target.url, target.state) == (
+        'llm',
+        '127.0.0.1:8080',
+        LIVE,
+    )
+    assert read_target('i-1', {**entry, 'state': 'draining'}).state == LEAVING
+    reborn = read_target('i-1', {**entry, 'born': 1})
+    assert reborn.incarnation != target.incarnation
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'address': 5},
+        {'address': 'nowhere'},
+        {'state': 'asleep'},
+        {'slots': '64'},
+        {'slots': True},
+        {'service': None},
+        {'zone': ['north']},
+        {'born': 1.5},
+    ],
+)
+def test_forged_entry_names_no_target(entry, change):
+    with pytest.raises(InvalidInputError):
+        read_target('i-1', {**entry, **change})
+
+
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+        ),
+        max_leaves=8,
+    ),
+)
+def test_no_document_breaks_the_reader(document):
+    for read in (read_configuration, lambda one: read_target('i', one)):
+        with pytest.raises(InvalidInputError):
+            read(document)
--- /dev/null
+++ b/galenaswitch/platform/tests/test_headers.py
@@ -0,0 +1,116 @@
+"""Heads of callers and targets, and bodies of calls for pieces."""
+
+import orjson
+import pytest
+
+from galenaswitch.connections.heads import AnswerHead, RequestHead
+from galenaswitch.errors import InvalidInputError
+from galenaswitch.gateway.calls import Piece
+from galenaswitch.membership.lists import Target
+from galenaswitch.platform.headers import PlatformWire
+
+WIRE = PlatformWire()
+TARGET = Target('i-1', 'i-1/1', 'z', 'scan', '127.0.0.1:80')
+
+
+def read(**headers):
+    """Decode a request with some headers."""
+    pairs = tuple(
+        (name.replace('_', '-').encode(), field.encode())
+        for name, field in headers.items()
+    )
+    return WIRE.read_call(RequestHead(b'POST', b'/a/b?c', pairs))
+
+
+def test_fields_of_a_request():
+    fields = read(
+        Host='H.example:80',
+        X_Attempt_Id='9c',
+        X_Token_Usage='1460,80',
+        X_Prompt_Prefix='5c:800, 91:410',
+        X_Deadline_Ms='8000',
+        X_Pieces='0,2',
+        X_Piece_Key='pk',
+        Authorization='Bearer key',
+    )
+    assert (fields.host, fields.path) == ('h.example', '/a/b')
+    assert (fields.ident, fields.key, fields.patience) == ('9c', 'key', 8)
+    assert (fields.prompt_tokens, fields.answer_tokens) == (1460, 80)
+    assert [part.tokens for part in fields.parts] == [800, 410]
+    assert (fields.pieces, fields.piece_key) == ((0, 2), 'pk')
+
+
+def test_what_cannot_be_read_counts_as_absent():
+    fields = read(
+        X_Token_Usage='many',
+        X_Prompt_Prefix='5c,:,9:x',
+        X_Deadline_Ms='-1',
+        X_Pieces='one',
+        Authorization='Basic key',
+    )
+    assert fields.patience is None
+    assert (fields.prompt_tokens, fields.parts, fields.pieces) == (0, (), ())
+    assert not fields.key
+
+
+def test_pieces_are_encoded_with_key_or_inputs():
+    first = Piece('a', 0, 2, 'k', ())
+    second = Piece('b', 1, 0, '', ('x/1', 'y/2'))
+    head, body = WIRE.make_pieces((first, second), (0.9, 2), TARGET)
+    assert head.path == b'/api/stage-run'
+    assert orjson.loads(body)['items'] == [
+        {'id': 'a', 'stage': 0, 'piece': 2, 'remaining-ms': 900, 'key': 'k'},
+        {
+            'id': 'b',
+            'stage': 1,
+            'piece': 0,
+            'remaining-ms': 2000,
+            'inputs': ['x/1', 'y/2'],
+        },
+    ]
+
+
+def test_outcomes_of_pieces():
+    made = WIRE.read_pieces(b'{"items":[{"handle":"h/1"},{"reason":"gone"}]}')
+    assert [(one.handle, one.failure) for one in made] == [
+        ('h/1', ''),
+        ('', 'gone'),
+    ]
+    for body in (b'', b'[]', b'{"items":[5]}', b'{"items":5}'):
+        with pytest.raises(InvalidInputError):
+            WIRE.read_pieces(body)
+
+
+def test_room_of_a_target():
+    assert WIRE.read_room(b'{"free-mb":7}') == 7_000_000
+    with pytest.raises(InvalidInputError):
+        WIRE.read_room(b'{}')
+
+
+@pytest.mark.parametrize(
+    ('status', 'header', 'not_run'),
+    [
+        (503, b'X-Not-Executed', True),
+        (421, b'X-Other', True),
+        (503, b'X-Other', False),
+        (500, b'X-Other', False),
+    ],
+)
+def test_only_the_targets_word_says_not_run(status, header, not_run):
+    head = AnswerHead(status, ((header, b'1'),))
+    assert WIRE.is_not_run(head) is not_run
+
+
+def test_load_of_an_answer():
+    head = AnswerHead(200, ((b'X-Server-Load', b'3,0,8'),))
+    assert WIRE.read_load(head) == (3, 0, 8)
+    assert WIRE.read_load(AnswerHead(200, ())) is None
+
+
+def test_refusal_bears_the_id_and_a_time():
+    head = WIRE.make_refusal('a1', 503, 0.25)
+    assert head.headers == (
+        (b'X-Attempt-Id', b'a1'),
+        (b'Retry-After', b'0.25'),
+    )
+    assert not WIRE.make_refusal('', 404, 0).headers
--- /dev/null
+++ b/galenaswitch/platform/tests/test_settings.py
@@ -0,0 +1,46 @@
+"""The platform's settings file."""
+
+import pytest
+
+from galenaswitch.errors import SettingsError
+from galenaswitch.platform.settings import (
+    find_path,
+    load_vm_settings,
+    read_vm_settings,
+)
+
+
+def test_entries_become_typed_settings(settings_text):
+    settings = read_vm_settings(settings_text)
+    assert settings.node == 'edge-north-1'
+    assert settings.callers == ('127.0.0.1', 8625)
+    assert settings.seeds[1] == ('127.0.0.2', 8628)
+    assert settings.memory_bytes == 300_000_000
+    assert settings.bounds.drain == 2
+    assert settings.bounds.retry_slack == 58
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'message'),
+    [
+        ('zone=north\n', '', 'zone: missing'),
+        ('zone=north', 'zone=north\nzone=south', 'zone stands twice'),
+        ('zone=north', 'zone', 'no "=" in it'),
+        ('limits.memory-mb=300', 'limits.memory-mb=x', 'is no number'),
+        ('front=127.0.0.1:8625', 'front=127.0.0.1:99999', 'callers'),
+        ('heartbeat-ms=1200', 'heartbeat-ms=0', 'heartbeat'),
+    ],
+)
+def test_wrong_entry_is_named(settings_text, old, new, message):
+    with pytest.raises(SettingsError, match=message):
+        read_vm_settings(settings_text.replace(old, new))
+
+
+def test_missing_file_is_a_settings_error(tmp_path):
+    with pytest.raises(SettingsError, match='cannot read'):
+        load_vm_settings(tmp_path / 'none')
+
+
+def test_path_comes_from_the_environment(monkeypatch):
+    monkeypatch.setenv('GALENASWITCH_CONFIG', '/x/y')
+    assert str(find_path()) == '/x/y'
--- a/galenaswitch/programs/admin.py
+++ b/galenaswitch/programs/admin.py
@@ -13,6 +13,7 @@
 from galenaswitch.administration.overview import StoreOverview
 from galenaswitch.administration.server import OperatorApi
 from galenaswitch.membership.links import Identity, Service
+from galenaswitch.operations.exposition import serve_metrics
 from galenaswitch.operations.logs import configure_logs, get_logger
 from galenaswitch.operations.metrics import open_metrics
 from galenaswitch.operations.process import (
@@ -63,7 +64,7 @@
         secrets.token_hex(4),
     )
     service = Service(identity, settings.peers.secret, VOCABULARY, {})
-    metrics = open_metrics(*settings.metrics, 'galena-admin')
+    metrics = open_metrics()
     async with aiohttp.ClientSession() as session:
         store = StoreClient(
             session,
@@ -78,6 +79,7 @@
         )
         app: Sanic[Any, Any] = Sanic('galena-admin', configure_logging=False)
         api.mount(app)
+        await serve_metrics(metrics, settings.metrics)
         server = await serve_http(
             app,
             settings.node.address,
--- a/galenaswitch/programs/control.py
+++ b/galenaswitch/programs/control.py
@@ -39,6 +39,7 @@
 from galenaswitch.membership.roster import POLL_SECONDS, Roster
 from galenaswitch.operations.dump import DumpReply, DumpRequest
 from galenaswitch.operations.encoding import dump_json
+from galenaswitch.operations.exposition import serve_metrics
 from galenaswitch.operations.logs import configure_logs, get_logger
 from galenaswitch.operations.metrics import open_metrics
 from galenaswitch.operations.process import (
@@ -137,7 +138,7 @@
             'control',
             secrets.token_hex(4),
         )
-        self.metrics = open_metrics(*settings.metrics, 'galena-control')
+        self.metrics = open_metrics()
         handlers: dict[type[Any], Any] = {}
         self.service = Service(
             identity,
@@ -351,6 +352,7 @@
             control.service,
             tasks,
         )
+        await serve_metrics(control.metrics, settings.metrics)
         control.start(tasks)
         get_logger().info('started', port=settings.peers.port)
         await asyncio.wait(
--- a/galenaswitch/programs/ctl.py
+++ b/galenaswitch/programs/ctl.py
@@ -6,7 +6,9 @@
 
 import json
 import sys
+from collections.abc import Callable
 from enum import Enum
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -14,6 +16,7 @@
 
 from galenaswitch.errors import GalenaError, SettingsError
 from galenaswitch.operations.settings import load_settings
+from galenaswitch.platform.settings import load_vm_settings
 from galenaswitch.programs.admin import AdminSettings
 from galenaswitch.programs.calls import AdminClient, RefusedByAdminError
 from galenaswitch.programs.control import ControlSettings
@@ -38,6 +41,7 @@
     entry = 'entry'
     control = 'control'
     admin = 'admin'
+    edge = 'edge'
 
 
 class AccessSettings(NamedTuple):
@@ -57,10 +61,11 @@
     admin: AccessSettings
 
 
-SHAPES: dict[Program, type[Any]] = {
-    Program.entry: EntrySettings,
-    Program.control: ControlSettings,
-    Program.admin: AdminSettings,
+LOADERS: dict[Program, Callable[[Path], Any]] = {
+    Program.entry: partial(load_settings, shape=EntrySettings),
+    Program.control: partial(load_settings, shape=ControlSettings),
+    Program.admin: partial(load_settings, shape=AdminSettings),
+    Program.edge: load_vm_settings,
 }
 
 
@@ -211,9 +216,9 @@
     """Check a settings file.
 
     :param program: the program that it is for
-    :param file: path of the INI file
+    :param file: path of the file: INI, or the platform's for ``edge``
     """
-    load_settings(file, SHAPES[program])
+    LOADERS[program](file)
     sys.stdout.write(f'{file}: ok\n')
 
 
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -50,14 +50,16 @@
 from galenaswitch.membership.lists import Machine, MemberList, Members
 from galenaswitch.membership.mesh import Leaving, Mesh, Ping, Pong
 from galenaswitch.membership.messages import ListQuestion
+from galenaswitch.operations.exposition import serve_metrics
 from galenaswitch.operations.logs import configure_logs, get_logger
-from galenaswitch.operations.metrics import LocalMetrics
+from galenaswitch.operations.metrics import open_metrics
 from galenaswitch.operations.process import (
     TaskGroup,
     run_every,
     run_loop,
     wait_for_stop,
 )
+from galenaswitch.operations.settings import MetricSettings
 from galenaswitch.operations.sink import open_sink
 from galenaswitch.platform.documents import PlatformDocuments
 from galenaswitch.platform.headers import PlatformWire
@@ -78,6 +80,8 @@
 LAST_SECONDS = 0.6
 STOP_POLL_SECONDS = 0.05
 CLOSE_STALE_SECONDS = 1.0
+# Port of the page of metrics; the deploy file names the same.
+METRICS_PORT = 9464
 READY = 200
 NOT_READY = 503
 
@@ -118,7 +122,7 @@
         self._settings = settings
         self._path = path
         self._tasks = tasks
-        self.metrics = LocalMetrics()
+        self.metrics = open_metrics()
         self.stopping = False
         self.pool = ConnectionPool(settings.address)
         own = Machine(settings.node, settings.zone, *settings.peers)
@@ -224,6 +228,10 @@
         ):
             await loop.create_server(listener.open_connection, *place)
         await listen(*settings.peers, self.service, self._tasks)
+        await serve_metrics(
+            self.metrics,
+            MetricSettings(settings.address, METRICS_PORT),
+        )
 
     def start(self) -> None:
         """Begin to learn."""
--- a/galenaswitch/programs/entry.py
+++ b/galenaswitch/programs/entry.py
@@ -28,8 +28,9 @@
 from galenaswitch.membership.messages import Loads, Snapshot, Subscribe
 from galenaswitch.membership.reports import ReportBook
 from galenaswitch.operations.dump import DumpReply, DumpRequest
+from galenaswitch.operations.exposition import serve_metrics
 from galenaswitch.operations.logs import configure_logs, get_logger
-from galenaswitch.operations.metrics import Metrics, open_metrics
+from galenaswitch.operations.metrics import PrometheusMetrics, open_metrics
 from galenaswitch.operations.process import (
     TaskGroup,
     run_every,
@@ -107,7 +108,7 @@
 class State:
     """What the entry has learned from its control."""
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: PrometheusMetrics) -> None:
         """Start knowing nothing."""
         self.catalog = Catalog()
         self.directory = Directory(self.catalog)
@@ -155,7 +156,7 @@
         self._settings = settings
         self._tasks = tasks
         self.state = State(
-            open_metrics(*settings.metrics, 'galena-entry'),
+            open_metrics(),
         )
         identity = Identity(
             node.name,
@@ -359,6 +360,7 @@
     entry = Entry(settings, tasks)
     app: Sanic[Any, Any] = Sanic('galena-entry', configure_logging=False)
     entry.api.mount(app)
+    await serve_metrics(entry.state.metrics, settings.metrics)
     server = await serve_http(
         app,
         settings.node.address,
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -10,6 +10,7 @@
 
 import defopt
 
+from galenaswitch.operations.process import wait_for_stop
 from standins.examples import (
     GUIDES_TOKEN,
     LAB_TOKEN,
@@ -170,7 +171,7 @@
         await demo.show()
         if keep:
             show_commands(deployment)
-            await asyncio.Event().wait()
+            await wait_for_stop()
     codes = {
         name: process.returncode
         for name, process in deployment.processes.items()
