Streams are refused when their callers are about to leave; changes gather

Change: stages and places reckon with that time instead of the deadline; a watch of targets goes on 0.4 s after changes. Conclusion: kept, since a caller that is told can come back.

--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -54,6 +54,8 @@
     :param started: monotonic time of its first byte in seconds.
     :param deadline: monotonic time at which it has to be answered.
     :param objective: monotonic time at which it should be answered.
+    :param first_by: monotonic time after which its caller has left unless
+        an answer has begun.
     """
 
     fields: CallFields
@@ -66,6 +68,7 @@
     started: float
     deadline: float
     objective: float
+    first_by: float
 
     @property
     def ident(self) -> str:
--- a/galenaswitch/gateway/checks.py
+++ b/galenaswitch/gateway/checks.py
@@ -2,9 +2,20 @@
 
 from galenaswitch.connections.requests import InboundRequest
 from galenaswitch.gateway.calls import Call, CallFields, Wire
-from galenaswitch.gateway.routes import Route, RouteTable, Workspace
+from galenaswitch.gateway.routes import (
+    CallKind,
+    Route,
+    RouteTable,
+    Workspace,
+)
 from galenaswitch.refusals import Reason, RefusedError
 
+# Callers leave a stream without a first event after the longest of these:
+# seconds, objectives, and pauses between events.
+LEAVE_SECONDS = 2.0
+LEAVE_OBJECTIVES = 4.0
+LEAVE_PAUSES = 8.0
+
 
 def check_request(
     request: InboundRequest,
@@ -40,6 +51,18 @@
         started=request.received_at,
         deadline=request.received_at + patience,
         objective=request.received_at + route.objective,
+        first_by=request.received_at + min(patience, find_patience(route)),
+    )
+
+
+def find_patience(route: Route) -> float:
+    """Return the seconds that callers wait for the first of an answer."""
+    if route.kind is not CallKind.stream:
+        return route.timeout
+    return max(
+        LEAVE_SECONDS,
+        route.objective * LEAVE_OBJECTIVES,
+        route.pause * LEAVE_PAUSES,
     )
 
 
--- a/galenaswitch/gateway/learning.py
+++ b/galenaswitch/gateway/learning.py
@@ -31,6 +31,9 @@
 CONFIGURATION_NAME = 'main'
 TARGETS = 'servers'
 MACHINES = 'galena-vms'
+# Seconds in which changes of targets gather for one call; leaving targets
+# may get work for several times as long.
+GATHER_SECONDS = 0.4
 # Seconds between two looks at the list of VMs, which changes rarely.
 MACHINES_SECONDS = 3.0
 # Seconds between two tries to learn from the seeds while the store is away.
@@ -117,7 +120,12 @@
         self._tasks = tasks
         self._followers = (
             Follower(store, CONFIGURATION, self._take_configuration),
-            Follower(store, TARGETS, self._take_targets),
+            Follower(
+                store,
+                TARGETS,
+                self._take_targets,
+                GATHER_SECONDS,
+            ),
         )
         self._following: list[asyncio.Task[None]] = []
 
--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -179,7 +179,7 @@
         now = time.monotonic()
         own = self._call_seconds(number)
         rest = self._rest_seconds(number)
-        left = self._call.deadline - now - rest - LEAST_ENGINE_SECONDS
+        left = self._call.first_by - now - rest - LEAST_ENGINE_SECONDS
         left = min(left, self._find_kept(stage.after, now))
         if left <= 0:
             raise RefusedError(Reason.deadline)
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -162,7 +162,9 @@
     async def _find_place(self, job: StreamJob) -> Target:
         call = job.call
         now = time.monotonic()
-        if now >= call.deadline:
+        end = call.deadline if job.first_seen else call.first_by
+        left = end - now
+        if left <= 0:
             raise RefusedError(Reason.deadline, job.run)
         question = PlaceQuestion(
             call.service,
@@ -175,12 +177,12 @@
             tuple(job.tried),
             call.priority,
             call.objective - now,
-            job.left,
+            left,
         )
         holder, reply = await self._duties.ask(
             call.service,
             question,
-            job.left + REPLY_SLACK_SECONDS,
+            left + REPLY_SLACK_SECONDS,
             self.decide,
         )
         job.holder = holder
--- a/galenaswitch/gateway/tests/test_checks.py
+++ b/galenaswitch/gateway/tests/test_checks.py
@@ -72,3 +72,30 @@
     with pytest.raises(RefusedError) as caught:
         check_request(request, EMPTY_TABLE, PlatformWire())
     assert caught.value.rule.status == 503
+
+
+@pytest.mark.parametrize(
+    ('objective', 'pause', 'deadline', 'seconds'),
+    [
+        (1.1, 0.3, 6000, 4.4),
+        (0.3, 0.1, 6000, 2.0),
+        (0.3, 0.4, 6000, 3.2),
+        (1.9, 0.3, 6000, 6.0),
+    ],
+)
+def test_callers_leave_a_stream_that_does_not_begin(
+    make_call,
+    make_route,
+    objective,
+    pause,
+    deadline,
+    seconds,
+):
+    route = make_route(
+        CallKind.stream,
+        objective=objective,
+        pause=pause,
+        timeout=20,
+    )
+    call = make_call(route, **{'X-Deadline-Ms': str(deadline)})
+    assert call.first_by - call.started == pytest.approx(seconds)
--- a/galenaswitch/pipelines/tests/test_gathering.py
+++ b/galenaswitch/pipelines/tests/test_gathering.py
@@ -135,6 +135,15 @@
     assert len(start_all(gathering)) == len(TARGETS)
 
 
+def test_hopeless_request_is_known_when_it_comes(gathering):
+    for number in range(30):
+        add(gathering, make(f'r{number}', 4, start_by=0.8))
+    late = make('late', 4, start_by=0.8, deadline=2)
+    wait = gathering.add('late', late, TARGETS, LIMITS, 0)
+    assert late.late
+    assert wait > late.deadline
+
+
 def serve(demands, arrivals, late_goes_last):
     """Serve requests; return the waits of those made on time.
 
--- a/galenaswitch/store/registry.py
+++ b/galenaswitch/store/registry.py
@@ -137,8 +137,14 @@
         store: Registry,
         kind: str,
         publish: Callable[[HeldObjects], None],
+        gather_seconds: float = 0,
     ) -> None:
-        """Call ``publish`` after each change of the objects held."""
+        """Call ``publish`` after each change of the objects held.
+
+        :param gather_seconds: pause after changes, so that one call brings
+            several.
+        """
+        self._gather_seconds = gather_seconds
         self.held = HeldObjects()
         self.listed = False
         self.reachable = True
@@ -188,6 +194,8 @@
             revision = changes.revision
             if self.held.take_changes(changes, time.monotonic()):
                 self._publish(self.held)
+            if changes.changes:
+                await asyncio.sleep(self._gather_seconds)
 
     def _note_success(self) -> None:
         self._pause = FIRST_PAUSE_SECONDS
--- a/galenaswitch/store/tests/test_registry.py
+++ b/galenaswitch/store/tests/test_registry.py
@@ -131,3 +131,17 @@
     follower, told = await follow(Listing(1, ()), Changes(1, ()))
     assert told == [set()]
     assert follower.listed
+
+
+async def test_changes_that_come_together_cost_one_call():
+    store = ScriptedStore(
+        Listing(1, ()),
+        Changes(2, (Change(make('a', 2), False),)),
+    )
+    follower = Follower(store, 'kind', lambda held: None, gather_seconds=0.1)
+    task = asyncio.create_task(follower.follow())
+    begun = asyncio.get_running_loop().time()
+    async with asyncio.timeout(5):
+        await store.done.wait()
+    task.cancel()
+    assert asyncio.get_running_loop().time() - begun >= 0.1
