--- /dev/null
+++ b/galenaswitch/gateway/tests/test_streams.py
@@ -0,0 +1,225 @@
+"""Generated answers: whole events, resumes, refusals."""
+
+import asyncio
+
+import pytest
+
+from galenaswitch.gateway.places import PlaceHolder
+from galenaswitch.gateway.routes import CallKind, EngineLimits
+from galenaswitch.gateway.stages import StageRunner
+from galenaswitch.gateway.streams import StreamRunner
+from galenaswitch.platform.headers import PlatformWire
+from galenaswitch.refusals import RefusedError, Run
+from standins.scripted import find_header
+
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Seal: %b\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+NOT_RUN = (
+    b'HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: a1\r\n'
+    b'X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+def event(number):
+    """Return one event of a stream."""
+    return b'id: %d\ndata: t%d\n\n' % (number, number)
+
+
+def stream(events, seal=b's', end=b'0\r\n\r\n'):
+    """Return an engine's answer; without ``end`` it is cut off."""
+    body = b''.join(b'%x\r\n%b\r\n' % (len(one), one) for one in events)
+    return HEAD % seal + body + end
+
+
+class OwnDuties:
+    """Decides everything on this machine."""
+
+    async def ask(self, service, question, seconds, decide):
+        """Decide here."""
+        return 'me', await decide(question)
+
+    def tell(self, holder, message, take):
+        """Take a message here."""
+        take(message)
+
+    def find_holder(self, service):
+        """Name this machine."""
+        return 'me'
+
+
+@pytest.fixture
+def run_stream(members, sender, budgets, make_call, make_table, writer):
+    """Run a stream on some targets and return where it was placed."""
+
+    async def run(route, *targets):
+        listed = members(*targets)
+        holder = PlaceHolder('desk', lambda _: EngineLimits(4, 9999), listed)
+        wire = PlatformWire()
+        stages = StageRunner('z', listed, wire, OwnDuties(), None)
+        runner = StreamRunner(
+            listed,
+            sender,
+            wire,
+            budgets,
+            OwnDuties(),
+            stages,
+            lambda _: holder,
+        )
+        try:
+            await runner.run(make_call(route), make_table(route), writer)
+        finally:
+            assert not holder.dump()['waiting']
+            engines = holder.dump()['engines'].values()
+            assert not any(engine['running'] for engine in engines)
+
+    return run
+
+
+async def test_events_are_passed_on_whole(
+    run_stream,
+    make_route,
+    scripted,
+    writer,
+):
+    whole = [event(1), event(2), event(3)]
+    target = await scripted([stream(whole)])
+    await run_stream(make_route(CallKind.stream), target)
+    assert writer.body == b''.join(whole)
+    assert writer.finished
+
+
+async def test_cut_stream_is_broken_off_behind_a_whole_event(
+    run_stream,
+    make_route,
+    scripted,
+    writer,
+):
+    target = await scripted([stream([event(1), b'id: 2\nda'], end=b'')])
+    with pytest.raises(RefusedError) as caught:
+        await run_stream(make_route(CallKind.stream), target)
+    assert writer.body == event(1)
+    assert not writer.finished
+    assert caught.value.run is Run.unknown
+
+
+async def test_stream_that_ends_in_an_event_is_not_complete(
+    run_stream,
+    make_route,
+    scripted,
+    writer,
+):
+    target = await scripted([stream([event(1), b'id: 2\nda'])])
+    with pytest.raises(RefusedError):
+        await run_stream(make_route(CallKind.stream), target)
+    assert not writer.finished
+
+
+async def test_stream_goes_on_at_another_engine_where_allowed(
+    run_stream,
+    make_route,
+    scripted,
+    writer,
+):
+    cut = stream([event(1), b'id: 2\nda'], seal=b'one', end=b'')
+    rest = stream([event(2), event(3)], seal=b'two')
+    answers = [cut, rest]
+    targets = [await scripted([b'']) for _ in range(2)]
+
+    def serve_next(target):
+        async def serve(reader, stream_writer):
+            await target.read_request(reader)
+            stream_writer.write(answers.pop(0))
+            await stream_writer.drain()
+
+        return serve
+
+    for target in targets:
+        target._script = serve_next(target)
+    await run_stream(
+        make_route(CallKind.stream, resumable=True),
+        *targets,
+    )
+    assert writer.body == event(1) + event(2) + event(3)
+    assert (b'X-Server-Seal', b'one') in writer.head.headers
+    heads = [head for target in targets for head in target.requests]
+    marks = {find_header(head, 'Last-Event-Id') for head in heads}
+    assert marks == {'', '1'}
+    assert all(len(target.requests) == 1 for target in targets)
+
+
+async def test_engine_that_has_not_run_it_is_replaced(
+    run_stream,
+    make_route,
+    scripted,
+    writer,
+):
+    answers = [NOT_RUN, stream([event(1)])]
+    targets = [await scripted([b'']) for _ in range(2)]
+
+    def serve_next(target):
+        async def serve(reader, stream_writer):
+            await target.read_request(reader)
+            stream_writer.write(answers.pop(0))
+            await stream_writer.drain()
+
+        return serve
+
+    for target in targets:
+        target._script = serve_next(target)
+    await run_stream(make_route(CallKind.stream), *targets)
+    assert writer.body == event(1)
+
+
+async def test_refusal_of_all_engines_says_not_run(
+    run_stream,
+    make_route,
+    scripted,
+    writer,
+):
+    targets = [await scripted([NOT_RUN]) for _ in range(2)]
+    with pytest.raises(RefusedError) as caught:
+        await run_stream(make_route(CallKind.stream), *targets)
+    assert caught.value.run is Run.not_run
+    assert caught.value.rule.status == 503
+
+
+async def test_answer_to_another_request_is_not_passed_on(
+    run_stream,
+    make_route,
+    scripted,
+    writer,
+):
+    other = stream([event(1)]).replace(b'a1', b'zz')
+    target = await scripted([other])
+    with pytest.raises(RefusedError) as caught:
+        await run_stream(make_route(CallKind.stream), target)
+    assert not writer.started
+    assert caught.value.rule.status == 502
+
+
+async def test_caller_that_leaves_frees_its_engine(
+    run_stream,
+    make_route,
+    scripted,
+    writer,
+):
+    freed = asyncio.Event()
+    target = await scripted([b''])
+
+    async def hang(reader, stream_writer):
+        await target.read_request(reader)
+        stream_writer.write(stream([event(1)], end=b''))
+        await reader.read()
+        freed.set()
+
+    target._script = hang
+    task = asyncio.create_task(
+        run_stream(make_route(CallKind.stream), target),
+    )
+    while not writer.body:
+        await asyncio.sleep(0.01)
+    task.cancel()
+    async with asyncio.timeout(0.5):
+        await freed.wait()
