--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -1,7 +1,34 @@
-"""Documents and settings as the platform writes them."""
+"""Documents and settings as the platform writes them, and a gateway.
+
+The gateway speaks to scripted targets in one process.
+"""
+
+import time
 
 import pytest
 
+from galenaswitch.connections.heads import RequestHead
+from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.requests import InboundLimits, InboundRequest
+from galenaswitch.gateway.checks import check_request
+from galenaswitch.gateway.plain import PlainRunner
+from galenaswitch.gateway.routes import (
+    CallKind,
+    EngineLimits,
+    Route,
+    RouteTable,
+    Service,
+    Split,
+    Workspace,
+)
+from galenaswitch.gateway.sending import Sender
+from galenaswitch.limits.retries import RetryBudgets
+from galenaswitch.membership.lists import MemberList, Members, Target
+from galenaswitch.platform.headers import PlatformWire
+from galenaswitch.routing.choice import LeastOutstanding
+from galenaswitch.routing.loads import LoadView
+
+KEY = 'k1'
 SETTINGS = """
 node-name=edge-north-1
 role=edge
@@ -113,3 +140,177 @@
         'sequence': 4,
         'born': 1791653281198,
     }
+
+
+class KeptAnswer:
+    """Keeps the answer to one request."""
+
+    def __init__(self):
+        """Start without an answer."""
+        self.head = None
+        self.body = b''
+        self.started = False
+        self.finished = False
+        self.aborted = False
+
+    def start(self, head, length):
+        """Keep the head."""
+        self.started = True
+        self.head = head
+
+    async def write(self, chunk):
+        """Keep a part of the body."""
+        self.body += chunk
+
+    def finish(self):
+        """Note the end."""
+        self.finished = True
+
+    def abort(self):
+        """Note that the answer broke off."""
+        self.aborted = True
+
+
+@pytest.fixture
+def writer():
+    """Answer of one request."""
+    return KeptAnswer()
+
+
+@pytest.fixture
+def make_route():
+    """Return a route to service ``desk``."""
+
+    def make(kind, **changes):
+        fields = {
+            'name': 'r',
+            'host': 'h.example',
+            'prefix': '/a/',
+            'kind': kind,
+            'timeout': 2.0,
+            'objective': 0.5,
+            'priority': 1,
+            'splits': (Split('desk', 1),),
+            'attempts': 2,
+            'stages': (),
+            'anonymous': False,
+            'resumable': False,
+            'pause': 0.3,
+            **changes,
+        }
+        return Route(**fields)
+
+    return make
+
+
+@pytest.fixture
+def make_table():
+    """Return a configuration with some routes."""
+
+    def make(*routes):
+        return RouteTable(
+            1,
+            {'h.example': routes},
+            {'desk': Service('desk', 10, EngineLimits(4, 100_000))},
+            {KEY: Workspace('lab', None)},
+            True,
+            InboundLimits(),
+        )
+
+    return make
+
+
+@pytest.fixture
+def make_call(make_table):
+    """Return a checked call on a route."""
+
+    def make(route, ident='a1', **headers):
+        sent = {
+            'Host': 'h.example',
+            'X-Attempt-Id': ident,
+            'Authorization': f'Bearer {KEY}',
+            'X-Deadline-Ms': '1500',
+            **headers,
+        }
+        head = RequestHead(
+            b'POST',
+            b'/a/x?y=%20',
+            tuple((k.encode(), v.encode()) for k, v in sent.items()),
+        )
+        request = InboundRequest(head, b'body', time.monotonic(), True)
+        return check_request(request, make_table(route), PlatformWire())
+
+    return make
+
+
+@pytest.fixture
+def members():
+    """Return members that are targets at some addresses."""
+
+    def make(*targets):
+        listed = Members()
+        listed.accept(
+            MemberList(
+                1,
+                (),
+                tuple(
+                    Target(f't{n}', f't{n}/1', 'z', 'desk', one.address)
+                    for n, one in enumerate(targets)
+                ),
+            ),
+        )
+        return listed
+
+    return make
+
+
+@pytest.fixture
+async def sender():
+    """Sender whose connections are closed at the end."""
+    pool = ConnectionPool()
+    yield Sender(pool)
+    pool.close()
+
+
+@pytest.fixture
+def budgets():
+    """Budgets that allow some repeated sends."""
+    return RetryBudgets(0.2, 10, 10)
+
+
+@pytest.fixture
+def plain(members, sender, budgets):
+    """Return a runner of plain calls to some targets."""
+
+    def make(*targets):
+        loads = LoadView()
+        return PlainRunner(
+            'z',
+            members(*targets),
+            sender,
+            PlatformWire(),
+            budgets,
+            LeastOutstanding(loads),
+            loads,
+        )
+
+    return make
+
+
+@pytest.fixture
+def answer():
+    """Return the bytes of a target's answer."""
+
+    def make(body=b'fine', status=b'200 OK', ident=b'a1', extra=b''):
+        return (
+            b'HTTP/1.1 %b\r\nX-Attempt-Id: %b\r\nX-Server-Seal: s\r\n%b'
+            b'Content-Length: %d\r\n\r\n%b'
+        ) % (status, ident, extra, len(body), body)
+
+    return make
+
+
+@pytest.fixture
+def kinds():
+    """Kinds of calls by name."""
+    return CallKind
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -14,10 +14,9 @@
 
 from galenaswitch.configuration.messages import Digest, Items, Versions
 from galenaswitch.configuration.relay import Relay
-from galenaswitch.connections.heads import AnswerHead
-from galenaswitch.connections.inbound import AnswerWriter, Listener
+from galenaswitch.connections.inbound import Listener
 from galenaswitch.connections.outbound import ConnectionPool
-from galenaswitch.connections.requests import InboundLimits, InboundRequest
+from galenaswitch.connections.requests import InboundLimits
 from galenaswitch.errors import SettingsError
 from galenaswitch.gateway.duties import Duties
 from galenaswitch.gateway.gatherer import Gatherer
@@ -35,6 +34,7 @@
 )
 from galenaswitch.gateway.places import PlaceHolder
 from galenaswitch.gateway.plain import PlainRunner
+from galenaswitch.gateway.readiness import Readiness
 from galenaswitch.gateway.routes import (
     BatchLimits,
     EngineLimits,
@@ -82,8 +82,6 @@
 CLOSE_STALE_SECONDS = 1.0
 # Port of the page of metrics; the deploy file names the same.
 METRICS_PORT = 9464
-READY = 200
-NOT_READY = 503
 
 VOCABULARY = Vocabulary(
     Digest,
@@ -221,7 +219,7 @@
         """
         settings = self._settings
         loop = asyncio.get_running_loop()
-        readiness = Listener(Readiness(self), InboundLimits)
+        readiness = Listener(Readiness(self.is_ready), InboundLimits)
         for listener, place in (
             (readiness, settings.readiness),
             (self.callers, settings.callers),
@@ -351,24 +349,6 @@
         )
 
 
-class Readiness:
-    """Answers the balancer."""
-
-    def __init__(self, edge: Edge) -> None:
-        """Answer for ``edge``."""
-        self._edge = edge
-
-    async def handle(
-        self,
-        request: InboundRequest,
-        writer: AnswerWriter,
-    ) -> None:
-        """Answer whether callers should be sent here."""
-        status = READY if self._edge.is_ready() else NOT_READY
-        writer.start(AnswerHead(status, ()), 0)
-        writer.finish()
-
-
 async def run_edge(path: Path, settings: VmSettings) -> None:
     """Run the process until SIGTERM and its last request.
 
