A VM that stops takes only requests that can end before it ends

While under half of a zone's VMs are in rotation the balancer goes on sending to those that stop. Ruled out: idle connections (none was closed with a request on it). Change: after SIGTERM a request that may not end in time, by twice its objective and 2.5 s more for a stream, is refused at once as not run. Test: platform/tests/test_handling.py, which failed before.

--- a/galenaswitch/gateway/handling.py
+++ b/galenaswitch/gateway/handling.py
@@ -10,13 +10,20 @@
 from galenaswitch.gateway.calls import Call, Wire
 from galenaswitch.gateway.checks import check_request
 from galenaswitch.gateway.plain import PlainRunner
-from galenaswitch.gateway.routes import CallKind, RouteTable
+from galenaswitch.gateway.routes import CallKind, Route, RouteTable
 from galenaswitch.gateway.streams import StreamRunner
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.refusals import Reason, RefusedError, Run
 
 MILLISECONDS = 1000
+# Objectives that a request may take in all, and the seconds of a stream's
+# events beside them: what is begun before a stop has to end before it.
+STOP_OBJECTIVES = 2.0
+STOP_STREAM_SECONDS = 2.5
+# Seconds after which a caller that a stopping VM refuses may come back:
+# its next connection goes elsewhere.
+STOP_RETRY_SECONDS = 0.05
 
 
 class Gateway:
@@ -39,6 +46,11 @@
         self._plain = plain
         self._streams = streams
         self._metrics = metrics
+        self._ends_at: float | None = None
+
+    def end_at(self, moment: float) -> None:
+        """Take only requests that can end before a monotonic time."""
+        self._ends_at = moment
 
     async def handle(
         self,
@@ -49,6 +61,7 @@
         table = self._find_table()
         try:
             call = check_request(request, table, self._wire)
+            self._check_stop(call.route)
         except RefusedError as error:
             ident = self._wire.read_call(request.head).ident
             self._log(ident, '', table, request.received_at, error)
@@ -56,6 +69,24 @@
             return
         await self._answer(call, table, writer)
 
+    def _check_stop(self, route: Route) -> None:
+        """Refuse what a stop would cut off.
+
+        :raises RefusedError: when the request may not end in time.
+        """
+        if self._ends_at is None:
+            return
+        needed = route.objective * STOP_OBJECTIVES
+        if route.kind is CallKind.stream:
+            needed += STOP_STREAM_SECONDS
+        if time.monotonic() + needed > self._ends_at:
+            raise RefusedError(
+                Reason.not_ready,
+                Run.not_run,
+                'the process is stopping',
+                STOP_RETRY_SECONDS,
+            )
+
     async def _answer(
         self,
         call: Call,
--- /dev/null
+++ b/galenaswitch/platform/tests/test_handling.py
@@ -0,0 +1,84 @@
+"""Requests from their first byte to the answer."""
+
+import time
+
+import pytest
+
+from galenaswitch.connections.requests import InboundRequest
+from galenaswitch.gateway.handling import Gateway
+from galenaswitch.gateway.routes import CallKind
+from galenaswitch.operations.metrics import open_metrics
+from galenaswitch.platform.headers import PlatformWire
+
+REFUSED = 503
+OK = 200
+
+
+@pytest.fixture
+def handle(plain, make_call, make_table, writer):
+    """Handle one request on a route at a VM that stops after some time."""
+
+    async def send(route, target, stops_after=None):
+        table = make_table(route)
+        gateway = Gateway(
+            lambda: table,
+            PlatformWire(),
+            plain(target),
+            None,
+            open_metrics(),
+        )
+        if stops_after is not None:
+            gateway.end_at(time.monotonic() + stops_after)
+        head = make_call(route).head
+        request = InboundRequest(head, b'', time.monotonic(), True)
+        await gateway.handle(request, writer)
+        return writer.head
+
+    return send
+
+
+async def test_request_is_answered_while_there_is_no_stop(
+    handle,
+    make_route,
+    scripted,
+    answer,
+):
+    target = await scripted([answer()])
+    head = await handle(make_route(CallKind.once), target)
+    assert head.status == OK
+
+
+@pytest.mark.parametrize(
+    ('kind', 'objective', 'stops_after'),
+    [
+        (CallKind.once, 0.4, 0.7),
+        (CallKind.stream, 1.1, 4.6),
+    ],
+)
+async def test_request_that_a_stop_would_cut_off_is_refused_at_once(
+    handle,
+    make_route,
+    scripted,
+    answer,
+    kind,
+    objective,
+    stops_after,
+):
+    target = await scripted([answer()])
+    route = make_route(kind, objective=objective)
+    head = await handle(route, target, stops_after)
+    assert head.status == REFUSED
+    assert (b'Retry-After', b'0.05') in head.headers
+    assert not target.requests
+
+
+async def test_short_request_is_still_taken_before_a_stop(
+    handle,
+    make_route,
+    scripted,
+    answer,
+):
+    target = await scripted([answer()])
+    route = make_route(CallKind.once, objective=0.4)
+    head = await handle(route, target, stops_after=2)
+    assert head.status == OK
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -168,7 +168,8 @@
             self.stages,
             self.find_holder,
         )
-        self.callers = Listener(self._make_gateway(), self.find_limits)
+        self.gateway = self._make_gateway()
+        self.callers = Listener(self.gateway, self.find_limits)
         self._add_handlers()
         self.mesh.on_open.append(self._greet)
 
@@ -270,10 +271,10 @@
         """Leave gracefully: no request in progress is cut off."""
         self.stopping = True
         self._duties.leave()
-        begun = time.monotonic()
+        end = time.monotonic() + self._settings.bounds.grace - LAST_SECONDS
+        self.gateway.end_at(end)
         await asyncio.sleep(BALANCER_SECONDS)
         self.callers.closing = True
-        end = begun + self._settings.bounds.grace - LAST_SECONDS
         while time.monotonic() < end:
             self.callers.close_idle()
             if not self.callers.connections:
