--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -34,7 +34,6 @@
 MAX_IDLE = 64
 FIRST_FINAL_STATUS = 200
 _BODILESS = frozenset((204, 304))
-_KEEP_ALIVE_TIMEOUT = 'timeout='
 
 
 class Exchange:
