Inputs of stages and engines are given up once they are read

Cause: results of a stage hold room at their makers until the next call has ended, though it reads its inputs first. By Little's law that room, and not the speed of the makers, bound the stages. Change: the machine that gathers a stage gives its inputs up 0.1 s after the last piece of their reader has begun, unless others use that target too; results for an engine go 0.1 s after the send. Results that were lost all the same are made once more within the budget of repeated sends, which also lets a stream behind stages be resumed at another engine: before, it could not be.

--- a/galenaswitch/errors.py
+++ b/galenaswitch/errors.py
@@ -77,6 +77,10 @@
     """The target refused the request without running it."""
 
 
+class InputsLostError(TargetBusyError):
+    """The target has not run it: results of stages that it reads are gone."""
+
+
 class TargetLeavingError(TargetBusyError):
     """The target refused the request because it is leaving."""
 
--- a/galenaswitch/gateway/answers.py
+++ b/galenaswitch/gateway/answers.py
@@ -3,6 +3,7 @@
 from galenaswitch.connections.heads import AnswerHead, keep_end_to_end
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.errors import (
+    InputsLostError,
     MismatchedAnswerError,
     TargetBrokenError,
     TargetBusyError,
@@ -20,11 +21,14 @@
 def check_answer(call: Call, head: AnswerHead, wire: Wire) -> AnswerFields:
     """Make sure that an answer may be passed on.
 
+    :raises InputsLostError: when the results that it reads are gone.
     :raises TargetBusyError: when the target says that it has not run it.
     :raises MismatchedAnswerError: when it answers another request.
     :raises TargetBrokenError: when it isn't the target's own whole answer.
     """
     fields = wire.read_answer(call, head)
+    if fields.inputs_lost and fields.echoes:
+        raise InputsLostError(f'the target answered {fields.status}')
     if fields.misdirected or (fields.not_run and fields.echoes):
         raise TargetBusyError(f'the target answered {fields.status}')
     if not fields.echoes:
--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -91,6 +91,7 @@
     :param genuine: whether the target itself made it, body as sent.
     :param not_run: the target says that it did not run the request.
     :param misdirected: another target has the address.
+    :param inputs_lost: results of stages that it was to read are gone.
     :param load: its load, ``None`` when not told.
     """
 
@@ -99,6 +100,7 @@
     genuine: bool
     not_run: bool
     misdirected: bool
+    inputs_lost: bool
     load: Load | None
 
 
--- a/galenaswitch/gateway/gatherer.py
+++ b/galenaswitch/gateway/gatherer.py
@@ -11,8 +11,10 @@
     TargetError,
     TargetUnreachableError,
 )
-from galenaswitch.gateway.calls import Piece, PieceResult, Wire
+from galenaswitch.gateway.calls import Load, Piece, PieceResult, Wire
+from galenaswitch.gateway.inputs import InputReleases
 from galenaswitch.gateway.messages import (
+    HeldResults,
     PiecesCancel,
     PiecesQuestion,
     PiecesReply,
@@ -22,7 +24,7 @@
 from galenaswitch.gateway.rooms import Rooms
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.gateway.sending import Sender
-from galenaswitch.limits.retries import RetryBudgets
+from galenaswitch.limits.retries import RetryBudget, RetryBudgets
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
@@ -58,8 +60,13 @@
         wire: Wire,
         budgets: RetryBudgets,
         tasks: TaskGroup,
+        give_up: Callable[[HeldResults], None],
     ) -> None:
-        """Send calls to the ``members`` that serve ``service``."""
+        """Send calls to the ``members`` that serve ``service``.
+
+        :param give_up: releases results that pieces have read.
+        """
+        self._inputs = InputReleases(give_up)
         self._service = service
         self._find_limits = find_limits
         self._members = members
@@ -88,9 +95,8 @@
     async def make(self, question: PiecesQuestion) -> PiecesReply:
         """Make the pieces of a question."""
         now = time.monotonic()
-        budget = self._budgets.of(self._service)
-        for _ in question.pieces:
-            budget.note_request(now)
+        if not _count(question, self._budgets.of(self._service), now):
+            return PiecesReply((), 'budget', 1)
         limits = self._find_limits(self._service)
         targets = self._members.usable(self._service)
         if limits is None or not targets:
@@ -150,7 +156,7 @@
         handles = tuple(
             demand.handles[piece.number] for piece in question.pieces
         )
-        return PiecesReply(handles)
+        return PiecesReply(handles, inputs_freed=demand.inputs_freed)
 
     def _release_unused(self, demand: Demand) -> None:
         self._stored.release(tuple(demand.handles.values()))
@@ -174,6 +180,8 @@
             if call is None:
                 break
             self._tasks.start(self._run(call, limits))
+            worker = self._gathering.worker(call.target)
+            self._inputs.watch(call, worker)
         if self._gathering.waiting():
             loop = asyncio.get_running_loop()
             self._looking = loop.call_later(LOOK_SECONDS, self._look)
@@ -230,6 +238,7 @@
         ) as attempt:
             answer = await attempt.read_head(seconds)
             content = await attempt.read_whole(seconds)
+        self._note_load(call, self._wire.read_load(answer))
         if self._wire.is_not_run(answer):
             raise TargetBusyError(f'status {answer.status}')
         if answer.status != OK:
@@ -239,6 +248,15 @@
             raise InvalidInputError('not one outcome for each piece')
         return outcomes
 
+    def _note_load(self, call: PieceCall, load: Load | None) -> None:
+        """Note that others send calls to a target too.
+
+        The load is that of the answer, so the answered call counts no more.
+        """
+        worker = self._gathering.worker(call.target)
+        if load and load.running + load.waiting >= worker.calls:
+            worker.share(time.monotonic())
+
     def _take(
         self,
         call: PieceCall,
@@ -296,22 +314,24 @@
 
     def _retry(self, demand: Demand, piece: Piece, failure: str) -> None:
         """Let a piece wait again, or fail its request."""
-        key = f'{demand.ident}/{piece.stage}'
         demand.repeats += 1
-        now = time.monotonic()
-        again = now < demand.deadline and (
-            failure == _ROOM
-            or (
-                failure not in {_LATE, _GONE}
-                and demand.repeats < MAX_SENDS * (demand.missing + 1)
-                and self._budgets.of(self._service).take(now)
-            )
-        )
-        if again:
+        if demand.inputs_freed:
+            failure = _GONE
+        if self._may_repeat(demand, failure):
             demand.unsent.insert(0, piece)
             return
         demand.failure = failure
-        self._finish(key)
+        self._finish(f'{demand.ident}/{piece.stage}')
+
+    def _may_repeat(self, demand: Demand, failure: str) -> bool:
+        now = time.monotonic()
+        if now >= demand.deadline or failure in {_LATE, _GONE}:
+            return False
+        if failure == _ROOM:
+            return True
+        if demand.repeats >= MAX_SENDS * (demand.missing + 1):
+            return False
+        return self._budgets.of(self._service).take(now)
 
     def _finish(self, key: str) -> None:
         done = self._done.get(key)
@@ -319,6 +339,19 @@
             done.set()
 
 
+def _count(
+    question: PiecesQuestion,
+    budget: RetryBudget,
+    now: float,
+) -> bool:
+    """Count pieces as requests; those made again need a budget."""
+    if question.again:
+        return all(budget.take(now) for _ in question.pieces)
+    for _ in question.pieces:
+        budget.note_request(now)
+    return True
+
+
 def _make_demand(question: PiecesQuestion, now: float) -> Demand:
     return Demand(
         question.ident,
@@ -327,4 +360,5 @@
         question.zone,
         now + question.start_in,
         now + question.left,
+        question.last_read,
     )
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -8,11 +8,25 @@
 from galenaswitch.gateway.calls import Piece, PromptPart
 
 
+class HeldResults(NamedTuple):
+    """Results that take room at their makers.
+
+    :param holder: machine whose gatherer had them made.
+    """
+
+    service: str
+    holder: str
+    handles: tuple[str, ...]
+
+
 class PiecesQuestion(NamedTuple):
     """Make the results of one stage of a request.
 
     :param start_in: seconds until the last call that is still on time.
     :param left: seconds until the results are of no use.
+    :param last_read: inputs that nobody else reads: they can be given up
+        once the pieces have read them.
+    :param again: whether the pieces were made before and are lost.
     """
 
     service: str
@@ -22,6 +36,8 @@
     zone: str
     start_in: float
     left: float
+    last_read: tuple[HeldResults, ...] = ()
+    again: bool = False
 
 
 class PiecesReply(NamedTuple):
@@ -30,11 +46,14 @@
     :param handles: the results in the order of the pieces, none on failure.
     :param failure: why there are none, empty on success.
     :param retry_after: seconds after which another try is likely to do.
+    :param inputs_freed: whether the inputs that nobody else reads were
+        given up.
     """
 
     handles: tuple[str, ...]
     failure: str = ''
     retry_after: float = 0
+    inputs_freed: bool = False
 
 
 class PiecesCancel(NamedTuple):
--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -10,6 +10,7 @@
 from galenaswitch.gateway.duties import Duties
 from galenaswitch.gateway.gatherer import Gatherer
 from galenaswitch.gateway.messages import (
+    HeldResults,
     PiecesCancel,
     PiecesQuestion,
     PiecesReply,
@@ -53,9 +54,22 @@
     """The stages of one request."""
 
     def __init__(
-        self, call: Call, table: RouteTable, runner: 'StageRunner'
+        self,
+        call: Call,
+        table: RouteTable,
+        runner: 'StageRunner',
+        end: float,
+        *,
+        again: bool,
     ) -> None:
-        """Run the stages of ``call`` as ``table`` has them."""
+        """Run the stages of ``call`` as ``table`` has them.
+
+        :param end: monotonic time at which the results are of no use.
+        :param again: whether they were made before and are lost.
+        """
+        self._end = end
+        self._again = again
+        self.released = False
         self._call = call
         self._table = table
         self._runner = runner
@@ -88,7 +102,12 @@
 
     def cancel(self) -> None:
         """Tell the gatherers that no more pieces are needed."""
-        for service in self._call.route.stage_services():
+        services = {
+            stage.service
+            for stage, done in zip(self._stages, self._done, strict=True)
+            if not done.is_set()
+        }
+        for service in services:
             self._runner.cancel(
                 self._holders.get(service, ''),
                 service,
@@ -97,15 +116,26 @@
 
     def release(self) -> None:
         """Give all results up."""
-        for number, handles in self._handles.items():
-            self._release(number, handles)
+        held = self._find_held(self._handles)
+        for one in held:
+            self._runner.release(one)
+        self.released = self.released or bool(held)
         self._handles = {}
 
-    def _release(self, number: int, handles: tuple[str, ...]) -> None:
-        service = self._stages[number].service
-        holder = self._holders.get(service)
-        if handles and holder:
-            self._runner.release(holder, service, handles)
+    def _find_held(self, numbers: Iterable[int]) -> tuple[HeldResults, ...]:
+        """Return what makers hold of the results of some stages."""
+        found = []
+        for number in numbers:
+            service = self._stages[number].service
+            holder = self._holders.get(service)
+            handles = self._handles[number]
+            if handles and holder:
+                found.append(HeldResults(service, holder, handles))
+        return tuple(found)
+
+    def _release(self, numbers: Iterable[int]) -> None:
+        for held in self._find_held(numbers):
+            self._runner.release(held)
 
     async def _run_stage(self, number: int) -> None:
         stage = self._stages[number]
@@ -115,13 +145,18 @@
             await asyncio.sleep(self._find_spare(number))
         pieces = self._make_pieces(number)
         if pieces:
-            reply = await self._ask(number, pieces)
+            last_read = self._find_last_read(number)
+            reply = await self._ask(number, pieces, last_read)
             self._handles[number] = reply.handles
+            if reply.inputs_freed:
+                self._forget(last_read)
         else:
             self._handles[number] = ()
         self._made_at[number] = time.monotonic()
         self._done[number].set()
-        self._release_inputs(number)
+        last_read = self._find_last_read(number)
+        self._release(last_read)
+        self._forget(last_read)
 
     def _find_spare(self, number: int) -> float:
         """Return the seconds that a stage can wait for longer ones beside it.
@@ -174,12 +209,13 @@
         self,
         number: int,
         pieces: tuple[Piece, ...],
+        last_read: tuple[int, ...],
     ) -> PiecesReply:
         stage = self._stages[number]
         now = time.monotonic()
         own = self._call_seconds(number)
         rest = self._rest_seconds(number)
-        left = self._call.first_by - now - rest - LEAST_ENGINE_SECONDS
+        left = self._end - now - rest - LEAST_ENGINE_SECONDS
         left = min(left, self._find_kept(stage.after, now))
         if left <= 0:
             raise RefusedError(Reason.deadline)
@@ -191,6 +227,8 @@
             self._find_zone(number),
             self._call.objective - now - own - rest - ENGINE_SECONDS,
             left,
+            self._find_held(last_read),
+            self._again,
         )
         holder, reply = await self._runner.ask(question)
         self._holders[stage.service] = holder
@@ -212,18 +250,21 @@
             )
         return reply
 
-    def _release_inputs(self, number: int) -> None:
-        """Give up results whose last reader has finished."""
-        stages = self._stages
-        for before in stages[number].after:
-            readers = [
-                reader
-                for reader, stage in enumerate(stages)
+    def _find_last_read(self, number: int) -> tuple[int, ...]:
+        """Return the inputs of a stage that no other stage is to read."""
+        return tuple(
+            before
+            for before in self._stages[number].after
+            if all(
+                reader == number or self._done[reader].is_set()
+                for reader, stage in enumerate(self._stages)
                 if before in stage.after
-            ]
-            if all(self._done[reader].is_set() for reader in readers):
-                self._release(before, self._handles[before])
-                self._handles[before] = ()
+            )
+        )
+
+    def _forget(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            self._handles[number] = ()
 
     def _find_kept(self, numbers: Iterable[int], now: float) -> float:
         """Return the seconds for which makers keep the results of stages."""
@@ -299,9 +340,20 @@
         )
         return engine.zone if engine else ''
 
-    def open_job(self, call: Call, table: RouteTable) -> StageJob:
-        """Begin the stages of a request."""
-        return StageJob(call, table, self)
+    def open_job(
+        self,
+        call: Call,
+        table: RouteTable,
+        end: float,
+        *,
+        again: bool,
+    ) -> StageJob:
+        """Begin the stages of a request.
+
+        :param end: monotonic time at which the results are of no use.
+        :param again: whether they were made before and are lost.
+        """
+        return StageJob(call, table, self, end, again=again)
 
     async def ask(self, question: PiecesQuestion) -> tuple[str, PiecesReply]:
         """Let the results of a stage be made."""
@@ -336,16 +388,11 @@
             self.take_cancel,
         )
 
-    def release(
-        self,
-        holder: str,
-        service: str,
-        handles: tuple[str, ...],
-    ) -> None:
+    def release(self, held: HeldResults) -> None:
         """Give results up."""
         self._duties.tell(
-            holder,
-            ReleaseNote(service, handles),
+            held.holder,
+            ReleaseNote(held.service, held.handles),
             self.take_release,
         )
 
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -1,11 +1,13 @@
 """Generated answers: stages, a place on an engine, and its events."""
 
+import asyncio
 import time
 from collections.abc import Callable
 
-from galenaswitch.connections.heads import AnswerHead
+from galenaswitch.connections.heads import AnswerHead, RequestHead
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.errors import (
+    InputsLostError,
     TargetBrokenError,
     TargetBusyError,
     TargetError,
@@ -40,6 +42,13 @@
 MAX_IDLE_SECONDS = 3.0
 # Engines tried where none has run the request.
 MAX_TRIES = 4
+# Runs of a request's stages, the first included.
+MAX_STAGE_RUNS = 2
+# Seconds after which an engine has read the results of stages: it fetches
+# them before the prompt.
+INPUT_READ_SECONDS = 0.1
+# Failures of stages after which all of them are run once more.
+LOST = 'gone'
 # Seconds of silence after which a stream that may be resumed goes on at
 # another engine: callers leave after two.
 SILENT_SECONDS = 1.2
@@ -53,13 +62,15 @@
     def __init__(
         self,
         call: Call,
+        table: RouteTable,
         writer: AnswerWriter,
-        stages: StageJob,
     ) -> None:
-        """Answer ``call`` through ``writer``."""
+        """Answer ``call`` through ``writer`` as ``table`` says."""
         self.call = call
+        self.table = table
         self.writer = writer
-        self.stages = stages
+        self.stages: StageJob | None = None
+        self.stage_runs = 0
         self.inputs = StageResults((), {})
         self.events = EventBuffer(call.fields.last_event)
         self.tried: list[str] = []
@@ -77,6 +88,28 @@
         """Seconds until the deadline."""
         return self.call.deadline - time.monotonic()
 
+    @property
+    def end(self) -> float:
+        """Monotonic time at which the next event is of no use."""
+        return self.call.deadline if self.first_seen else self.call.first_by
+
+    @property
+    def released(self) -> bool:
+        """Whether results of the stages were given up."""
+        return self.stages is not None and self.stages.released
+
+    def release(self) -> None:
+        """Give up the results of the stages."""
+        if self.stages:
+            self.stages.release()
+
+    def close_stages(self) -> None:
+        """Give up the results of the stages, and what is being made."""
+        if self.stages:
+            self.stages.cancel()
+            self.stages.release()
+        self.stages = None
+
 
 class StreamRunner:
     """Runs requests for generated answers."""
@@ -114,16 +147,11 @@
         :raises RefusedError: when it can't be answered whole in time.
         """
         self._budgets.of(call.service).note_request(time.monotonic())
-        job = StreamJob(call, writer, self._stages.open_job(call, table))
-        finished = False
+        job = StreamJob(call, table, writer)
         try:
-            job.inputs = await job.stages.run()
             await self._generate(job)
-            finished = True
         finally:
-            if not finished:
-                job.stages.cancel()
-            job.stages.release()
+            job.close_stages()
 
     async def answer(
         self,
@@ -147,6 +175,8 @@
 
     async def _generate(self, job: StreamJob) -> None:
         while True:
+            if job.stages is None:
+                await self._run_stages(job)
             target = await self._find_place(job)
             failed = False
             try:
@@ -159,11 +189,30 @@
             finally:
                 self._end_place(job, target, failed)
 
+    async def _run_stages(self, job: StreamJob) -> None:
+        """Run the stages, once more when results were lost."""
+        while True:
+            job.stage_runs += 1
+            job.stages = self._stages.open_job(
+                job.call,
+                job.table,
+                job.end,
+                again=job.stage_runs > 1,
+            )
+            try:
+                job.inputs = await job.stages.run()
+            except RefusedError as error:
+                if error.detail != LOST or job.stage_runs >= MAX_STAGE_RUNS:
+                    raise
+                get_logger().info('stages_lost', request=job.call.ident)
+                job.close_stages()
+            else:
+                return
+
     async def _find_place(self, job: StreamJob) -> Target:
         call = job.call
         now = time.monotonic()
-        end = call.deadline if job.first_seen else call.first_by
-        left = end - now
+        left = job.end - now
         if left <= 0:
             raise RefusedError(Reason.deadline, job.run)
         question = PlaceQuestion(
@@ -205,6 +254,19 @@
             job.inputs.handles,
             job.events.last_id,
         )
+        loop = asyncio.get_running_loop()
+        read = loop.call_later(INPUT_READ_SECONDS, job.release)
+        try:
+            await self._exchange(job, target, head)
+        finally:
+            read.cancel()
+
+    async def _exchange(
+        self,
+        job: StreamJob,
+        target: Target,
+        head: RequestHead,
+    ) -> None:
         async with self._sender.send(
             target.url,
             head,
@@ -268,7 +330,7 @@
             seconds=round(now - job.call.started, 3),
             objective_left=round(job.call.objective - now, 3),
         )
-        job.stages.release()
+        job.release()
         message = PlaceFirst(job.call.service, job.call.ident)
         self._duties.tell(job.holder, message, self.take_first)
 
@@ -305,6 +367,8 @@
         if not self._may_go_on(job, error, known):
             reason = Reason.stage_failed if job.sent else Reason.capacity
             raise RefusedError(reason, job.run)
+        if isinstance(error, InputsLostError) or job.released:
+            job.close_stages()
 
     def _may_go_on(
         self,
--- a/galenaswitch/pipelines/demands.py
+++ b/galenaswitch/pipelines/demands.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from galenaswitch.gateway.calls import Piece
+from galenaswitch.gateway.messages import HeldResults
 
 
 class Demand:
@@ -16,6 +17,7 @@
         zone: str,
         start_by: float,
         deadline: float,
+        last_read: tuple[HeldResults, ...] = (),
     ) -> None:
         """Ask for ``pieces``.
 
@@ -24,6 +26,7 @@
         :param start_by: monotonic time until which a call has to start so
             that the request can be on time.
         :param deadline: monotonic time after which results are of no use.
+        :param last_read: inputs that can be given up once they are read.
         """
         self.ident = ident
         self.unsent = list(pieces)
@@ -32,12 +35,24 @@
         self.zone = zone
         self.start_by = start_by
         self.deadline = deadline
+        self.last_read: tuple[HeldResults, ...] | None = last_read
         self.begun = False
         self.late = False
         self.handles: dict[int, str] = {}
         self.failure = ''
         self.repeats = 0
 
+    @property
+    def inputs_freed(self) -> bool:
+        """Whether its inputs were given up, so that no piece can be redone."""
+        return self.last_read is None
+
+    def free_inputs(self) -> tuple[HeldResults, ...]:
+        """Return the inputs to be given up, once."""
+        freed = self.last_read or ()
+        self.last_read = None
+        return freed
+
     def rank(self, now: float) -> tuple[bool, bool, float]:
         """Order demands: begun ones, then those that can be on time."""
         late = self.late or self.start_by < now
--- a/galenaswitch/pipelines/workers.py
+++ b/galenaswitch/pipelines/workers.py
@@ -8,6 +8,11 @@
 # each failure up to the longest pause.
 FAILURE_PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 8.0
+# Seconds for which a target counts as shared after others' calls were seen
+# there: two machines may decide for it for about as long.
+SHARED_SECONDS = 2.0
+# Slowness from which others' calls may be the reason.
+SHARED_SLOWNESS = 1.4
 
 
 class Worker:
@@ -26,6 +31,15 @@
         self.held_bytes = 0.0
         self.paused_until = 0.0
         self._pause = 0.0
+        self._shared_until = 0.0
+
+    def share(self, now: float) -> None:
+        """Note that another machine sends calls to it."""
+        self._shared_until = now + SHARED_SECONDS
+
+    def is_shared(self, now: float) -> bool:
+        """Tell whether a call may have to wait there behind others' calls."""
+        return now < self._shared_until or self.slowness > SHARED_SLOWNESS
 
     def is_idle(self, slots: int, now: float) -> bool:
         """Tell whether it can get a call at a monotonic time."""
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -26,6 +26,7 @@
 MEGABYTE = 1_000_000
 # What reading a document of another form than expected raises.
 MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+CONFLICT = 409
 MISDIRECTED = 421
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
@@ -118,6 +119,7 @@
             genuine=sealed and not encoded,
             not_run=self.is_not_run(head),
             misdirected=head.status == MISDIRECTED,
+            inputs_lost=head.status == CONFLICT and self.is_not_run(head),
             load=self.read_load(head),
         )
 
--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -19,7 +19,7 @@
     StoreUnavailableError,
     TargetError,
 )
-from galenaswitch.platform.headers import MILLISECONDS
+from galenaswitch.platform.headers import CONFLICT, MILLISECONDS
 from galenaswitch.store.client import ABSENT, Listing, StoredObject
 from galenaswitch.store.registry import Change, Changes
 
@@ -31,7 +31,6 @@
 OK = 200
 CREATED = 201
 NOT_FOUND = 404
-CONFLICT = 409
 GONE = 410
 _EXPECTED = frozenset((OK, CREATED, NOT_FOUND, CONFLICT))
 Document = dict[str, Any]
--- /dev/null
+++ b/galenaswitch/platform/tests/test_stages.py
@@ -0,0 +1,185 @@
+"""Generated answers behind stages, whose results may be lost."""
+
+import asyncio
+import re
+
+import pytest
+
+from galenaswitch.gateway.gatherer import Gatherer
+from galenaswitch.gateway.places import PlaceHolder
+from galenaswitch.gateway.routes import (
+    BatchLimits,
+    CallKind,
+    EngineLimits,
+    Service,
+    StageSpec,
+)
+from galenaswitch.gateway.stages import StageRunner
+from galenaswitch.gateway.streams import StreamRunner
+from galenaswitch.membership.lists import MemberList, Members, Target
+from galenaswitch.operations.process import TaskGroup
+from galenaswitch.platform.headers import PlatformWire
+from galenaswitch.platform.tests.test_streams import OwnDuties, event, stream
+from galenaswitch.refusals import RefusedError
+from standins.scripted import ScriptedTarget, find_header
+
+LOST = (
+    b'HTTP/1.1 409 Conflict\r\nX-Attempt-Id: a1\r\n'
+    b'X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+BATCHES = BatchLimits(1, 4, 0.05, 0.01, 9e6, 4)
+
+
+class Maker(ScriptedTarget):
+    """Makes the results of a stage, one piece a call."""
+
+    def __init__(self):
+        """Start with nothing made."""
+        super().__init__(self.serve)
+        self.made = 0
+        self.freed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        """Answer all calls of a connection."""
+        while True:
+            head = await self.read_request(reader)
+            writer.write(self.answer(head.split()[1]))
+
+    def answer(self, path):
+        """Return the answer to a call."""
+        document = b'{"free-mb":9}'
+        if path == '/api/stage-run':
+            self.made += 1
+            handle = f'{self.address}/h{self.made}'
+            document = b'{"items":[{"handle":"%b"}]}' % handle.encode()
+        if path == '/api/stage-free':
+            self.freed.set()
+        return b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b' % (
+            len(document),
+            document,
+        )
+
+
+@pytest.fixture
+async def maker():
+    """Target of a stage."""
+    target = Maker()
+    await target.start()
+    yield target
+    await target.stop()
+
+
+@pytest.fixture
+def route(make_route):
+    """Route of a stream that may be resumed, behind a stage."""
+    return make_route(
+        CallKind.stream,
+        resumable=True,
+        stages=(StageSpec('intake', (), 1000),),
+    )
+
+
+@pytest.fixture
+async def run_staged(sender, budgets, make_call, make_table, writer, maker):
+    """Run a stream behind a stage on some engines."""
+    tasks = TaskGroup()
+
+    async def run(route, *engines):
+        listed = Members()
+        targets = [Target('m', 'm/1', 'z', 'intake', maker.address)]
+        targets.extend(
+            Target(f'e{n}', f'e{n}/1', 'z', 'desk', one.address)
+            for n, one in enumerate(engines)
+        )
+        listed.accept(MemberList(1, (), tuple(targets)))
+        wire = PlatformWire()
+        gatherer = Gatherer(
+            'intake',
+            lambda _: BATCHES,
+            listed,
+            sender,
+            wire,
+            budgets,
+            tasks,
+            lambda held: stages.release(held),
+        )
+        stages = StageRunner('z', listed, wire, OwnDuties(), lambda _: gatherer)
+        holder = PlaceHolder('desk', lambda _: EngineLimits(4, 9999), listed)
+        runner = StreamRunner(
+            listed,
+            sender,
+            wire,
+            budgets,
+            OwnDuties(),
+            stages,
+            lambda _: holder,
+        )
+        table = make_table(route)
+        table.services['intake'] = Service('intake', 10, None, BATCHES)
+        call = make_call(route, **{'X-Pieces': '1', 'X-Piece-Key': 'k'})
+        await runner.run(call, table, writer)
+
+    yield run
+    await tasks.stop()
+
+
+def find_inputs(engine):
+    """Return the inputs that an engine was sent, by their numbers."""
+    sent = [find_header(head, 'X-Inputs') for head in engine.requests]
+    return [re.sub('.*/', '', one) for one in sent]
+
+
+async def test_results_that_an_engine_lacks_are_made_again(
+    run_staged,
+    route,
+    writer,
+    maker,
+):
+    answers = [LOST, stream([event(1)])]
+
+    async def answer_next(reader, target_writer):
+        await engines[0].read_request(reader)
+        target_writer.write(answers.pop(0))
+
+    engines = [ScriptedTarget(answer_next), ScriptedTarget(answer_next)]
+    for engine in engines:
+        await engine.start()
+    await run_staged(route, *engines)
+    for engine in engines:
+        await engine.stop()
+    assert writer.body == event(1)
+    assert find_inputs(engines[0]) == ['h1', 'h2']
+    assert maker.made == 2
+
+
+async def test_results_are_made_again_for_a_stream_that_is_resumed(
+    run_staged,
+    route,
+    scripted,
+    writer,
+    maker,
+):
+    cut = await scripted([stream([event(1)], end=b'')])
+    other = await scripted([stream([event(1)], end=b'')])
+    with pytest.raises(RefusedError, match='stage-failed'):
+        await run_staged(route, cut, other)
+    assert maker.made == 2
+    assert sorted(find_inputs(cut) + find_inputs(other)) == ['h1', 'h2']
+
+
+async def test_results_are_given_up_before_a_slow_first_event(
+    run_staged,
+    route,
+    writer,
+    maker,
+):
+    async def answer_late(reader, target_writer):
+        await engine.read_request(reader)
+        await asyncio.wait_for(maker.freed.wait(), 5)
+        target_writer.write(stream([event(1)]))
+
+    engine = ScriptedTarget(answer_late)
+    await engine.start()
+    await run_staged(route, engine)
+    await engine.stop()
+    assert writer.finished
