The reserve of permits goes by what was granted, not by what was asked

An entry whose question for permits fails uses a reserve of half of its recent rate; that rate was the demand, twice the contract in this test, so that the reserve was all of the contract. Change: the reserve is half of the rate of permits granted of late.

--- a/galenaswitch/limits/cache.py
+++ b/galenaswitch/limits/cache.py
@@ -47,6 +47,28 @@
 Ask = Callable[[PermitRequest], Awaitable[PermitReply]]
 
 
+class Rate:
+    """Moving average of amounts a second.
+
+    >>> rate = Rate(0)
+    >>> for step in range(40):
+    ...     rate.note(2, step / 10)
+    >>> round(rate.average)
+    20
+    """
+
+    def __init__(self, now: float) -> None:
+        """Start at nothing at a monotonic time in seconds."""
+        self.average = 0.0
+        self.seen = now
+
+    def note(self, amount: float, now: float) -> None:
+        """Take an amount into the average."""
+        keep = max(0, 1 - (now - self.seen) / RATE_SECONDS)
+        self.average = self.average * keep + amount / RATE_SECONDS
+        self.seen = now
+
+
 class Pool:
     """Permits of one workspace."""
 
@@ -58,21 +80,17 @@
         self.refused = ''
         self.refused_until = now
         self.waiting = NOTHING
-        self.rate = 0.0
-        self.token_rate = 0.0
-        self.seen = now
-        self.answered = now
+        self.demand = Rate(now)
+        self.token_demand = Rate(now)
+        self.granted = Rate(now)
         self.reserve = 0.0
         self.reserve_at = now
         self.asking = asyncio.Lock()
 
     def note_demand(self, need: Need, now: float) -> None:
-        """Take a demand into the moving averages of the rates."""
-        gap = now - self.seen
-        keep = max(0, 1 - gap / RATE_SECONDS)
-        self.rate = self.rate * keep + need.requests / RATE_SECONDS
-        self.token_rate = self.token_rate * keep + need.tokens / RATE_SECONDS
-        self.seen = now
+        """Take a demand into the moving averages."""
+        self.demand.note(need.requests, now)
+        self.token_demand.note(need.tokens, now)
 
     def take(self, need: Need, want: Need, now: float) -> Need | None:
         """Use permits in hand, at least what is needed or none."""
@@ -93,8 +111,8 @@
         """Take permits in hand."""
         self.requests += reply.requests
         self.tokens += reply.tokens
+        self.granted.note(reply.requests, now)
         self.until = now + LIFETIME_SECONDS
-        self.answered = now
 
     def refuse(self, reason: str, now: float) -> None:
         """Refuse all for a moment, so that nobody asks again at once."""
@@ -104,13 +122,14 @@
     def use_reserve(self, now: float) -> bool:
         """Permit one request without an answer, on a shrinking share.
 
-        The share is the rate of late, halved every second.
+        The share is the rate granted of late, halved every second. Demand
+        doesn't count: it may be far above the contract.
         """
-        silent = now - self.answered
+        silent = now - self.granted.seen
         if silent > RESERVE_SECONDS:
             return False
         share = 0.5 ** (1 + silent / RESERVE_HALF_LIFE_SECONDS)
-        filled = (now - self.reserve_at) * self.rate * share
+        filled = (now - self.reserve_at) * self.granted.average * share
         self.reserve = min(RESERVE_BURST, self.reserve + filled)
         self.reserve_at = now
         if self.reserve < 1:
@@ -215,8 +234,8 @@
     def _make(self, workspace: str, pool: Pool, need: Need) -> PermitRequest:
         """Return the question: what is needed, and what will be soon."""
         ahead = Need(
-            int(pool.rate * PREFETCH_SECONDS),
-            pool.token_rate * PREFETCH_SECONDS,
+            int(pool.demand.average * PREFETCH_SECONDS),
+            pool.token_demand.average * PREFETCH_SECONDS,
         )
         want = _add(ahead, max(need, pool.waiting))
         return PermitRequest(
--- a/galenaswitch/limits/tests/test_faults.py
+++ b/galenaswitch/limits/tests/test_faults.py
@@ -13,7 +13,9 @@
     engines=(),
     workers=tuple(WorkerPlan(zone, 'bookings') for zone in ZONES),
 )
+# Requests a second of the contract.
 RATE = 60
+# Seconds in which tests send.
 SECONDS = 9
 OVER = 1.05
 USABLE = 0.95
