Repeated sends of several pieces are taken together; requests are timed by kind

Histograms told nothing of kinds. Change: a budget gives several sends or none; the duration of each request is also recorded under its kind.

--- a/galenaswitch/gateway/handling.py
+++ b/galenaswitch/gateway/handling.py
@@ -108,6 +108,9 @@
         if outcome:
             refuse(writer, self._wire, call.ident, outcome)
         self._log(call.ident, call.route.name, table, call.started, outcome)
+        seconds = time.monotonic() - call.started
+        name = f'request.{call.route.kind.value}'
+        self._metrics.time(name, seconds * MILLISECONDS)
 
     async def _run(
         self,
--- a/galenaswitch/limits/retries.py
+++ b/galenaswitch/limits/retries.py
@@ -46,18 +46,18 @@
         self._requests.append(now)
         self._forget(now)
 
-    def take(self, now: float) -> bool:
-        """Use one repeated send if there is one left."""
-        if not self.has_left(now):
+    def take(self, now: float, count: int = 1) -> bool:
+        """Use some repeated sends if there are as many left, else none."""
+        if not self.has_left(now, count):
             return False
-        self._repeats.append(now)
+        self._repeats.extend(now for _ in range(count))
         return True
 
-    def has_left(self, now: float) -> bool:
-        """Tell whether a repeated send is allowed."""
+    def has_left(self, now: float, count: int = 1) -> bool:
+        """Tell whether some repeated sends are allowed."""
         self._forget(now)
         allowed = self._ratio * len(self._requests) + self.slack
-        return len(self._repeats) + 1 <= allowed * USED_PART
+        return len(self._repeats) + count <= allowed * USED_PART
 
     def _forget(self, now: float) -> None:
         for times in (self._requests, self._repeats):
--- a/galenaswitch/limits/tests/test_retries.py
+++ b/galenaswitch/limits/tests/test_retries.py
@@ -42,6 +42,14 @@
     assert budgets.of('b').take(0)
 
 
+def test_several_sends_are_used_together_or_not_at_all():
+    budget = RetryBudgets(0, 5, WINDOW).of('a')
+    assert not budget.take(0, 6)
+    assert budget.take(0, 3)
+    assert not budget.take(0, 2)
+    assert budget.take(0)
+
+
 def test_used_sends_come_back_when_the_window_has_passed():
     budget = RetryBudgets(0, 2, WINDOW).of('a')
     assert budget.take(0)
