Requests that wait in vain for pieces are refused at once

Ruled out: the measured rate as the bound; it errs to both sides, and who could still be served must not be refused. Change: what even full calls at all targets can't make in time is refused; a change of the machine that decides for a service is logged.

--- a/galenaswitch/gateway/duties.py
+++ b/galenaswitch/gateway/duties.py
@@ -48,6 +48,7 @@
         self._suspects: dict[str, float] = {}
         self._started: dict[str, float] = {mesh.node: time.monotonic()}
         self._leaving: dict[str, str] = {}
+        self._holders: dict[str, str] = {}
 
     def find_holder(self, service: str) -> str:
         """Return the machine that decides for a service, as seen here.
@@ -102,6 +103,7 @@
         """
         for _ in range(MAX_TRIES):
             holder = self.find_holder(service)
+            self._note_holder(service, holder)
             if holder == self._mesh.node:
                 break
             try:
@@ -158,6 +160,18 @@
             return 0
         return int(now - self._started.get(node, 0) < SETTLE_SECONDS)
 
+    def _note_holder(self, service: str, holder: str) -> None:
+        before = self._holders.get(service, '')
+        if holder != before:
+            self._holders[service] = holder
+            get_logger().info(
+                'holder_changed',
+                service=service,
+                holder=holder,
+                before=before,
+                machines=len(self._members.machines()),
+            )
+
     def _suspect(self, holder: str, service: str, error: PeerError) -> None:
         self._suspects[holder] = time.monotonic() + SUSPECT_SECONDS
         get_logger().warning(
--- a/galenaswitch/gateway/gatherer.py
+++ b/galenaswitch/gateway/gatherer.py
@@ -45,6 +45,7 @@
 _LATE = 'late'
 _ROOM = 'room'
 _GONE = 'gone'
+_FULL = 'out-of-capacity'
 OK = 200
 
 
@@ -115,7 +116,7 @@
                 left=round(question.left, 3),
                 waiting=self._gathering.waiting(),
             )
-            return PiecesReply((), 'out-of-capacity', wait - question.left)
+            return PiecesReply((), _FULL, wait - question.left)
         return await self._wait(key, demand, question)
 
     def cancel(self, message: PiecesCancel) -> None:
@@ -171,6 +172,8 @@
             self._looking = None
         self._stored.drop_expired()
         limits = self._find_limits(self._service)
+        if limits:
+            self._refuse_hopeless(limits)
         while limits:
             call = self._gathering.next_call(
                 self._members.usable(self._service),
@@ -186,6 +189,24 @@
             loop = asyncio.get_running_loop()
             self._looking = loop.call_later(LOOK_SECONDS, self._look)
 
+    def _refuse_hopeless(self, limits: BatchLimits) -> None:
+        """Refuse at once what can't be made in time any more."""
+        now = time.monotonic()
+        targets = self._members.usable(self._service)
+        for key in self._gathering.find_hopeless(targets, limits, now):
+            demand = self._gathering.demands[key]
+            demand.failure = _FULL
+            self._gathering.remove(key)
+            get_logger().info(
+                'pieces_hopeless',
+                request=demand.ident,
+                service=self._service,
+                left=round(demand.deadline - now, 3),
+                waiting=self._gathering.waiting(),
+                targets=len(targets),
+            )
+            self._finish(key)
+
     async def _run(self, call: PieceCall, limits: BatchLimits) -> None:
         begun = time.monotonic()
         worker = self._gathering.worker(call.target)
@@ -346,7 +367,7 @@
 ) -> bool:
     """Count pieces as requests; those made again need a budget."""
     if question.again:
-        return all(budget.take(now) for _ in question.pieces)
+        return budget.take(now, len(question.pieces))
     for _ in question.pieces:
         budget.note_request(now)
     return True
--- a/galenaswitch/pipelines/gathering.py
+++ b/galenaswitch/pipelines/gathering.py
@@ -76,6 +76,30 @@
             ahead = self.waiting()
         return ahead / rate
 
+    def find_hopeless(
+        self,
+        targets: Sequence[Target],
+        limits: BatchLimits,
+        now: float,
+    ) -> list[str]:
+        """Return the keys of demands that can't be made in time any more.
+
+        That is so when even full calls at all targets would be too slow for
+        what is ahead of them.
+        """
+        full = find_full_rate(len(targets), limits)
+        waiting = [pair for pair in self.demands.items() if pair[1].unsent]
+        waiting.sort(key=lambda pair: pair[1].rank(now))
+        hopeless = []
+        ahead = 0
+        for key, demand in waiting:
+            wait = (ahead + len(demand.unsent)) / full
+            if demand.begun or now + wait <= demand.deadline:
+                ahead += len(demand.unsent)
+            else:
+                hopeless.append(key)
+        return hopeless
+
     def note_made(self, pieces: int, now: float) -> None:
         """Note pieces made, from which the rate is learned."""
         waiting = self.waiting() > 0
--- a/galenaswitch/pipelines/tests/test_gathering.py
+++ b/galenaswitch/pipelines/tests/test_gathering.py
@@ -68,6 +68,24 @@
     assert set(names(call)) == {'soon'}
 
 
+def test_hopeless_requests_are_found_while_they_wait(gathering):
+    """Burst of one kind at one target: the last can't be made in time."""
+    add(gathering, *(make(f'r{n}', 4, deadline=1.0) for n in range(6)))
+    (one,) = TARGETS[:1]
+    # A full call takes 0.368 s, so two end within a second.
+    hopeless = gathering.find_hopeless([one], LIMITS, 0.0)
+    assert hopeless == ['r2', 'r3', 'r4', 'r5']
+    assert gathering.find_hopeless([one], LIMITS, 0.5) != hopeless
+    assert gathering.find_hopeless(TARGETS, LIMITS, 0.0) == []
+
+
+def test_begun_requests_are_never_hopeless(gathering):
+    begun = make('begun', 4, deadline=0.1)
+    begun.begun = True
+    add(gathering, begun)
+    assert gathering.find_hopeless(TARGETS[:1], LIMITS, 0.0) == []
+
+
 def test_busy_target_gets_no_second_call(gathering):
     add(gathering, make('r', 4), make('s', 4))
     calls = start_all(gathering, targets=TARGETS[:1])
