--- a/galenaswitch/gateway/gatherer.py
+++ b/galenaswitch/gateway/gatherer.py
@@ -382,4 +382,5 @@
         now + question.start_in,
         now + question.left,
         question.last_read,
+        question.priority,
     )
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -27,6 +27,7 @@
     :param last_read: inputs that nobody else reads: they can be given up
         once the pieces have read them.
     :param again: whether the pieces were made before and are lost.
+    :param priority: 0 is the most urgent.
     """
 
     service: str
@@ -38,6 +39,7 @@
     left: float
     last_read: tuple[HeldResults, ...] = ()
     again: bool = False
+    priority: int = 0
 
 
 class PiecesReply(NamedTuple):
--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -229,6 +229,7 @@
             left,
             self._find_held(last_read),
             self._again,
+            self._call.priority,
         )
         holder, reply = await self._runner.ask(question)
         self._holders[stage.service] = holder
--- a/galenaswitch/pipelines/demands.py
+++ b/galenaswitch/pipelines/demands.py
@@ -5,6 +5,11 @@
 from galenaswitch.gateway.calls import Piece
 from galenaswitch.gateway.messages import HeldResults
 
+# Seconds by which a demand goes before one that is less urgent by one
+# priority and has to start at the same time. Waiting longer outweighs it, so
+# that no kind of request starves.
+PRIORITY_SECONDS = 0.2
+
 
 class Demand:
     """The pieces of one stage of one request."""
@@ -18,6 +23,7 @@
         start_by: float,
         deadline: float,
         last_read: tuple[HeldResults, ...] = (),
+        priority: int = 0,
     ) -> None:
         """Ask for ``pieces``.
 
@@ -27,6 +33,7 @@
             that the request can be on time.
         :param deadline: monotonic time after which results are of no use.
         :param last_read: inputs that can be given up once they are read.
+        :param priority: 0 is the most urgent.
         """
         self.ident = ident
         self.unsent = list(pieces)
@@ -40,6 +47,7 @@
         self.late = False
         self.handles: dict[int, str] = {}
         self.failure = ''
+        self._turn = start_by + priority * PRIORITY_SECONDS
         self.repeats = 0
 
     @property
@@ -54,6 +62,9 @@
         return freed
 
     def rank(self, now: float) -> tuple[bool, bool, float]:
-        """Order demands: begun ones, then those that can be on time."""
+        """Order demands: begun ones, then those that can be on time.
+
+        Among these the more urgent go first, then who has to start first.
+        """
         late = self.late or self.start_by < now
-        return (not self.begun, late, self.start_by)
+        return (not self.begun, late, self._turn)
--- a/galenaswitch/pipelines/gathering.py
+++ b/galenaswitch/pipelines/gathering.py
@@ -64,10 +64,11 @@
         :returns: expected seconds until its pieces are made.
         """
         rate = self._rate.find(find_full_rate(len(targets), limits))
+        own = demand.rank(now)
         ahead = sum(
             len(other.unsent)
             for other in self.demands.values()
-            if not other.late
+            if other.rank(now) <= own
         )
         late = now + ahead / rate > demand.start_by
         demand.late = late and ahead > limits.batch
--- a/galenaswitch/pipelines/tests/test_gathering.py
+++ b/galenaswitch/pipelines/tests/test_gathering.py
@@ -25,10 +25,19 @@
 )
 
 
-def make(ident, count, size=1000, zone='', start_by=1.0, deadline=5.0):
+def make(
+    ident,
+    count,
+    size=1000,
+    zone='',
+    start_by=1.0,
+    deadline=5.0,
+    priority=0,
+):
     """Return a demand for some pieces."""
     pieces = [Piece(ident, 0, number, 'k', ()) for number in range(count)]
-    return Demand(ident, pieces, size, zone, start_by, deadline)
+    times = (start_by, deadline)
+    return Demand(ident, pieces, size, zone, *times, (), priority)
 
 
 @pytest.fixture
@@ -162,12 +171,14 @@
     assert wait > late.deadline
 
 
-def serve(demands, arrivals, late_goes_last):
+def serve(demands, arrivals, late_goes_last, made=None):
     """Serve requests; return the waits of those made on time.
 
     :param arrivals: time at which each demand arrives.
     :param late_goes_last: whether hopeless ones are put behind at once.
+    :param made: takes the time at which each demand was made.
     """
+    made = {} if made is None else made
     gathering = Gathering()
     waits = []
     events = [(at, 0, index) for index, at in enumerate(arrivals)]
@@ -185,6 +196,7 @@
             for demand, _ in call.pieces:
                 gathering.release(call.target, demand.result_bytes)
                 demand.missing -= 1
+                made[demand.ident] = now
                 if not demand.missing and now <= demand.start_by + 0.4:
                     arrived = arrivals[int(demand.ident)]
                     waits.append(now - arrived)
@@ -195,6 +207,43 @@
     return waits
 
 
+def count_on_time(priorities, overload):
+    """Return the share of two kinds that alternate that is on time.
+
+    :param priorities: priority of each kind.
+    """
+    rate = find_full_rate(len(TARGETS), LIMITS) * overload
+    arrivals = [number * 4 / rate for number in range(300)]
+    demands = [
+        make(
+            str(number),
+            4,
+            start_by=at + 0.8,
+            deadline=at + 60,
+            priority=priorities[number % 2],
+        )
+        for number, at in enumerate(arrivals)
+    ]
+    made = {}
+    serve(demands, arrivals, late_goes_last=True, made=made)
+    on_time = [
+        sum(
+            made[demand.ident] <= demand.start_by + 0.4
+            for demand in demands[kind::2]
+        )
+        for kind in (0, 1)
+    ]
+    return [share / len(demands) * 2 for share in on_time]
+
+
+@pytest.mark.parametrize('overload', [1.3, 1.6])
+def test_urgent_kind_goes_first_in_a_burst_of_two_kinds(overload):
+    equal = count_on_time((0, 0), overload)
+    urgent, other = count_on_time((0, 2), overload)
+    assert urgent > equal[0] + 0.15
+    assert urgent + other > 0.9 * sum(equal)
+
+
 @pytest.mark.parametrize('overload', [1.3, 1.6, 2.0])
 def test_overload_leaves_time_for_later_stages(overload):
     rate = find_full_rate(len(TARGETS), LIMITS) * overload
