--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -16,7 +16,8 @@
     PiecesReply,
     ReleaseNote,
 )
-from galenaswitch.gateway.routes import BatchLimits, RouteTable
+from galenaswitch.gateway.routes import RouteTable
+from galenaswitch.gateway.times import LARGE_RESULT_BYTES, StageTimes
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
@@ -26,13 +27,6 @@
 # Seconds from the last result to the first event of a model engine: reading
 # of a usual prompt and one step.
 ENGINE_SECONDS = 0.25
-# Results of this many bytes are made near their reader, and not earlier
-# than needed: they fill their maker's room and the links between zones.
-LARGE_RESULT_BYTES = 200_000
-# Part of the time that a stage has to spare in which it isn't begun.
-SPARE_PART = 0.8
-# Usual wait in seconds for a target that is in a call: half of a short one.
-WAIT_SECONDS = 0.1
 # Seconds that a reply may take beyond the time in which it is of use.
 REPLY_SLACK_SECONDS = 0.1
 # Seconds that a request needs at the least behind its stages.
@@ -71,12 +65,12 @@
         self._again = again
         self.released = False
         self._call = call
-        self._table = table
         self._runner = runner
         self._handles: dict[int, tuple[str, ...]] = {}
         self._holders: dict[str, str] = {}
         self._made_at: dict[int, float] = {}
         self._stages = call.route.stages
+        self._times = StageTimes(call, table)
         self._done = [asyncio.Event() for _ in self._stages]
 
     async def run(self) -> StageResults:
@@ -142,7 +136,7 @@
         for before in stage.after:
             await self._done[before].wait()
         if not stage.after:
-            await asyncio.sleep(self._find_spare(number))
+            await asyncio.sleep(self._times.find_spare(number))
         pieces = self._make_pieces(number)
         if pieces:
             last_read = self._find_last_read(number)
@@ -158,21 +152,6 @@
         self._release(last_read)
         self._forget(last_read)
 
-    def _find_spare(self, number: int) -> float:
-        """Return the seconds that a stage can wait for longer ones beside it.
-
-        Its results would only take room until those are done.
-        """
-        if self._stages[number].result_bytes < LARGE_RESULT_BYTES:
-            return 0
-        paths = [
-            self._call_seconds(other) + self._rest_seconds(other)
-            for other, stage in enumerate(self._stages)
-            if not stage.after
-        ]
-        own = self._call_seconds(number) + self._rest_seconds(number)
-        return (max(paths) - own) * SPARE_PART
-
     def _find_zone(self, number: int) -> str:
         """Return the zone in which results should be made, empty for any.
 
@@ -213,8 +192,8 @@
     ) -> PiecesReply:
         stage = self._stages[number]
         now = time.monotonic()
-        own = self._call_seconds(number)
-        rest = self._rest_seconds(number)
+        own = self._times.find_call(number)
+        rest = self._times.find_rest(number)
         left = self._end - now - rest - LEAST_ENGINE_SECONDS
         left = min(left, self._find_kept(stage.after, now))
         if left <= 0:
@@ -269,38 +248,14 @@
 
     def _find_kept(self, numbers: Iterable[int], now: float) -> float:
         """Return the seconds for which makers keep the results of stages."""
-        kept = [
-            self._made_at[number] + batches.keep_seconds - now
-            for number in numbers
-            if self._handles[number] and (batches := self._find_batches(number))
-        ]
+        kept = []
+        for number in numbers:
+            batches = self._times.find_batches(number)
+            if self._handles[number] and batches:
+                made_at = self._made_at[number]
+                kept.append(made_at + batches.keep_seconds - now)
         return min(kept, default=float('inf'))
 
-    def _find_batches(self, number: int) -> BatchLimits | None:
-        stage = self._stages[number]
-        return self._table.find_batches(stage.service)
-
-    def _rest_seconds(self, number: int) -> float:
-        """Return the usual seconds of the stages behind one."""
-        stages = self._stages
-        behind = [
-            self._call_seconds(later) + self._rest_seconds(later)
-            for later in range(number + 1, len(stages))
-            if number in stages[later].after
-        ]
-        return max(behind, default=0)
-
-    def _call_seconds(self, number: int) -> float:
-        """Return the seconds of one call for the pieces of a stage."""
-        batches = self._find_batches(number)
-        pieces = self._call.fields.pieces
-        count = pieces[number] if number < len(pieces) else 0
-        if batches is None or not count:
-            return 0
-        in_call = min(count, batches.batch)
-        call = batches.call_seconds + in_call * batches.piece_seconds
-        return call + WAIT_SECONDS
-
     def _sum_zones(self, numbers: Iterable[int]) -> dict[str, int]:
         """Return the bytes in each zone of the results of some stages."""
         sizes: dict[str, int] = {}
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from galenaswitch.connections.heads import AnswerHead, RequestHead
+from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.errors import (
     InputsLostError,
@@ -254,19 +254,6 @@
             job.inputs.handles,
             job.events.last_id,
         )
-        loop = asyncio.get_running_loop()
-        read = loop.call_later(INPUT_READ_SECONDS, job.release)
-        try:
-            await self._exchange(job, target, head)
-        finally:
-            read.cancel()
-
-    async def _exchange(
-        self,
-        job: StreamJob,
-        target: Target,
-        head: RequestHead,
-    ) -> None:
         async with self._sender.send(
             target.url,
             head,
@@ -274,12 +261,20 @@
             MAX_IDLE_SECONDS,
         ) as attempt:
             job.sent += 1
-            answer = await attempt.read_head(self._find_patience(job))
-            fields = check_answer(job.call, answer, self._wire)
-            if not is_success(fields):
-                await self._pass_failure(job, attempt, answer)
-                return
-            await self._pass_events(job, attempt, answer)
+            loop = asyncio.get_running_loop()
+            read = loop.call_later(INPUT_READ_SECONDS, job.release)
+            try:
+                await self._exchange(job, attempt)
+            finally:
+                read.cancel()
+
+    async def _exchange(self, job: StreamJob, attempt: Attempt) -> None:
+        answer = await attempt.read_head(self._find_patience(job))
+        fields = check_answer(job.call, answer, self._wire)
+        if not is_success(fields):
+            await self._pass_failure(job, attempt, answer)
+            return
+        await self._pass_events(job, attempt, answer)
 
     async def _pass_failure(
         self,
--- /dev/null
+++ b/galenaswitch/gateway/times.py
@@ -0,0 +1,63 @@
+"""Usual times of the stages of a request."""
+
+from galenaswitch.gateway.calls import Call
+from galenaswitch.gateway.routes import BatchLimits, RouteTable
+
+# Results of this many bytes are made near their reader, and not earlier
+# than needed: they fill their maker's room and the links between zones.
+LARGE_RESULT_BYTES = 200_000
+# Part of the time that a stage has to spare in which it isn't begun.
+SPARE_PART = 0.8
+# Usual wait in seconds for a target that is in a call: half of a short one.
+WAIT_SECONDS = 0.1
+
+
+class StageTimes:
+    """Times of the stages of one request, in seconds."""
+
+    def __init__(self, call: Call, table: RouteTable) -> None:
+        """Work out the stages of ``call`` as ``table`` has them."""
+        self._call = call
+        self._table = table
+        self._stages = call.route.stages
+
+    def find_batches(self, number: int) -> BatchLimits | None:
+        """Return how targets of a stage work on calls."""
+        stage = self._stages[number]
+        return self._table.find_batches(stage.service)
+
+    def find_rest(self, number: int) -> float:
+        """Return the usual seconds of the stages behind one."""
+        stages = self._stages
+        behind = [
+            self.find_call(later) + self.find_rest(later)
+            for later in range(number + 1, len(stages))
+            if number in stages[later].after
+        ]
+        return max(behind, default=0)
+
+    def find_call(self, number: int) -> float:
+        """Return the seconds of one call for the pieces of a stage."""
+        batches = self.find_batches(number)
+        pieces = self._call.fields.pieces
+        count = pieces[number] if number < len(pieces) else 0
+        if batches is None or not count:
+            return 0
+        in_call = min(count, batches.batch)
+        call = batches.call_seconds + in_call * batches.piece_seconds
+        return call + WAIT_SECONDS
+
+    def find_spare(self, number: int) -> float:
+        """Return the seconds that a stage can wait for longer ones beside it.
+
+        Its results would only take room until those are done.
+        """
+        if self._stages[number].result_bytes < LARGE_RESULT_BYTES:
+            return 0
+        paths = [
+            self.find_call(other) + self.find_rest(other)
+            for other, stage in enumerate(self._stages)
+            if not stage.after
+        ]
+        own = self.find_call(number) + self.find_rest(number)
+        return (max(paths) - own) * SPARE_PART
