--- /dev/null
+++ b/galenaswitch/gateway/tests/test_results.py
@@ -0,0 +1,116 @@
+"""Room of results is free when their maker says so, or has dropped them."""
+
+import asyncio
+import time
+
+import pytest
+
+from galenaswitch.connections.heads import RequestHead
+from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.gateway.results import StoredResult, StoredResults
+from galenaswitch.gateway.sending import Sender
+from galenaswitch.membership.lists import MemberList, Members, Target
+from galenaswitch.operations.process import TaskGroup
+
+DONE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+class Wire:
+    """Encodes releases; handles begin with the address of their maker."""
+
+    def make_release(self, handles, target):
+        """Encode a release with its handles in the body."""
+        body = ','.join(handles).encode()
+        return RequestHead(b'POST', b'/free', ((b'Host', b'h'),)), body
+
+    def find_maker(self, handle):
+        """Return the address of a result's maker."""
+        return handle.partition('/')[0]
+
+
+@pytest.fixture
+def freed():
+    """Results whose room became free."""
+    return []
+
+
+@pytest.fixture
+async def open_results(freed):
+    """Return results at some maker."""
+    pool = ConnectionPool()
+    tasks = TaskGroup()
+
+    def make(maker):
+        members = Members()
+        target = Target('m', 'm/1', 'z', 'intake', maker.address)
+        members.accept(MemberList(1, (), (target,)))
+        results = StoredResults(
+            members,
+            Sender(pool),
+            Wire(),
+            tasks,
+            freed.append,
+        )
+        return results, target
+
+    yield make
+    await tasks.stop()
+    pool.close()
+
+
+async def wait_for(condition):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def test_released_results_travel_in_one_call(
+    open_results,
+    scripted,
+    freed,
+):
+    maker = await scripted([DONE], keep=True)
+    results, target = open_results(maker)
+    handles = tuple(f'{maker.address}/{number}' for number in range(5))
+    stored = StoredResult(target, 100, time.monotonic() + 9)
+    for handle in handles:
+        results.add(handle, stored)
+    results.release(handles[:2])
+    results.release(handles[2:])
+    assert freed == []
+    await wait_for(lambda: len(freed) == 5)
+    assert len(maker.requests) == 1
+    assert len(results) == 0
+
+
+async def test_room_stays_taken_when_a_release_is_lost(
+    open_results,
+    scripted,
+    freed,
+):
+    maker = await scripted([b''])
+    results, target = open_results(maker)
+    handle = f'{maker.address}/1'
+    results.add(handle, StoredResult(target, 100, time.monotonic() + 0.3))
+    results.release((handle,))
+    await wait_for(lambda: maker.requests)
+    await asyncio.sleep(0.05)
+    assert freed == []
+    await asyncio.sleep(0.3)
+    results.drop_expired()
+    assert len(freed) == 1
+
+
+async def test_room_of_a_lost_answer_is_free_after_its_time(
+    open_results,
+    scripted,
+    freed,
+):
+    results, target = open_results(await scripted([DONE]))
+    results.add_unknown(StoredResult(target, 100, time.monotonic() + 0.05))
+    results.drop_expired()
+    assert freed == []
+    await asyncio.sleep(0.06)
+    results.drop_expired()
+    assert len(freed) == 1
