Late outcomes of pieces no longer end the next run of a stage

When the stages of a request run once more, the call of the first run may still be on its way; its outcome was looked up by request and stage, so that it woke the second run, which then failed with 'cancelled' although its own pieces were being made. Ruled out: a mix of results; handles are kept by demand. Change: an outcome counts only for the demand that asked for it; results of one that has ended are given up. The test fails in both its cases without the change.

--- a/galenaswitch/gateway/gatherer.py
+++ b/galenaswitch/gateway/gatherer.py
@@ -306,7 +306,8 @@
 
     def _accept(self, demand: Demand, piece: Piece, handle: str) -> None:
         key = f'{demand.ident}/{piece.stage}'
-        if key not in self._done or piece.number in demand.handles:
+        waits = self._gathering.demands.get(key) is demand
+        if not waits or piece.number in demand.handles:
             self._stored.release((handle,))
             return
         demand.handles[piece.number] = handle
@@ -335,6 +336,9 @@
 
     def _retry(self, demand: Demand, piece: Piece, failure: str) -> None:
         """Let a piece wait again, or fail its request."""
+        key = f'{demand.ident}/{piece.stage}'
+        if self._gathering.demands.get(key) is not demand:
+            return
         demand.repeats += 1
         if demand.inputs_freed:
             failure = _GONE
@@ -342,7 +346,7 @@
             demand.unsent.insert(0, piece)
             return
         demand.failure = failure
-        self._finish(f'{demand.ident}/{piece.stage}')
+        self._finish(key)
 
     def _may_repeat(self, demand: Demand, failure: str) -> bool:
         now = time.monotonic()
--- a/galenaswitch/platform/tests/test_gatherer.py
+++ b/galenaswitch/platform/tests/test_gatherer.py
@@ -168,3 +168,21 @@
         assert demand.free_inputs() == (held,)
     reply = await job
     assert reply.failure == 'gone'
+
+
+@pytest.mark.parametrize('answers', [(MADE, MADE), (GONE, MADE)])
+async def test_late_outcome_does_not_end_the_next_run_of_a_stage(
+    gather,
+    answers,
+):
+    gatherer, target = await gather(*answers, slack=10)
+    first = asyncio.create_task(gatherer.make(ask()))
+    await asyncio.sleep(0)
+    (old,) = gatherer._gathering.demands.values()
+    gatherer.cancel(PiecesCancel('intake', 'r'))
+    second = asyncio.create_task(gatherer.make(ask(again=True)))
+    assert not (await first).handles
+    reply = await second
+    assert reply.handles
+    assert count_calls(target) == 2
+    assert old.missing == 1
