A silent machine stays suspected until its stream opens again

In a cut between zones the machine that decided for a service was asked again each 2 s, whenever its suspicion lapsed, by each VM at another time: holder_changed shows edge-tvm-1 and edge-thrissur-3 in turn 27 times on seven VMs between 30 and 40 s (13 after). Two deciders fill each other's targets: 558 results had no room, 345 inputs were gone. Ruled out: lists of VMs (all had 9), slow targets (calls took their time). Change: a machine without an open stream stays suspected, at most 15 s; the stream's opening ends it at once.

--- a/galenaswitch/gateway/duties.py
+++ b/galenaswitch/gateway/duties.py
@@ -25,6 +25,9 @@
 PONG_SECONDS = 0.3
 # Seconds for which a silent machine isn't asked again.
 SUSPECT_SECONDS = 2.0
+# Longest time in seconds for which a machine without an open stream stays
+# suspected: lists have dropped it by then, or it was never dialled.
+MAX_SUSPECT_SECONDS = 15.0
 # Seconds after its start in which a machine decides for nobody: it knows
 # nothing yet of what others have sent to targets.
 SETTLE_SECONDS = 3.0
@@ -154,12 +157,23 @@
         now = time.monotonic()
         if node in self._leaving:
             return 3
-        if self._suspects.get(node, 0) > now:
+        if self._is_suspect(node, now):
             return 2
         if now - min(self._started.values()) < OLD_SECONDS:
             return 0
         return int(now - self._started.get(node, 0) < SETTLE_SECONDS)
 
+    def _is_suspect(self, node: str, now: float) -> bool:
+        """Tell whether a machine was silent.
+
+        Without an open stream it would be so again: asking it every time
+        that a pause is over lets two machines decide in turn during a cut.
+        """
+        until = self._suspects.get(node, 0)
+        if self._mesh.find(node) is None and node != self._mesh.node:
+            until += MAX_SUSPECT_SECONDS
+        return node in self._suspects and until > now
+
     def _note_holder(self, service: str, holder: str) -> None:
         before = self._holders.get(service, '')
         if holder != before:
--- a/galenaswitch/gateway/tests/test_duties.py
+++ b/galenaswitch/gateway/tests/test_duties.py
@@ -116,6 +116,20 @@
     assert duties.find_holder(foreign) == holder
 
 
+async def test_machine_without_a_stream_stays_suspected(
+    duties,
+    mesh,
+    foreign,
+    monkeypatch,
+):
+    monkeypatch.setattr('galenaswitch.gateway.duties.SUSPECT_SECONDS', 0)
+    holder = duties.find_holder(foreign)
+    await duties.ask(foreign, 'q', 1, decide)
+    assert duties.find_holder(foreign) != holder
+    mesh.links[holder] = Peer(holder)
+    assert duties.find_holder(foreign) == holder
+
+
 async def test_machines_that_started_together_agree_at_once(duties):
     before = [duties.find_holder(str(number)) for number in range(20)]
     duties._started = {'a': time.monotonic() - 1}
