One name for lost inputs; a method that nothing calls goes

Cause: reading the whole change again: gateway/streams.py named the failure 'gone' a second time beside gateway/gatherer.py, and Route.stage_services lost its last caller when only unfinished stages came to be cancelled. Change: streams use the gatherer's name; the method is removed. Behaviour is the same.

--- a/galenaswitch/gateway/gatherer.py
+++ b/galenaswitch/gateway/gatherer.py
@@ -44,7 +44,8 @@
 ROOM_PAUSE_SECONDS = 0.1
 _LATE = 'late'
 _ROOM = 'room'
-_GONE = 'gone'
+# Failure of pieces whose inputs are gone.
+GONE = 'gone'
 _FULL = 'out-of-capacity'
 OK = 200
 
@@ -341,7 +342,7 @@
             return
         demand.repeats += 1
         if demand.inputs_freed:
-            failure = _GONE
+            failure = GONE
         if self._may_repeat(demand, failure):
             demand.unsent.insert(0, piece)
             return
@@ -350,7 +351,7 @@
 
     def _may_repeat(self, demand: Demand, failure: str) -> bool:
         now = time.monotonic()
-        if now >= demand.deadline or failure in {_LATE, _GONE}:
+        if now >= demand.deadline or failure in {_LATE, GONE}:
             return False
         if failure == _ROOM:
             return True
--- a/galenaswitch/gateway/routes.py
+++ b/galenaswitch/gateway/routes.py
@@ -78,10 +78,6 @@
                 return split.service
         return self.splits[-1].service
 
-    def stage_services(self) -> set[str]:
-        """Return the services that make the stages' results."""
-        return {stage.service for stage in self.stages}
-
     def final_stages(self) -> tuple[int, ...]:
         """Return the stages whose results the request itself reads."""
         read = {number for stage in self.stages for number in stage.after}
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -22,6 +22,7 @@
 from galenaswitch.gateway.calls import Call, Wire
 from galenaswitch.gateway.duties import Duties
 from galenaswitch.gateway.events import EventBuffer
+from galenaswitch.gateway.gatherer import GONE
 from galenaswitch.gateway.messages import (
     PlaceEnd,
     PlaceFirst,
@@ -47,8 +48,6 @@
 # Seconds after which an engine has read the results of stages: it fetches
 # them before the prompt.
 INPUT_READ_SECONDS = 0.1
-# Failures of stages after which all of them are run once more.
-LOST = 'gone'
 # Seconds of silence after which a stream that may be resumed goes on at
 # another engine: callers leave after two.
 SILENT_SECONDS = 1.2
@@ -202,7 +201,7 @@
             try:
                 job.inputs = await job.stages.run()
             except RefusedError as error:
-                if error.detail != LOST or job.stage_runs >= MAX_STAGE_RUNS:
+                if error.detail != GONE or job.stage_runs >= MAX_STAGE_RUNS:
                     raise
                 get_logger().info('stages_lost', request=job.call.ident)
                 job.close_stages()
