Large machines decide for services; choice of an engine costs the same in a burst

Cause: on the grown sites most machines have half a core and a slow link. One of them decided for each service, drawn by hash. Asking it cost 0.3 ms a question at the asker (the ranking of 64 machines was made anew each time), and choosing among 70 engines 1.6 ms at the decider, growing with the requests in progress, so that a burst queued behind its processor.

Change: machines enter their processor time beside their address, and those below half of the largest are asked last; rankings and lists of usable targets are kept until members change; an engine counts its memory, unread and held tokens as they change. A request placed again counts once. A method that nothing calls goes.

--- a/galenaswitch/gateway/duties.py
+++ b/galenaswitch/gateway/duties.py
@@ -37,6 +37,9 @@
 OLD_SECONDS = 2 * SETTLE_SECONDS
 # Machines tried before this one decides for itself.
 MAX_TRIES = 2
+# Part of the processor time of the largest machine from which others are as
+# good: a decider is asked for every request of its service.
+LARGE_PART = 0.5
 
 Reply = TypeVar('Reply')
 
@@ -52,16 +55,25 @@
         self._started: dict[str, float] = {mesh.node: time.monotonic()}
         self._leaving: dict[str, str] = {}
         self._holders: dict[str, str] = {}
+        self._ranked: dict[str, tuple[str, ...]] = {}
+        self._revision = -1
 
     def find_holder(self, service: str) -> str:
         """Return the machine that decides for a service, as seen here.
 
-        Machines that leave, were silent or have just started come last.
+        Machines that leave, were silent or have just started come last, and
+        small ones behind large ones.
         """
-        names = {machine.name for machine in self._members.machines()}
-        names.add(self._mesh.node)
-        ranked = rank_nodes(f'holder/{service}', names)
-        return min(ranked, key=self._find_doubt)
+        now = time.monotonic()
+        settling = now - min(self._started.values()) >= OLD_SECONDS
+        least: tuple[int, str] | None = None
+        for node in self._rank(service):
+            doubt = self._find_doubt(node, now, settling=settling)
+            if not doubt:
+                return node
+            if least is None or doubt < least[0]:
+                least = (doubt, node)
+        return least[1] if least else self._mesh.node
 
     async def greet(self, link: Link) -> None:
         """Learn how long a peer whose stream just opened has run."""
@@ -152,14 +164,34 @@
         finally:
             asked.cancel()
 
-    def _find_doubt(self, node: str) -> int:
-        """Return how much speaks against asking a machine."""
-        now = time.monotonic()
+    def _rank(self, service: str) -> tuple[str, ...]:
+        """Return all machines in the order in which they are asked."""
+        if self._revision != self._members.listed.revision:
+            self._revision = self._members.listed.revision
+            self._ranked = {}
+        if service not in self._ranked:
+            cores = {
+                machine.name: machine.cores
+                for machine in self._members.machines()
+            }
+            cores.setdefault(self._mesh.node, 0)
+            large = max(cores.values()) * LARGE_PART
+            ranked = rank_nodes(f'holder/{service}', cores)
+            self._ranked[service] = tuple(
+                sorted(ranked, key=lambda node: cores[node] < large),
+            )
+        return self._ranked[service]
+
+    def _find_doubt(self, node: str, now: float, *, settling: bool) -> int:
+        """Return how much speaks against asking a machine.
+
+        :param settling: whether it matters that a machine is young.
+        """
         if node in self._leaving:
             return 3
         if self._is_suspect(node, now):
             return 2
-        if now - min(self._started.values()) < OLD_SECONDS:
+        if not settling:
             return 0
         return int(now - self._started.get(node, 0) < SETTLE_SECONDS)
 
@@ -169,10 +201,12 @@
         Without an open stream it would be so again: asking it every time
         that a pause is over lets two machines decide in turn during a cut.
         """
-        until = self._suspects.get(node, 0)
+        until = self._suspects.get(node)
+        if until is None:
+            return False
         if self._mesh.find(node) is None and node != self._mesh.node:
             until += MAX_SUSPECT_SECONDS
-        return node in self._suspects and until > now
+        return until > now
 
     def _note_holder(self, service: str, holder: str) -> None:
         before = self._holders.get(service, '')
--- a/galenaswitch/gateway/tests/test_duties.py
+++ b/galenaswitch/gateway/tests/test_duties.py
@@ -90,11 +90,43 @@
     return f'own {question}'
 
 
+@pytest.fixture
+def uneven(mesh):
+    """Duties of machine ``a`` where only ``c`` is large."""
+    members = Members()
+    cores = {'a': 0.5, 'b': 0.5, 'c': 2.0}
+    machines = tuple(
+        Machine(name, 'z', '127.0.0.1', 1, cores=cores[name]) for name in NAMES
+    )
+    members.accept(MemberList(1, machines, ()))
+    made = Duties(members, mesh)
+    made._started['a'] = time.monotonic() - 60
+    return made
+
+
 def test_services_are_spread_over_machines(duties):
     holders = {duties.find_holder(str(number)) for number in range(50)}
     assert holders == set(NAMES)
 
 
+def test_large_machines_decide(uneven):
+    holders = {uneven.find_holder(str(number)) for number in range(20)}
+    assert holders == {'c'}
+
+
+async def test_small_machines_decide_when_the_large_leave(uneven):
+    await uneven.take_leaving(Peer('c'), Leaving())
+    holders = {uneven.find_holder(str(number)) for number in range(20)}
+    assert holders == {'a', 'b'}
+
+
+async def test_new_list_of_machines_is_ranked_anew(uneven):
+    assert uneven.find_holder('s') == 'c'
+    machines = (Machine('a', 'z', '127.0.0.1', 1),)
+    uneven._members.accept(MemberList(2, machines, ()))
+    assert uneven.find_holder('s') == 'a'
+
+
 async def test_machine_that_cannot_be_reached_is_replaced(duties, foreign):
     holder, reply = await duties.ask(foreign, 'q', 1, decide)
     assert (holder, reply) == ('a', 'own q')
--- a/galenaswitch/membership/lists.py
+++ b/galenaswitch/membership/lists.py
@@ -24,6 +24,7 @@
     :param address: IP number of its control process.
     :param port: TCP port of its control process.
     :param state: ``live`` or ``leaving``.
+    :param cores: processor time that it has, in cores.
     """
 
     name: str
@@ -31,6 +32,7 @@
     address: str
     port: Annotated[int, Field(ge=1, le=MAX_PORT)]
     state: str = LIVE
+    cores: Annotated[float, Field(gt=0)] = 1.0
 
 
 class Target(NamedTuple):
@@ -185,6 +187,7 @@
         self.listed = EMPTY
         self._live: dict[str, tuple[Machine, ...]] = {}
         self._pools: dict[str, tuple[Target, ...]] = {}
+        self._usable: dict[str, tuple[Target, ...]] = {}
         self._leaving: set[LeavingSign] = set()
         self._loaded: dict[str, tuple[str, ...]] = {}
 
@@ -193,6 +196,7 @@
         if listed.revision <= self.listed.revision:
             return False
         self.listed = listed
+        self._usable = {}
         live = [one for one in listed.machines if one.state == LIVE]
         zones = {one.zone for one in live}
         self._live = {
@@ -220,6 +224,7 @@
         if sign in self._leaving:
             return False
         self._leaving.add(sign)
+        self._usable = {}
         return True
 
     def signs(self) -> tuple[LeavingSign, ...]:
@@ -228,11 +233,13 @@
 
     def usable(self, pool: str) -> tuple[Target, ...]:
         """Return the targets of a pool that may get new work."""
-        return tuple(
-            target
-            for target in self._pools.get(pool, ())
-            if not self.is_leaving(target)
-        )
+        if pool not in self._usable:
+            self._usable[pool] = tuple(
+                target
+                for target in self._pools.get(pool, ())
+                if not self.is_leaving(target)
+            )
+        return self._usable[pool]
 
     def is_leaving(self, target: Target) -> bool:
         """Tell whether a list or a sign says that a target is leaving."""
--- a/galenaswitch/platform/settings.py
+++ b/galenaswitch/platform/settings.py
@@ -46,6 +46,7 @@
     :param peers: address and port for the system's own streams.
     :param seeds: the same of a few other VMs, which may be down.
     :param memory_bytes: most memory that the process may use.
+    :param cores: processor time that the machine has, in cores.
     :param store: address and port of the platform's object store.
     :param heartbeat: seconds between two entries of a target.
     """
@@ -58,6 +59,7 @@
     peers: tuple[str, Port]
     seeds: tuple[tuple[str, Port], ...]
     memory_bytes: Positive
+    cores: Positive
     store: str
     heartbeat: Positive
     bounds: Bounds
@@ -100,6 +102,7 @@
                 if seed
             ],
             'memory_bytes': _number(entries, 'limits.memory-mb') * MEGABYTE,
+            'cores': _read_cores(entries),
             'store': _find(entries, 'platform.address'),
             'heartbeat': _number(entries, 'heartbeat-ms') / MILLISECONDS,
             'bounds': _read_bounds(entries),
@@ -108,6 +111,15 @@
     )
 
 
+def _read_cores(entries: dict[str, str]) -> float:
+    """Return the share of a core times its speed; one core if not told."""
+    cores = 1.0
+    for name in ('limits.cpu-share', 'limits.cores'):
+        if name in entries:
+            cores *= _number(entries, name)
+    return cores
+
+
 def _read_bounds(entries: dict[str, str]) -> dict[str, Any]:
     bounds: dict[str, Any] = {}
     for name, entry, unit in _BOUNDS:
--- a/galenaswitch/platform/tests/test_settings.py
+++ b/galenaswitch/platform/tests/test_settings.py
@@ -16,6 +16,7 @@
     assert settings.callers == ('127.0.0.1', 8625)
     assert settings.seeds[1] == ('127.0.0.2', 8628)
     assert settings.memory_bytes == 300_000_000
+    assert settings.cores == pytest.approx(1.8)
     assert settings.bounds.drain == 2
     assert settings.bounds.retry_slack == 58
 
@@ -36,6 +37,11 @@
         read_vm_settings(settings_text.replace(old, new))
 
 
+def test_machine_that_is_told_no_cores_counts_as_one(settings_text):
+    text = settings_text.replace('limits.c', 'other.c')
+    assert read_vm_settings(text).cores == 1
+
+
 def test_missing_file_is_a_settings_error(tmp_path):
     with pytest.raises(SettingsError, match='cannot read'):
         load_vm_settings(tmp_path / 'none')
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -124,7 +124,12 @@
         self.metrics = open_metrics()
         self.stopping = False
         self.pool = ConnectionPool(settings.address)
-        own = Machine(settings.node, settings.zone, *settings.peers)
+        own = Machine(
+            settings.node,
+            settings.zone,
+            *settings.peers,
+            cores=settings.cores,
+        )
         self.members = Members()
         self.directory = Directory(self.members, own)
         self.service = self._make_service()
--- a/galenaswitch/routing/engines.py
+++ b/galenaswitch/routing/engines.py
@@ -70,6 +70,11 @@
     start_in: float
     avoided: tuple[str, ...] = ()
 
+    @property
+    def all_bytes(self) -> int:
+        """Size of all stage results."""
+        return sum(self.result_bytes.values())
+
 
 class Placement(NamedTuple):
     """The engine for a request.
@@ -95,17 +100,39 @@
 
 
 class Engine:
-    """What is known of one engine."""
+    """What is known of one engine.
+
+    :ivar used_tokens: memory that running requests take.
+    :ivar slowness: its times in relation to the expected ones.
+    """
 
     def __init__(self) -> None:
         """Start idle and with nothing held."""
         self.running: dict[str, Running] = {}
+        self.used_tokens = 0
         self.slowness = 1.0
+        self._unread: dict[str, Running] = {}
+        self._unread_tokens = 0
         self._held: OrderedDict[int, int] = OrderedDict()
-
-    def used_tokens(self) -> int:
-        """Return the memory that running requests take."""
-        return sum(one.size for one in self.running.values())
+        self._held_tokens = 0
+
+    def start(self, ident: str, one: Running) -> None:
+        """Note a request that was placed here."""
+        self.running[ident] = one
+        self.used_tokens += one.size
+        self._unread[ident] = one
+        self._unread_tokens += one.placement.new_tokens
+
+    def note_read(self, ident: str) -> None:
+        """Note that the prompt of a request has been read."""
+        one = self._unread.pop(ident, None)
+        if one:
+            self._unread_tokens -= one.placement.new_tokens
+
+    def end(self, ident: str) -> None:
+        """Note that a request is here no more."""
+        self.note_read(ident)
+        self.used_tokens -= self.running.pop(ident).size
 
     def match(self, chain: tuple[tuple[int, int], ...]) -> int:
         """Return the tokens of a prompt's beginning that are held."""
@@ -119,22 +146,23 @@
     def hold(self, chain: tuple[tuple[int, int], ...], room: int) -> None:
         """Note a prompt as held; the least recently used parts yield."""
         for key, tokens in reversed(chain):
+            self._held_tokens += tokens - self._held.get(key, 0)
             self._held[key] = tokens
             self._held.move_to_end(key)
-        total = sum(self._held.values())
-        while self._held and total > room:
+        while self._held and self._held_tokens > room:
             _, tokens = self._held.popitem(last=False)
-            total -= tokens
+            self._held_tokens -= tokens
 
     def unread_tokens(self, now: float, rate: float) -> float:
-        """Return the prompt tokens that wait to be read."""
-        unread = 0.0
-        oldest = now
-        for one in self.running.values():
-            if one.first_at is None:
-                unread += one.placement.new_tokens
-                oldest = min(oldest, one.placed_at)
-        return max(0.0, unread - (now - oldest) * rate / self.slowness)
+        """Return the prompt tokens that wait to be read.
+
+        :param rate: tokens a second that an engine of usual speed reads.
+        """
+        if not self._unread:
+            return 0.0
+        oldest = next(iter(self._unread.values()))
+        read = (now - oldest.placed_at) * rate / self.slowness
+        return max(0.0, self._unread_tokens - read)
 
 
 class EnginePlaces:
@@ -165,21 +193,28 @@
             self._ejector.select([target.name for target in able], now),
         )
         chain = make_chain(wanted.parts)
-        most = max(
-            (self._engine(target).match(chain) for target in able),
-            default=0,
-        )
+        engines = [
+            (target, engine, engine.match(chain))
+            for target, engine in zip(able, map(self._engine, able), strict=True)
+        ]
+        most = max((held for _, _, held in engines), default=0)
         assigned = assign_engine(wanted.parts, able)
         best: tuple[float, Placement] | None = None
-        for target in able:
-            engine = self._engine(target)
+        for target, engine, held in engines:
             if target.name not in kept or not _has_room(engine, wanted, limits):
                 continue
-            scored = self._score(target, engine, wanted, chain, most, now)
+            cost, placement = self._score(
+                target,
+                engine,
+                wanted,
+                held,
+                most,
+                now,
+            )
             if target is not assigned:
-                scored = (scored[0] + ASSIGNED_SECONDS, scored[1])
-            if best is None or scored[0] < best[0]:
-                best = scored
+                cost += ASSIGNED_SECONDS
+            if best is None or cost < best[0]:
+                best = (cost, placement)
         if best is None:
             return None
         self._note(best[1], wanted, chain, limits, now)
@@ -193,6 +228,7 @@
         one = engine.running[ident]
         if one.first_at is None:
             one.first_at = now
+            engine.note_read(ident)
             self._learn(engine, one, now - one.placed_at)
 
     def note_end(self, ident: str) -> None:
@@ -200,15 +236,7 @@
         engine = self._find(ident)
         self._where.pop(ident, None)
         if engine:
-            engine.running.pop(ident, None)
-
-    def forget(self, target: str) -> None:
-        """Forget what an engine held: it failed or was started again."""
-        engine = self._engines.get(target)
-        if engine:
-            kept = Engine()
-            kept.running = engine.running
-            self._engines[target] = kept
+            engine.end(ident)
 
     def running(self) -> int:
         """Return the requests in progress on all engines."""
@@ -219,7 +247,7 @@
         return {
             name: {
                 'running': len(engine.running),
-                'used_tokens': engine.used_tokens(),
+                'used_tokens': engine.used_tokens,
                 'slowness': round(engine.slowness, 2),
             }
             for name, engine in self._engines.items()
@@ -230,11 +258,10 @@
         target: Target,
         engine: Engine,
         wanted: PlaceRequest,
-        chain: tuple[tuple[int, int], ...],
+        held: int,
         most: int,
         now: float,
     ) -> tuple[float, Placement]:
-        held = engine.match(chain)
         new = max(1, wanted.prompt_tokens - held)
         reading = new * engine.slowness / self._rate
         waiting = (
@@ -242,11 +269,7 @@
         )
         step = len(engine.running) * RUNNING_SECONDS * engine.slowness
         first = BASE_SECONDS * engine.slowness + waiting + reading + step
-        elsewhere = sum(
-            size
-            for zone, size in wanted.result_bytes.items()
-            if zone != target.zone
-        )
+        elsewhere = wanted.all_bytes - wanted.result_bytes.get(target.zone, 0)
         crossing = elsewhere / MEGABYTE * CROSSING_SECONDS_PER_MB
         again = (most - held) / self._rate * READ_AGAIN_WEIGHT
         late = first > wanted.start_in - LATE_MARGIN_SECONDS
@@ -261,10 +284,11 @@
         limits: EngineLimits,
         now: float,
     ) -> None:
+        self.note_end(wanted.ident)
         engine = self._engine(placement.target)
         size = wanted.prompt_tokens + wanted.answer_tokens
-        engine.running[wanted.ident] = Running(placement, size, now)
-        engine.hold(chain, limits.memory_tokens - engine.used_tokens())
+        engine.start(wanted.ident, Running(placement, size, now))
+        engine.hold(chain, limits.memory_tokens - engine.used_tokens)
         self._where[wanted.ident] = placement.target.incarnation
 
     def _engine(self, target: Target) -> Engine:
@@ -335,5 +359,5 @@
     if len(engine.running) >= limits.slots:
         return False
     size = wanted.prompt_tokens + wanted.answer_tokens
-    used = engine.used_tokens()
+    used = engine.used_tokens
     return not used or used + size <= limits.memory_tokens * MEMORY_PART
--- a/galenaswitch/routing/tests/test_engines.py
+++ b/galenaswitch/routing/tests/test_engines.py
@@ -111,6 +111,26 @@
     assert second.first_seconds > 64_000 / DEFAULT_PREFILL_RATE
 
 
+def test_request_placed_again_counts_once(places):
+    first = place(places, ask('a'))
+    place(places, ask('a', avoided=(first.target.name,)), now=0.1)
+    state = places.dump()
+    assert sum(one['running'] for one in state.values()) == 1
+    places.note_end('a')
+    assert not any(one['used_tokens'] for one in places.dump().values())
+
+
+def test_prompts_that_ended_unread_delay_nobody(places):
+    only = TARGETS[:1]
+    alone = place(places, ask('x', subject='t'), targets=only)
+    places.note_end('x')
+    for number in range(3):
+        place(places, ask(f'r{number}', subject=f's{number}'), targets=only)
+        places.note_end(f'r{number}')
+    after = place(places, ask('y', subject='u'), targets=only)
+    assert after.first_seconds == pytest.approx(alone.first_seconds)
+
+
 def test_all_machines_assign_a_beginning_to_the_same_engine():
     parts = (PromptPart('shared', 9), PromptPart('own', 1))
     other = (PromptPart('shared', 9), PromptPart('else', 1))
