--- a/galenaswitch/configuration/relay.py
+++ b/galenaswitch/configuration/relay.py
@@ -52,6 +52,11 @@
         asked = reachable <= self._asked
         return bool(self._teachers) and asked and self._mesh.is_settled()
 
+    @property
+    def relays(self) -> bool:
+        """Whether this machine passes on what it learns in its zone."""
+        return self._mesh.is_relay()
+
     def accept(
         self,
         items: Iterable[Item],
--- a/galenaswitch/gateway/learning.py
+++ b/galenaswitch/gateway/learning.py
@@ -34,6 +34,11 @@
 # Seconds in which changes of targets gather for one call; leaving targets
 # may get work for several times as long.
 GATHER_SECONDS = 0.4
+# Longest waits in seconds of watches for configurations: of the machines
+# that pass them on in their zone, below the time in which they have to be in
+# force, and of all others, which hear of them from these.
+RELAY_WATCH_SECONDS = 1.5
+OTHER_WATCH_SECONDS = 20.0
 # Seconds between two looks at the list of VMs, which changes rarely.
 MACHINES_SECONDS = 3.0
 # Seconds between two tries to learn from the seeds while the store is away.
@@ -119,7 +124,12 @@
         self._own = own
         self._tasks = tasks
         self._followers = (
-            Follower(store, CONFIGURATION, self._take_configuration),
+            Follower(
+                store,
+                CONFIGURATION,
+                self._take_configuration,
+                find_wait=self._find_wait,
+            ),
             Follower(
                 store,
                 TARGETS,
@@ -194,6 +204,12 @@
         if isinstance(listed, MemberList):
             self._directory.take_list(listed)
 
+    def _find_wait(self) -> float:
+        """Return the longest wait of a watch for configurations."""
+        if self.relay and not self.relay.relays:
+            return OTHER_WATCH_SECONDS
+        return RELAY_WATCH_SECONDS
+
     def _keep(self, items: tuple[Item, ...]) -> None:
         for item in self.catalog.accept(items):
             self.tables.take(item)
--- /dev/null
+++ b/galenaswitch/gateway/tests/test_learning.py
@@ -0,0 +1,39 @@
+"""What a VM learns, and how long it relies on one watch."""
+
+import pytest
+
+from galenaswitch.gateway.learning import OTHER_WATCH_SECONDS, Learning
+from galenaswitch.membership.directory import Directory
+from galenaswitch.membership.lists import Machine, Members
+
+APPLY_SECONDS = 2.0
+
+
+class Relay:
+    """Passes configuration on, or not."""
+
+    def __init__(self, *, relays):
+        """Say whether it does."""
+        self.relays = relays
+
+
+@pytest.fixture
+def learning():
+    """What a VM without store has learned."""
+    own = Machine('a', 'z', '127.0.0.1', 1)
+    return Learning(None, None, Directory(Members(), own), own, None)
+
+
+def test_who_passes_configuration_on_watches_for_less_than_its_bound(learning):
+    """A watch that the store swallowed is missed until its end."""
+    learning.share_through(Relay(relays=True))
+    assert learning._find_wait() < APPLY_SECONDS
+
+
+def test_others_hear_from_those_and_watch_longer(learning):
+    learning.share_through(Relay(relays=False))
+    assert learning._find_wait() == OTHER_WATCH_SECONDS
+
+
+def test_machine_on_its_own_watches_like_one_that_passes_on(learning):
+    assert learning._find_wait() < APPLY_SECONDS
--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -26,6 +26,9 @@
 # Longest time in seconds for an answer, waiting watches apart: hundreds of
 # times the 4 ms that the store takes when it is well.
 CALL_SECONDS = 2.0
+# Seconds that a watch may take beyond its wait: several times what a store
+# that is slowed down fifty times takes for an answer.
+WATCH_SLACK_SECONDS = 1.0
 # Longest time in seconds that a connection to the store stays unused.
 IDLE_SECONDS = 20.0
 OK = 200
@@ -71,7 +74,8 @@
             'watch': str(revision),
             'wait-ms': str(int(seconds * MILLISECONDS)),
         }
-        _, answer = await self._call('GET', kind, query=query, extra=seconds)
+        longest = seconds + WATCH_SLACK_SECONDS
+        _, answer = await self._call('GET', kind, query=query, seconds=longest)
         return Changes(
             answer['store-revision'],
             tuple(
@@ -136,7 +140,7 @@
         *,
         query: dict[str, str] | None = None,
         document: Document | None = None,
-        extra: float = 0,
+        seconds: float = CALL_SECONDS,
     ) -> tuple[int, Document]:
         path = f'/api/objects/{quote(kind)}'
         if name:
@@ -153,7 +157,7 @@
         )
         body = b'' if document is None else orjson.dumps(document)
         try:
-            async with asyncio.timeout(CALL_SECONDS + extra):
+            async with asyncio.timeout(seconds):
                 answer, content = await self._exchange(head, body)
         except (TargetError, TimeoutError) as error:
             raise StoreUnavailableError(
--- /dev/null
+++ b/galenaswitch/platform/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes with faults from outside them."""
--- a/galenaswitch/platform/tests/test_objects.py
+++ b/galenaswitch/platform/tests/test_objects.py
@@ -1,5 +1,7 @@
 """Calls on the platform's store."""
 
+import asyncio
+
 import orjson
 import pytest
 
@@ -119,3 +121,20 @@
     with pytest.raises(StoreConflictError) as caught:
         await client.write('vms', 'a', {}, 11)
     assert caught.value.current == 40
+
+
+async def test_watch_that_the_store_swallows_ends_soon_after_its_wait(
+    scripted,
+    monkeypatch,
+):
+    monkeypatch.setattr(
+        'galenaswitch.platform.objects.WATCH_SLACK_SECONDS',
+        0.05,
+    )
+    target = await scripted((b'',), keep=True)
+    pool = ConnectionPool()
+    store = PlatformStore(pool, target.address)
+    with pytest.raises(StoreUnavailableError):
+        async with asyncio.timeout(1):
+            await store.watch('config', 3, 0.05)
+    pool.close()
--- a/galenaswitch/store/registry.py
+++ b/galenaswitch/store/registry.py
@@ -17,9 +17,9 @@
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.store.client import Listing, StoredObject
 
-# Longest wait of one watch in seconds: each call is paid for, and a silent
-# connection is found by its TCP probes.
-WATCH_SECONDS = 10.0
+# Longest wait of one watch in seconds where nothing else is told: each call
+# is paid for, and a silent connection is found by its TCP probes.
+WATCH_SECONDS = 5.0
 # Pause in seconds after a failed call, doubled up to the longest pause.
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 0.5
@@ -138,12 +138,16 @@
         kind: str,
         publish: Callable[[HeldObjects], None],
         gather_seconds: float = 0,
+        find_wait: Callable[[], float] | None = None,
     ) -> None:
         """Call ``publish`` after each change of the objects held.
 
         :param gather_seconds: pause after changes, so that one call brings
             several.
+        :param find_wait: returns the longest wait of a watch in seconds. A
+            watch that the store has swallowed is seen only at its end.
         """
+        self._find_wait = find_wait or _find_usual_wait
         self._gather_seconds = gather_seconds
         self.held = HeldObjects()
         self.listed = False
@@ -188,7 +192,7 @@
             changes = await self._store.watch(
                 self._kind,
                 revision,
-                WATCH_SECONDS,
+                self._find_wait(),
             )
             self._note_success()
             revision = changes.revision
@@ -222,3 +226,7 @@
             reason=str(error),
             revision=self.held.revision,
         )
+
+
+def _find_usual_wait() -> float:
+    return WATCH_SECONDS
