Requests that can't be on time give way in all stages, and are refused when hopeless

Each stage let a request use up all of the time that it had to spare, so it was late in the next; and what one stage knew the next didn't.

Change: each stage that is left may use an equal part of the spare time; a request found late is so in all later stages, behind all that can be on time, also behind those that are still to come: it is refused at once when what these leave free can't make it before its deadline. Targets prefer pieces whose inputs lie in their zone. The time of engines is learned by route. Inputs are given up early only where room is short: a piece that failed after that cost a second run of all stages. A request with too little time that has not run is answered 503 and not 504. A question asked again replaces the one that waits; a machine that starts learns who is leaving.

--- a/galenaswitch/gateway/duties.py
+++ b/galenaswitch/gateway/duties.py
@@ -86,6 +86,8 @@
             get_logger().info('peer_silent', peer=node, reason=str(error))
             return
         self._started[node] = time.monotonic() - pong.uptime
+        if pong.leaving:
+            self._leaving[node] = link.peer.incarnation
         if self._suspects.pop(node, None):
             get_logger().info('peer_regained', peer=node)
 
@@ -96,7 +98,9 @@
 
     async def answer_ping(self, link: Link, message: Ping) -> Pong:
         """Tell a peer that this process lives, and for how long."""
-        return Pong(time.monotonic() - self._started[self._mesh.node])
+        own = self._mesh.node
+        uptime = time.monotonic() - self._started[own]
+        return Pong(uptime, own in self._leaving)
 
     def leave(self) -> None:
         """Tell all peers that this process is about to stop."""
--- a/galenaswitch/gateway/gatherer.py
+++ b/galenaswitch/gateway/gatherer.py
@@ -20,11 +20,16 @@
     PiecesReply,
     ReleaseNote,
 )
+from galenaswitch.gateway.questions import (
+    count_pieces,
+    is_tight,
+    make_demand,
+)
 from galenaswitch.gateway.results import StoredResult, StoredResults
 from galenaswitch.gateway.rooms import Rooms
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.gateway.sending import Sender
-from galenaswitch.limits.retries import RetryBudget, RetryBudgets
+from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
@@ -97,7 +102,7 @@
     async def make(self, question: PiecesQuestion) -> PiecesReply:
         """Make the pieces of a question."""
         now = time.monotonic()
-        if not _count(question, self._budgets.of(self._service), now):
+        if not count_pieces(question, self._budgets.of(self._service), now):
             return PiecesReply((), 'budget', 1)
         limits = self._find_limits(self._service)
         targets = self._members.usable(self._service)
@@ -105,7 +110,7 @@
             return PiecesReply((), 'no-target', 1)
         self._rooms.greet(targets, limits)
         key = f'{question.ident}/{question.pieces[0].stage}'
-        demand = _make_demand(question, now)
+        demand = make_demand(question, now)
         wait = self._gathering.add(key, demand, targets, limits, now)
         if wait > question.left:
             self._gathering.remove(key)
@@ -142,7 +147,7 @@
         question: PiecesQuestion,
     ) -> PiecesReply:
         done = asyncio.Event()
-        self._done[key] = done
+        self._replace(key, done)
         self._look()
         try:
             async with asyncio.timeout(question.left):
@@ -150,18 +155,32 @@
         except TimeoutError:
             demand.failure = demand.failure or _LATE
         finally:
-            self._gathering.remove(key)
-            self._done.pop(key, None)
+            if self._done.get(key) is done:
+                self._gathering.remove(key)
+                self._done.pop(key)
         if demand.missing:
-            self._release_unused(demand)
-            return PiecesReply((), demand.failure or 'cancelled', 0.1)
+            self._stored.release(tuple(demand.handles.values()))
+            failure = 'replaced' if key in self._done else 'cancelled'
+            return PiecesReply((), demand.failure or failure, 0.1)
         handles = tuple(
             demand.handles[piece.number] for piece in question.pieces
         )
-        return PiecesReply(handles, inputs_freed=demand.inputs_freed)
+        return PiecesReply(
+            handles,
+            inputs_freed=demand.inputs_freed,
+            late=demand.late,
+            tight=is_tight(
+                self._gathering.find_most_held(self._stored.makers(handles)),
+                self._find_limits(self._service),
+            ),
+        )
 
-    def _release_unused(self, demand: Demand) -> None:
-        self._stored.release(tuple(demand.handles.values()))
+    def _replace(self, key: str, done: asyncio.Event) -> None:
+        """Wait for ``key``; whoever asked before gets no reply any more."""
+        before = self._done.get(key)
+        if before:
+            before.set()
+        self._done[key] = done
 
     def _free_room(self, stored: StoredResult) -> None:
         self._gathering.release(stored.target, stored.size)
@@ -363,29 +382,3 @@
         done = self._done.get(key)
         if done:
             done.set()
-
-
-def _count(
-    question: PiecesQuestion,
-    budget: RetryBudget,
-    now: float,
-) -> bool:
-    """Count pieces as requests; those made again need a budget."""
-    if question.again:
-        return budget.take(now, len(question.pieces))
-    for _ in question.pieces:
-        budget.note_request(now)
-    return True
-
-
-def _make_demand(question: PiecesQuestion, now: float) -> Demand:
-    return Demand(
-        question.ident,
-        question.pieces,
-        question.result_bytes,
-        question.zone,
-        now + question.start_in,
-        now + question.left,
-        question.last_read,
-        question.priority,
-    )
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -24,10 +24,15 @@
 
     :param start_in: seconds until the last call that is still on time.
     :param left: seconds until the results are of no use.
-    :param last_read: inputs that nobody else reads: they can be given up
-        once the pieces have read them.
+    :param last_read: inputs that nobody else reads and whose makers are
+        short of room: they are to be given up once the pieces have read
+        them. A piece that fails after that can't be made again.
     :param again: whether the pieces were made before and are lost.
     :param priority: 0 is the most urgent.
+    :param stages_left: stages that have to wait for targets one after the
+        other until the request is done, this one included.
+    :param late: whether an earlier stage found that the request can't be
+        on time.
     """
 
     service: str
@@ -40,6 +45,8 @@
     last_read: tuple[HeldResults, ...] = ()
     again: bool = False
     priority: int = 0
+    stages_left: int = 1
+    late: bool = False
 
 
 class PiecesReply(NamedTuple):
@@ -50,12 +57,16 @@
     :param retry_after: seconds after which another try is likely to do.
     :param inputs_freed: whether the inputs that nobody else reads were
         given up.
+    :param late: whether the request can't be on time any more.
+    :param tight: whether a maker of the results is short of room for more.
     """
 
     handles: tuple[str, ...]
     failure: str = ''
     retry_after: float = 0
     inputs_freed: bool = False
+    late: bool = False
+    tight: bool = False
 
 
 class PiecesCancel(NamedTuple):
--- a/galenaswitch/gateway/places.py
+++ b/galenaswitch/gateway/places.py
@@ -44,7 +44,7 @@
         self._members = members
         self._ejector = Ejector()
         self._places = EnginePlaces(self._ejector)
-        self._waiting: dict[str, tuple[int, float]] = {}
+        self._waiting: dict[str, tuple[bool, int, float]] = {}
         self._news = asyncio.Event()
         self._lapses: dict[str, float] = {}
 
@@ -54,6 +54,7 @@
         end = now + question.left - LEAST_SECONDS
         self._drop_lapsed(now)
         self._waiting[question.ident] = (
+            question.start_in < 0,
             question.priority,
             now + question.start_in,
         )
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -21,7 +21,7 @@
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.pipelines.requests import Progress
-from galenaswitch.refusals import Reason, RefusedError, Run
+from galenaswitch.refusals import Reason, RefusedError, Run, find_late_reason
 from galenaswitch.routing.choice import Chooser, Work
 from galenaswitch.routing.ejection import Ejector
 from galenaswitch.routing.loads import LoadView
@@ -94,7 +94,7 @@
     ) -> Target:
         now = time.monotonic()
         if now >= call.deadline:
-            raise RefusedError(Reason.deadline, progress.run)
+            raise RefusedError(find_late_reason(progress.run), progress.run)
         usable = self._members.usable(call.service)
         fresh = [one for one in usable if one.name not in tried]
         names = set(
@@ -209,7 +209,7 @@
             left=round(call.deadline - now, 3),
         )
         if now >= call.deadline:
-            raise RefusedError(Reason.deadline, progress.run)
+            raise RefusedError(find_late_reason(progress.run), progress.run)
         if not known and call.route.kind is CallKind.once:
             raise RefusedError(Reason.stage_failed, Run.unknown)
         if tries >= MAX_TRIES or self._is_spent(call, progress, error, now):
--- a/galenaswitch/gateway/results.py
+++ b/galenaswitch/gateway/results.py
@@ -70,6 +70,11 @@
         """Note what a call may have made whose answer was lost."""
         self._unknown.append(stored)
 
+    def makers(self, handles: tuple[str, ...]) -> tuple[Target, ...]:
+        """Return the targets that made some results."""
+        found = (self._stored.get(handle) for handle in handles)
+        return tuple(stored.target for stored in found if stored)
+
     def release(self, handles: tuple[str, ...]) -> None:
         """Give results up; calls collect them for a short time."""
         for handle in handles:
--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -17,16 +17,17 @@
     ReleaseNote,
 )
 from galenaswitch.gateway.routes import RouteTable
-from galenaswitch.gateway.times import LARGE_RESULT_BYTES, StageTimes
+from galenaswitch.gateway.times import (
+    LARGE_RESULT_BYTES,
+    EngineTimes,
+    StageTimes,
+)
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.refusals import Reason, RefusedError, Run
 from galenaswitch.routing.engines import assign_engine
 
-# Seconds from the last result to the first event of a model engine: reading
-# of a usual prompt and one step.
-ENGINE_SECONDS = 0.25
 # Seconds that a reply may take beyond the time in which it is of use.
 REPLY_SLACK_SECONDS = 0.1
 # Seconds that a request needs at the least behind its stages.
@@ -38,10 +39,12 @@
 
     :param handles: where they lie, in the order of stages and pieces.
     :param zone_bytes: size of the results in each zone.
+    :param tight: whether a maker of them is short of room.
     """
 
     handles: tuple[str, ...]
     zone_bytes: dict[str, int]
+    tight: bool = False
 
 
 class StageJob:
@@ -58,17 +61,22 @@
     ) -> None:
         """Run the stages of ``call`` as ``table`` has them.
 
+        Once one stage has found that the request can't be on time, the
+        others are told.
+
         :param end: monotonic time at which the results are of no use.
         :param again: whether they were made before and are lost.
         """
         self._end = end
         self._again = again
         self.released = False
+        self.late = again
         self._call = call
         self._runner = runner
         self._handles: dict[int, tuple[str, ...]] = {}
         self._holders: dict[str, str] = {}
         self._made_at: dict[int, float] = {}
+        self._tight: set[int] = set()
         self._stages = call.route.stages
         self._times = StageTimes(call, table)
         self._done = [asyncio.Event() for _ in self._stages]
@@ -91,7 +99,9 @@
         final = self._call.route.final_stages()
         read = [self._handles[number] for number in final]
         return StageResults(
-            tuple(chain.from_iterable(read)), self._sum_zones(final)
+            tuple(chain.from_iterable(read)),
+            self._sum_zones(final),
+            bool(self._find_tight(final)),
         )
 
     def cancel(self) -> None:
@@ -139,11 +149,13 @@
             await asyncio.sleep(self._times.find_spare(number))
         pieces = self._make_pieces(number)
         if pieces:
-            last_read = self._find_last_read(number)
-            reply = await self._ask(number, pieces, last_read)
+            early = self._find_tight(self._find_last_read(number))
+            reply = await self._ask(number, pieces, early)
             self._handles[number] = reply.handles
+            if reply.tight:
+                self._tight.add(number)
             if reply.inputs_freed:
-                self._forget(last_read)
+                self._forget(early)
         else:
             self._handles[number] = ()
         self._made_at[number] = time.monotonic()
@@ -188,30 +200,39 @@
         self,
         number: int,
         pieces: tuple[Piece, ...],
-        last_read: tuple[int, ...],
+        early: tuple[int, ...],
     ) -> PiecesReply:
+        """Ask for the pieces of a stage.
+
+        :param early: stages whose results can be given up once they are
+            read, before the pieces are made.
+        """
         stage = self._stages[number]
         now = time.monotonic()
         own = self._times.find_call(number)
         rest = self._times.find_rest(number)
+        engine = self._runner.engine_times.find(self._call.route.name)
         left = self._end - now - rest - LEAST_ENGINE_SECONDS
         left = min(left, self._find_kept(stage.after, now))
         if left <= 0:
-            raise RefusedError(Reason.deadline)
+            raise RefusedError(Reason.hopeless)
         question = PiecesQuestion(
             stage.service,
             self._call.ident,
             pieces,
             stage.result_bytes,
             self._find_zone(number),
-            self._call.objective - now - own - rest - ENGINE_SECONDS,
+            self._call.objective - now - own - rest - engine,
             left,
-            self._find_held(last_read),
+            self._find_held(early),
             self._again,
             self._call.priority,
+            self._times.count_left(number),
+            self.late,
         )
         holder, reply = await self._runner.ask(question)
         self._holders[stage.service] = holder
+        self.late = self.late or reply.late
         if reply.failure:
             get_logger().info(
                 'stage_failed',
@@ -242,6 +263,14 @@
             )
         )
 
+    def _find_tight(self, numbers: Iterable[int]) -> tuple[int, ...]:
+        """Return the stages whose results lie where room is short.
+
+        Only these are given up before their readers are done: a piece that
+        fails after that costs a second run of all stages.
+        """
+        return tuple(number for number in numbers if number in self._tight)
+
     def _forget(self, numbers: Iterable[int]) -> None:
         for number in numbers:
             self._handles[number] = ()
@@ -283,6 +312,7 @@
         :param find_gatherer: returns this machine's gatherer of a service.
         """
         self.zone = zone
+        self.engine_times = EngineTimes()
         self._members = members
         self._wire = wire
         self._duties = duties
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -1,6 +1,5 @@
 """Generated answers: stages, a place on an engine, and its events."""
 
-import asyncio
 import time
 from collections.abc import Callable
 
@@ -21,8 +20,8 @@
 )
 from galenaswitch.gateway.calls import Call, Wire
 from galenaswitch.gateway.duties import Duties
-from galenaswitch.gateway.events import EventBuffer
 from galenaswitch.gateway.gatherer import GONE
+from galenaswitch.gateway.jobs import StreamJob, release_early
 from galenaswitch.gateway.messages import (
     PlaceEnd,
     PlaceFirst,
@@ -32,12 +31,12 @@
 from galenaswitch.gateway.places import PlaceHolder
 from galenaswitch.gateway.routes import RouteTable
 from galenaswitch.gateway.sending import Attempt, Sender
-from galenaswitch.gateway.stages import StageJob, StageResults, StageRunner
+from galenaswitch.gateway.stages import StageRunner
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
-from galenaswitch.refusals import Reason, RefusedError, Run
+from galenaswitch.refusals import Reason, RefusedError, find_late_reason
 
 # Seconds that a connection to an engine may have been idle.
 MAX_IDLE_SECONDS = 3.0
@@ -45,9 +44,6 @@
 MAX_TRIES = 4
 # Runs of a request's stages, the first included.
 MAX_STAGE_RUNS = 2
-# Seconds after which an engine has read the results of stages: it fetches
-# them before the prompt.
-INPUT_READ_SECONDS = 0.1
 # Seconds of silence after which a stream that may be resumed goes on at
 # another engine: callers leave after two.
 SILENT_SECONDS = 1.2
@@ -55,61 +51,6 @@
 REPLY_SLACK_SECONDS = 0.1
 
 
-class StreamJob:
-    """One request for a generated answer."""
-
-    def __init__(
-        self,
-        call: Call,
-        table: RouteTable,
-        writer: AnswerWriter,
-    ) -> None:
-        """Answer ``call`` through ``writer`` as ``table`` says."""
-        self.call = call
-        self.table = table
-        self.writer = writer
-        self.stages: StageJob | None = None
-        self.stage_runs = 0
-        self.inputs = StageResults((), {})
-        self.events = EventBuffer(call.fields.last_event)
-        self.tried: list[str] = []
-        self.sent = 0
-        self.holder = ''
-        self.first_seen = False
-
-    @property
-    def run(self) -> Run:
-        """What a refusal may say now."""
-        return Run.unknown if self.sent else Run.not_run
-
-    @property
-    def left(self) -> float:
-        """Seconds until the deadline."""
-        return self.call.deadline - time.monotonic()
-
-    @property
-    def end(self) -> float:
-        """Monotonic time at which the next event is of no use."""
-        return self.call.deadline if self.first_seen else self.call.first_by
-
-    @property
-    def released(self) -> bool:
-        """Whether results of the stages were given up."""
-        return self.stages is not None and self.stages.released
-
-    def release(self) -> None:
-        """Give up the results of the stages."""
-        if self.stages:
-            self.stages.release()
-
-    def close_stages(self) -> None:
-        """Give up the results of the stages, and what is being made."""
-        if self.stages:
-            self.stages.cancel()
-            self.stages.release()
-        self.stages = None
-
-
 class StreamRunner:
     """Runs requests for generated answers."""
 
@@ -213,7 +154,8 @@
         now = time.monotonic()
         left = job.end - now
         if left <= 0:
-            raise RefusedError(Reason.deadline, job.run)
+            raise RefusedError(find_late_reason(job.run), job.run)
+        job.asked_at = now
         question = PlaceQuestion(
             call.service,
             call.ident,
@@ -260,12 +202,8 @@
             MAX_IDLE_SECONDS,
         ) as attempt:
             job.sent += 1
-            loop = asyncio.get_running_loop()
-            read = loop.call_later(INPUT_READ_SECONDS, job.release)
-            try:
+            with release_early(job):
                 await self._exchange(job, attempt)
-            finally:
-                read.cancel()
 
     async def _exchange(self, job: StreamJob, attempt: Attempt) -> None:
         answer = await attempt.read_head(self._find_patience(job))
@@ -324,6 +262,10 @@
             seconds=round(now - job.call.started, 3),
             objective_left=round(job.call.objective - now, 3),
         )
+        self._stages.engine_times.learn(
+            job.call.route.name,
+            now - job.asked_at,
+        )
         job.release()
         message = PlaceFirst(job.call.service, job.call.ident)
         self._duties.tell(job.holder, message, self.take_first)
@@ -357,7 +299,7 @@
             left=round(job.left, 3),
         )
         if job.left <= 0:
-            raise RefusedError(Reason.deadline, job.run)
+            raise RefusedError(find_late_reason(job.run), job.run)
         if not self._may_go_on(job, error, known):
             reason = Reason.stage_failed if job.sent else Reason.capacity
             raise RefusedError(reason, job.run)
--- a/galenaswitch/gateway/tests/test_duties.py
+++ b/galenaswitch/gateway/tests/test_duties.py
@@ -15,8 +15,9 @@
 class Peer:
     """Stream to a machine that a test has made up."""
 
-    def __init__(self, node, uptime=60.0, incarnation='1'):
+    def __init__(self, node, uptime=60.0, incarnation='1', leaving=False):
         """Stand for ``node``."""
+        self.leaving = leaving
         self.peer = type(
             'Identity',
             (),
@@ -27,7 +28,7 @@
 
     async def request(self, message, seconds):
         """Answer every question as a ping."""
-        return Pong(self.uptime)
+        return Pong(self.uptime, self.leaving)
 
     def send(self, message):
         """Keep a message."""
@@ -140,6 +141,18 @@
     assert duties.find_holder(foreign) == holder
 
 
+async def test_machine_that_starts_learns_who_is_leaving(duties, foreign):
+    holder = duties.find_holder(foreign)
+    await duties.greet(Peer(holder, leaving=True))
+    assert duties.find_holder(foreign) != holder
+
+
+async def test_machine_that_stops_says_so_when_asked(duties):
+    assert not (await duties.answer_ping(None, None)).leaving
+    duties.leave()
+    assert (await duties.answer_ping(None, None)).leaving
+
+
 async def test_machine_that_has_just_started_is_asked_later(duties, foreign):
     holder = duties.find_holder(foreign)
     await duties.greet(Peer(holder, uptime=SETTLE_SECONDS / 2))
--- a/galenaswitch/gateway/tests/test_inputs.py
+++ b/galenaswitch/gateway/tests/test_inputs.py
@@ -9,7 +9,7 @@
 from galenaswitch.gateway.inputs import READ_SECONDS, InputReleases
 from galenaswitch.gateway.messages import HeldResults
 from galenaswitch.membership.lists import Target
-from galenaswitch.pipelines.demands import Demand
+from galenaswitch.pipelines.demands import Demand, Standing
 from galenaswitch.pipelines.gathering import PieceCall
 from galenaswitch.pipelines.workers import Worker
 
@@ -34,7 +34,7 @@
     """Two pieces that are the last to read some results."""
     pieces = [Piece('r', 1, number, '', HELD.handles) for number in (0, 1)]
     now = time.monotonic()
-    return Demand('r', pieces, 1000, '', now + 1, now + 5, (HELD,))
+    return Demand('r', pieces, 1000, '', Standing(now + 1, now + 5), (HELD,))
 
 
 def start(demand, count):
--- a/galenaswitch/gateway/times.py
+++ b/galenaswitch/gateway/times.py
@@ -10,6 +10,50 @@
 SPARE_PART = 0.8
 # Usual wait in seconds for a target that is in a call: half of a short one.
 WAIT_SECONDS = 0.1
+# Seconds from the last result to the first event of a model engine until
+# they are known: reading of a usual prompt and one step.
+FIRST_ENGINE_SECONDS = 0.25
+# Part of a new measurement in what is expected: some ten requests count.
+SMOOTHING = 0.1
+
+
+class EngineTimes:
+    """Seconds from the results of stages to a first event, by route.
+
+    What is expected is the smoothed mean and deviation together, as for
+    retransmission in TCP: a request that is begun as late as the mean allows
+    would be late half of the time.
+
+    Reference: V. Jacobson, "Congestion Avoidance and Control", SIGCOMM 1988.
+
+    >>> times = EngineTimes()
+    >>> times.find('a') == FIRST_ENGINE_SECONDS
+    True
+    >>> for _ in range(99):
+    ...     times.learn('a', 0.4)
+    >>> round(times.find('a'), 2)
+    0.4
+    """
+
+    def __init__(self) -> None:
+        """Start without a measurement."""
+        self._means: dict[str, float] = {}
+        self._deviations: dict[str, float] = {}
+
+    def learn(self, route: str, seconds: float) -> None:
+        """Take in the time of one request."""
+        mean = self._means.get(route, FIRST_ENGINE_SECONDS)
+        deviation = self._deviations.get(route, 0)
+        error = seconds - mean
+        self._means[route] = mean + SMOOTHING * error
+        self._deviations[route] = deviation + SMOOTHING * (
+            abs(error) - deviation
+        )
+
+    def find(self, route: str) -> float:
+        """Return the seconds that are to be expected."""
+        mean = self._means.get(route, FIRST_ENGINE_SECONDS)
+        return mean + self._deviations.get(route, 0)
 
 
 class StageTimes:
@@ -36,6 +80,19 @@
         ]
         return max(behind, default=0)
 
+    def count_left(self, number: int) -> int:
+        """Return how many stages wait for targets from one to the end.
+
+        These are the stages one after the other on the longest way, as far
+        as the request has pieces for them.
+        """
+        behind = [
+            self.count_left(later)
+            for later in range(number + 1, len(self._stages))
+            if number in self._stages[later].after
+        ]
+        return max(behind, default=0) + bool(self.find_call(number))
+
     def find_call(self, number: int) -> float:
         """Return the seconds of one call for the pieces of a stage."""
         batches = self.find_batches(number)
--- a/galenaswitch/membership/mesh.py
+++ b/galenaswitch/membership/mesh.py
@@ -56,9 +56,11 @@
     """The peer lives.
 
     :param uptime: seconds since its process started, 0 when not told.
+    :param leaving: whether it is about to stop.
     """
 
     uptime: float = 0
+    leaving: bool = False
 
 
 class Leaving(NamedTuple):
--- a/galenaswitch/pipelines/demands.py
+++ b/galenaswitch/pipelines/demands.py
@@ -1,6 +1,7 @@
 """The pieces of one stage of one request, as they wait and are made."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from galenaswitch.gateway.calls import Piece
 from galenaswitch.gateway.messages import HeldResults
@@ -9,6 +10,28 @@
 # priority and has to start at the same time. Waiting longer outweighs it, so
 # that no kind of request starves.
 PRIORITY_SECONDS = 0.2
+# Seconds by which a demand goes before others at a target of the zone in
+# which its inputs lie: less than the time that requests have to spare.
+ZONE_SECONDS = 0.3
+
+
+class Standing(NamedTuple):
+    """What decides when a demand has its turn.
+
+    :param start_by: monotonic time until which a call has to start so that
+        the request can be on time.
+    :param deadline: monotonic time after which results are of no use.
+    :param priority: 0 is the most urgent.
+    :param stages_left: stages that wait for targets one after the other
+        until the request is done, this one included.
+    :param late: whether it is known that the request can't be on time.
+    """
+
+    start_by: float
+    deadline: float
+    priority: int = 0
+    stages_left: int = 1
+    late: bool = False
 
 
 class Demand:
@@ -20,36 +43,39 @@
         pieces: Iterable[Piece],
         result_bytes: int,
         zone: str,
-        start_by: float,
-        deadline: float,
+        standing: Standing,
         last_read: tuple[HeldResults, ...] = (),
-        priority: int = 0,
     ) -> None:
         """Ask for ``pieces``.
 
         :param result_bytes: size of one result.
         :param zone: zone in which the results are preferred, empty for any.
-        :param start_by: monotonic time until which a call has to start so
-            that the request can be on time.
-        :param deadline: monotonic time after which results are of no use.
         :param last_read: inputs that can be given up once they are read.
-        :param priority: 0 is the most urgent.
         """
         self.ident = ident
         self.unsent = list(pieces)
         self.missing = len(self.unsent)
         self.result_bytes = result_bytes
         self.zone = zone
-        self.start_by = start_by
-        self.deadline = deadline
+        self.standing = standing
         self.last_read: tuple[HeldResults, ...] | None = last_read
         self.begun = False
-        self.late = False
+        self.late = standing.late
         self.handles: dict[int, str] = {}
         self.failure = ''
-        self._turn = start_by + priority * PRIORITY_SECONDS
+        self._turn = standing.start_by + standing.priority * PRIORITY_SECONDS
         self.repeats = 0
 
+    @property
+    def start_by(self) -> float:
+        """Monotonic time until which a call has to start to be on time."""
+        return self.standing.start_by
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic time after which results are of no use."""
+        return self.standing.deadline
+
     @property
     def inputs_freed(self) -> bool:
         """Whether its inputs were given up, so that no piece can be redone."""
@@ -61,10 +87,22 @@
         self.last_read = None
         return freed
 
-    def rank(self, now: float) -> tuple[bool, bool, float]:
+    def may_wait(self, seconds: float, now: float) -> bool:
+        """Tell whether a wait leaves the request likely to be on time.
+
+        Each stage that is left may use an equal part of the time that the
+        request has to spare, so that none uses it up before the others.
+        """
+        spare = self.start_by - now
+        return seconds * self.standing.stages_left <= spare
+
+    def rank(self, now: float, zone: str = '') -> tuple[bool, bool, float]:
         """Order demands: begun ones, then those that can be on time.
 
         Among these the more urgent go first, then who has to start first.
+
+        :param zone: zone of the target that is to make the pieces.
         """
         late = self.late or self.start_by < now
-        return (not self.begun, late, self._turn)
+        near = ZONE_SECONDS if zone and zone == self.zone else 0
+        return (not self.begun, late, self._turn - near)
--- a/galenaswitch/pipelines/filling.py
+++ b/galenaswitch/pipelines/filling.py
@@ -40,6 +40,12 @@
     promised: float
     now: float
 
+    @property
+    def pressed(self) -> bool:
+        """Whether full calls go before results that stay near."""
+        batch = self.limits.batch
+        return self.waiting > len(self.workers) * batch * PRESSURE_PART
+
     @property
     def whole_seconds(self) -> float:
         """Seconds of a full call."""
@@ -71,9 +77,7 @@
             if self._has_home(demand) or self._waits_whole(demand):
                 continue
             self._try(demand)
-        workers = len(self._view.workers)
-        pressed = workers * self._view.limits.batch * PRESSURE_PART
-        if self.planned and self._view.waiting > pressed:
+        if self.planned and self._view.pressed:
             for demand in waiting:
                 self._try(demand)
 
--- a/galenaswitch/pipelines/gathering.py
+++ b/galenaswitch/pipelines/gathering.py
@@ -5,12 +5,19 @@
 Calls are filled over all requests that wait, the most urgent first, and
 sent whenever a target is free, so that calls fill themselves as load grows.
 
+A request that waits in one stage after the other is on time only if no stage
+uses up all the time that it has to spare. One that would wait longer than its
+part, or that an earlier stage has found late, goes behind all that can still
+be on time, in this stage and in those that follow. Else a burst makes nearly
+all requests a little late, and work is spent on them in every stage.
+
 Results take room at their makers until all pieces of their request are made
 and read. A request is begun only when there is room for all of its pieces:
 half-made ones would hold room that none can use.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+from functools import partial
 from typing import NamedTuple
 
 from galenaswitch.gateway.calls import Piece
@@ -18,6 +25,7 @@
 from galenaswitch.membership.lists import Target
 from galenaswitch.pipelines.demands import Demand
 from galenaswitch.pipelines.filling import Filling, View, WorkerView
+from galenaswitch.pipelines.inflow import Inflow
 from galenaswitch.pipelines.throughput import Throughput
 from galenaswitch.pipelines.workers import Worker
 
@@ -47,6 +55,7 @@
         self.demands: dict[str, Demand] = {}
         self._workers: dict[str, Worker] = {}
         self._rate = Throughput()
+        self._inflow = Inflow()
 
     def add(
         self,
@@ -61,7 +70,8 @@
         One that can't be on time behind those that can goes behind them at
         once: serving the most urgent first would make all of them late.
 
-        :returns: expected seconds until its pieces are made.
+        :returns: expected seconds until its pieces are made, and for one
+            that goes behind others, those of the stages that are left.
         """
         rate = self._rate.find(find_full_rate(len(targets), limits))
         own = demand.rank(now)
@@ -70,9 +80,13 @@
             for other in self.demands.values()
             if other.rank(now) <= own
         )
-        late = now + ahead / rate > demand.start_by
-        demand.late = late and ahead > limits.batch
+        known = demand.late
+        late = known or not demand.may_wait(ahead / rate, now)
+        demand.late = known or (late and ahead > limits.batch)
         self.demands[key] = demand
+        if demand.late:
+            return self._find_late_wait(demand, rate, now)
+        self._inflow.note(len(demand.unsent), now)
         if late:
             ahead = self.waiting()
         return ahead / rate
@@ -131,11 +145,10 @@
         waiting = [one for one in self.demands.values() if one.unsent]
         if not waiting:
             return None
-        waiting.sort(key=lambda demand: demand.rank(now))
-        first = waiting[0].zone
+        first = min(waiting, key=lambda demand: demand.rank(now)).zone
         for target in self._order_free(targets, limits, first, now):
             filling = Filling(self.view(targets, limits, now), target)
-            filling.plan(waiting)
+            filling.plan(sorted(waiting, key=partial(_rank_at, target, now)))
             if filling.planned:
                 pieces = filling.take()
                 return self._start(target, pieces, limits, now)
@@ -169,6 +182,13 @@
         """Note that a call has ended, however it ended."""
         self.worker(call.target).calls -= 1
 
+    def find_most_held(self, targets: Iterable[Target]) -> float:
+        """Return the most bytes of results that one of some targets holds."""
+        return max(
+            (self.worker(target).held_bytes for target in targets),
+            default=0,
+        )
+
     def release(self, target: Target, size: int) -> None:
         """Note that results of ``size`` bytes were given up."""
         self.worker(target).release(size)
@@ -182,6 +202,19 @@
             'held_bytes': sum(one.held_bytes for one in self._workers.values()),
         }
 
+    def _find_late_wait(
+        self,
+        demand: Demand,
+        rate: float,
+        now: float,
+    ) -> float:
+        """Return the expected wait of a demand behind all that are on time.
+
+        The stages that are left are as busy: it waits as long in each.
+        """
+        left = self._inflow.find_left(rate, now)
+        return self.waiting() / left * demand.standing.stages_left
+
     def _order_free(
         self,
         targets: Sequence[Target],
@@ -224,6 +257,14 @@
         return PieceCall(target, pieces, expected)
 
 
+def _rank_at(
+    target: Target,
+    now: float,
+    demand: Demand,
+) -> tuple[bool, bool, float]:
+    return demand.rank(now, target.zone)
+
+
 def find_full_rate(targets: int, limits: BatchLimits) -> float:
     """Return the pieces a second that targets make in full calls.
 
--- /dev/null
+++ b/galenaswitch/pipelines/inflow.py
@@ -0,0 +1,53 @@
+"""Pieces a second that arrive for requests that can be on time.
+
+Pattern answered: a burst lasts for several seconds. A request that can't be
+on time goes behind those that can, also behind those that are still to come,
+so it is served only by what these leave free. The time that the pieces ahead
+of it take at the full rate says nothing of that.
+"""
+
+from collections import deque
+
+# Seconds over which arrivals are counted: longer than clumps of arrivals,
+# shorter than a burst.
+WINDOW_SECONDS = 2.0
+# Part of the rate that is expected to be left at the least: a burst ends.
+LEAST_PART = 0.05
+
+
+class Inflow:
+    """Arrivals in a sliding window.
+
+    >>> inflow = Inflow()
+    >>> for step in range(20):
+    ...     inflow.note(4, step / 10)
+    >>> inflow.find_left(rate=100, now=2.0)
+    60.0
+    >>> inflow.find_left(rate=30, now=2.0)
+    1.5
+    """
+
+    def __init__(self) -> None:
+        """Start without arrivals."""
+        self._arrived: deque[tuple[float, int]] = deque()
+        self._sum = 0
+
+    def note(self, pieces: int, now: float) -> None:
+        """Note pieces that arrived at a monotonic time in seconds."""
+        self._arrived.append((now, pieces))
+        self._sum += pieces
+        self._forget(now)
+
+    def find_left(self, rate: float, now: float) -> float:
+        """Return the pieces a second that are left for all others.
+
+        :param rate: pieces a second that are made in all.
+        """
+        self._forget(now)
+        left = rate - self._sum / WINDOW_SECONDS
+        return max(left, rate * LEAST_PART)
+
+    def _forget(self, now: float) -> None:
+        while self._arrived and self._arrived[0][0] < now - WINDOW_SECONDS:
+            _, pieces = self._arrived.popleft()
+            self._sum -= pieces
--- a/galenaswitch/pipelines/tests/test_gathering.py
+++ b/galenaswitch/pipelines/tests/test_gathering.py
@@ -7,7 +7,7 @@
 from galenaswitch.gateway.calls import Piece
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.membership.lists import Target
-from galenaswitch.pipelines.demands import Demand
+from galenaswitch.pipelines.demands import Demand, Standing
 from galenaswitch.pipelines.gathering import Gathering, find_full_rate
 
 LIMITS = BatchLimits(
@@ -33,11 +33,12 @@
     start_by=1.0,
     deadline=5.0,
     priority=0,
+    **told,
 ):
     """Return a demand for some pieces."""
     pieces = [Piece(ident, 0, number, 'k', ()) for number in range(count)]
-    times = (start_by, deadline)
-    return Demand(ident, pieces, size, zone, *times, (), priority)
+    standing = Standing(start_by, deadline, priority, **told)
+    return Demand(ident, pieces, size, zone, standing)
 
 
 @pytest.fixture
@@ -149,6 +150,22 @@
     assert len(start_all(gathering)) == 1
 
 
+def test_target_takes_first_what_lies_in_its_zone(gathering):
+    far = make('far', 4, zone='z9', start_by=1.0)
+    near = make('near', 4, zone='z1', start_by=1.2)
+    add(gathering, far, near)
+    (call,) = start_all(gathering, targets=TARGETS[:1])
+    assert set(names(call)) == {'near'}
+
+
+def test_distance_does_not_outweigh_urgency(gathering):
+    far = make('far', 4, zone='z9', start_by=0.6)
+    near = make('near', 4, zone='z1', start_by=1.2)
+    add(gathering, far, near)
+    (call,) = start_all(gathering, targets=TARGETS[:1])
+    assert set(names(call)) == {'far'}
+
+
 def test_slow_target_is_left_out_while_others_suffice(gathering):
     gathering.worker(TARGETS[0]).slowness = 5
     add(gathering, make('r', 2))
@@ -171,6 +188,23 @@
     assert wait > late.deadline
 
 
+def test_request_that_is_late_elsewhere_goes_last(gathering):
+    """Burst through several stages: one stage knows for the next."""
+    known = make('known', 4, start_by=0.5, late=True)
+    add(gathering, known, make('fresh', 4, start_by=2.0))
+    (call,) = start_all(gathering, targets=TARGETS[:1])
+    assert set(names(call)) == {'fresh'}
+
+
+@pytest.mark.parametrize(('stages_left', 'late'), [(1, False), (3, True)])
+def test_stage_leaves_time_to_those_behind_it(gathering, stages_left, late):
+    """Pieces ahead are a wait for one stage, too long a one before three."""
+    add(gathering, *(make(f'r{n}', 4, start_by=0.85) for n in range(6)))
+    last = make('last', 4, start_by=0.9, stages_left=stages_left)
+    gathering.add('last', last, TARGETS, LIMITS, 0)
+    assert last.late == late
+
+
 def serve(demands, arrivals, late_goes_last, made=None):
     """Serve requests; return the waits of those made on time.
 
--- a/galenaswitch/platform/tests/test_gatherer.py
+++ b/galenaswitch/platform/tests/test_gatherer.py
@@ -186,3 +186,14 @@
     assert reply.handles
     assert count_calls(target) == 2
     assert old.missing == 1
+
+
+async def test_question_asked_again_replaces_the_one_that_waits(gather):
+    gatherer, target = await gather(MADE, MADE)
+    async with asyncio.timeout(1), asyncio.TaskGroup() as group:
+        first = group.create_task(gatherer.make(ask()))
+        await asyncio.sleep(0)
+        second = group.create_task(gatherer.make(ask()))
+    assert first.result().failure == 'replaced'
+    assert second.result().handles
+    assert gatherer.dump()['demands'] == 0
--- a/galenaswitch/platform/tests/test_stages.py
+++ b/galenaswitch/platform/tests/test_stages.py
@@ -6,6 +6,7 @@
 import pytest
 
 from galenaswitch.gateway.gatherer import Gatherer
+from galenaswitch.gateway.jobs import INPUT_READ_SECONDS
 from galenaswitch.gateway.places import PlaceHolder
 from galenaswitch.gateway.routes import (
     BatchLimits,
@@ -169,10 +170,12 @@
 
 async def test_results_are_given_up_before_a_slow_first_event(
     run_staged,
-    route,
+    make_route,
     writer,
     maker,
 ):
+    """Where results are large the maker needs the room at once."""
+
     async def answer_late(reader, target_writer):
         await engine.read_request(reader)
         await asyncio.wait_for(maker.freed.wait(), 5)
@@ -180,6 +183,36 @@
 
     engine = ScriptedTarget(answer_late)
     await engine.start()
-    await run_staged(route, engine)
+    large = StageSpec('intake', (), 6_000_000)
+    await run_staged(make_route(CallKind.stream, stages=(large,)), engine)
     await engine.stop()
     assert writer.finished
+
+
+async def test_results_are_kept_for_a_second_engine_while_there_is_room(
+    run_staged,
+    route,
+    writer,
+    maker,
+):
+    """A silent engine is given up after its results would have been read."""
+    freed = []
+
+    async def say_nothing(reader, target_writer):
+        await silent.read_request(reader)
+        await asyncio.sleep(INPUT_READ_SECONDS * 2)
+        freed.append(maker.freed.is_set())
+
+    async def answer(reader, target_writer):
+        await other.read_request(reader)
+        target_writer.write(stream([event(1)]))
+
+    silent, other = ScriptedTarget(say_nothing), ScriptedTarget(answer)
+    for engine in (silent, other):
+        await engine.start()
+    await run_staged(route, silent, other)
+    for engine in (silent, other):
+        await engine.stop()
+    assert writer.finished
+    assert not any(freed)
+    assert maker.made == 1
--- a/galenaswitch/refusals.py
+++ b/galenaswitch/refusals.py
@@ -92,6 +92,15 @@
 }
 
 
+def find_late_reason(run: Run) -> Reason:
+    """Return the reason of a refusal for want of time.
+
+    >>> find_late_reason(Run.not_run).value
+    'deadline-unreachable'
+    """
+    return Reason.hopeless if run is Run.not_run else Reason.deadline
+
+
 class RefusedError(GalenaError):
     """A request ends without a whole answer.
 
--- a/galenaswitch/routing/engines.py
+++ b/galenaswitch/routing/engines.py
@@ -195,7 +195,9 @@
         chain = make_chain(wanted.parts)
         engines = [
             (target, engine, engine.match(chain))
-            for target, engine in zip(able, map(self._engine, able), strict=True)
+            for target, engine in zip(
+                able, map(self._engine, able), strict=True
+            )
         ]
         most = max((held for _, _, held in engines), default=0)
         assigned = assign_engine(wanted.parts, able)
