--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 KEEP ?= 0
 WORKERS ?= 4
 
-.PHONY: setup demo test check bench clean
+.PHONY: setup demo test check bench soak clean
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -29,5 +29,8 @@
 bench: setup
 	$(BIN)/python -m bench
 
+soak: setup
+	$(BIN)/python -m galenaswitch.platform.soak
+
 clean:
 	rm -rf $(VENV) .demo
--- a/galenaswitch/pipelines/demands.py
+++ b/galenaswitch/pipelines/demands.py
@@ -9,7 +9,7 @@
 # Seconds by which a demand goes before one that is less urgent by one
 # priority and has to start at the same time. Waiting longer outweighs it, so
 # that no kind of request starves.
-PRIORITY_SECONDS = 0.2
+PRIORITY_SECONDS = 0.5
 # Seconds by which a demand goes before others at a target of the zone in
 # which its inputs lie: less than the time that requests have to spare.
 ZONE_SECONDS = 0.3
