Entries of machines that another writer left are skipped; newer fields are ignored

Cause: found by reading. An entry was taken as it stood in the store, so that a torn one could have text for its processor time, which the ranking of machines compares: each request would have failed. A field that a newer version adds made the entry unreadable during a rolling replacement.

Change: entries are checked like all other documents, fields that aren't known are left out. Tests failed before.

--- a/galenaswitch/gateway/learning.py
+++ b/galenaswitch/gateway/learning.py
@@ -9,6 +9,8 @@
 import time
 from typing import Any, Protocol
 
+from pydantic import TypeAdapter, ValidationError
+
 from galenaswitch.configuration.catalog import Catalog, Item
 from galenaswitch.configuration.relay import Relay
 from galenaswitch.errors import (
@@ -50,6 +52,9 @@
 SUSPENDED_SECONDS = 0.5
 
 
+_MACHINE = TypeAdapter(Machine)
+
+
 class Documents(Protocol):
     """Reads the platform's documents."""
 
@@ -277,7 +282,7 @@
     def _take_machines(self, listing: Listing) -> None:
         machines = []
         for stored in listing.objects:
-            machine = _read_machine(stored)
+            machine = read_machine(stored)
             if machine:
                 machines.append(machine)
         self._directory.take_machines(machines)
@@ -294,10 +299,16 @@
             drift = now
 
 
-def _read_machine(stored: StoredObject) -> Machine | None:
+def read_machine(stored: StoredObject) -> Machine | None:
+    """Read the entry of a VM; ``None`` when another writer left no such.
+
+    Fields that a newer version adds are ignored.
+    """
+    body = stored.body if isinstance(stored.body, dict) else {}
+    known = {name: body[name] for name in Machine._fields if name in body}
     try:
-        return Machine(**stored.body)
-    except TypeError as error:
+        return _MACHINE.validate_python(known)
+    except ValidationError as error:
         get_logger().info(
             'machine_unreadable',
             machine=stored.name,
--- a/galenaswitch/gateway/tests/test_learning.py
+++ b/galenaswitch/gateway/tests/test_learning.py
@@ -2,9 +2,14 @@
 
 import pytest
 
-from galenaswitch.gateway.learning import OTHER_WATCH_SECONDS, Learning
+from galenaswitch.gateway.learning import (
+    OTHER_WATCH_SECONDS,
+    Learning,
+    read_machine,
+)
 from galenaswitch.membership.directory import Directory
 from galenaswitch.membership.lists import Machine, Members
+from galenaswitch.store.client import StoredObject
 
 APPLY_SECONDS = 2.0
 
@@ -24,6 +29,38 @@
     return Learning(None, None, Directory(Members(), own), own, None)
 
 
+@pytest.fixture
+def body():
+    """Entry of a VM in the store."""
+    return Machine('b', 'z', '127.0.0.2', 1, cores=2.0)._asdict()
+
+
+def read(body):
+    """Read the entry of a VM."""
+    return read_machine(StoredObject('galena-vms', 'b', 3, body))
+
+
+def test_entry_of_a_machine_is_read(body):
+    assert read(body).cores == 2
+
+
+def test_fields_that_a_newer_version_adds_are_ignored(body):
+    assert read({**body, 'memory': 300}).name == 'b'
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [{'cores': 'many'}, {'cores': 0}, {'port': 'x'}, {'port': None}],
+)
+def test_torn_entry_of_a_machine_is_skipped(body, changes):
+    assert read({**body, **changes}) is None
+
+
+@pytest.mark.parametrize('body', [None, [], 'x', {}])
+def test_entry_of_another_form_is_skipped(body):
+    assert read(body) is None
+
+
 def test_who_passes_configuration_on_watches_for_less_than_its_bound(learning):
     """A watch that the store swallowed is missed until its end."""
     learning.share_through(Relay(relays=True))
