--- a/galenaswitch/pipelines/gathering.py
+++ b/galenaswitch/pipelines/gathering.py
@@ -73,7 +73,7 @@
         :returns: expected seconds until its pieces are made, and for one
             that goes behind others, those of the stages that are left.
         """
-        rate = self._rate.find(find_full_rate(len(targets), limits))
+        rate = self._find_rate(targets, limits)
         own = demand.rank(now)
         ahead = sum(
             len(other.unsent)
@@ -97,7 +97,7 @@
         limits: BatchLimits,
     ) -> float:
         """Return the seconds in which all that waits now can be made."""
-        rate = self._rate.find(find_full_rate(len(targets), limits))
+        rate = self._find_rate(targets, limits)
         return self.waiting() / rate
 
     def find_hopeless(
@@ -211,6 +211,14 @@
             'held_bytes': sum(one.held_bytes for one in self._workers.values()),
         }
 
+    def _find_rate(
+        self,
+        targets: Sequence[Target],
+        limits: BatchLimits,
+    ) -> float:
+        """Return the pieces a second that can be expected of targets."""
+        return self._rate.find(find_full_rate(len(targets), limits))
+
     def _find_late_wait(
         self,
         demand: Demand,
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -23,7 +23,6 @@
 from galenaswitch.gateway.handling import Gateway
 from galenaswitch.gateway.learning import Learning
 from galenaswitch.gateway.messages import (
-    HeldResults,
     PiecesCancel,
     PiecesQuestion,
     PiecesReply,
@@ -194,14 +193,10 @@
                 self._wire,
                 self.budgets,
                 self._tasks,
-                self.give_up,
+                self.stages.release,
             )
         return self._gatherers[service]
 
-    def give_up(self, held: HeldResults) -> None:
-        """Release results that pieces have read."""
-        self.stages.release(held)
-
     def find_holder(self, service: str) -> PlaceHolder:
         """Return this VM's places on the engines of a service."""
         if service not in self._holders:
--- a/galenaswitch/routing/engines.py
+++ b/galenaswitch/routing/engines.py
@@ -70,11 +70,6 @@
     start_in: float
     avoided: tuple[str, ...] = ()
 
-    @property
-    def all_bytes(self) -> int:
-        """Size of all stage results."""
-        return sum(self.result_bytes.values())
-
 
 class Placement(NamedTuple):
     """The engine for a request.
@@ -96,7 +91,6 @@
         self.placement = placement
         self.size = size
         self.placed_at = now
-        self.first_at: float | None = None
 
 
 class Engine:
@@ -123,11 +117,15 @@
         self._unread[ident] = one
         self._unread_tokens += one.placement.new_tokens
 
-    def note_read(self, ident: str) -> None:
-        """Note that the prompt of a request has been read."""
+    def note_read(self, ident: str) -> bool:
+        """Note that the prompt of a request has been read.
+
+        :returns: whether it had not been read before.
+        """
         one = self._unread.pop(ident, None)
         if one:
             self._unread_tokens -= one.placement.new_tokens
+        return one is not None
 
     def end(self, ident: str) -> None:
         """Note that a request is here no more."""
@@ -201,6 +199,7 @@
         ]
         most = max((held for _, _, held in engines), default=0)
         assigned = assign_engine(wanted.parts, able)
+        result_bytes = sum(wanted.result_bytes.values())
         best: tuple[float, Placement] | None = None
         for target, engine, held in engines:
             if target.name not in kept or not _has_room(engine, wanted, limits):
@@ -211,6 +210,7 @@
                 wanted,
                 held,
                 most,
+                result_bytes,
                 now,
             )
             if target is not assigned:
@@ -228,9 +228,7 @@
         if engine is None:
             return
         one = engine.running[ident]
-        if one.first_at is None:
-            one.first_at = now
-            engine.note_read(ident)
+        if engine.note_read(ident):
             self._learn(engine, one, now - one.placed_at)
 
     def note_end(self, ident: str) -> None:
@@ -262,6 +260,7 @@
         wanted: PlaceRequest,
         held: int,
         most: int,
+        result_bytes: int,
         now: float,
     ) -> tuple[float, Placement]:
         new = max(1, wanted.prompt_tokens - held)
@@ -271,7 +270,7 @@
         )
         step = len(engine.running) * RUNNING_SECONDS * engine.slowness
         first = BASE_SECONDS * engine.slowness + waiting + reading + step
-        elsewhere = wanted.all_bytes - wanted.result_bytes.get(target.zone, 0)
+        elsewhere = result_bytes - wanted.result_bytes.get(target.zone, 0)
         crossing = elsewhere / MEGABYTE * CROSSING_SECONDS_PER_MB
         again = (most - held) / self._rate * READ_AGAIN_WEIGHT
         late = first > wanted.start_in - LATE_MARGIN_SECONDS
