streams: log prompt parts, sends and incarnation of failed attempts

What callers saw: answers cut off or 502 while engines of one service ended one after the other. Three causes fit: repeats of ours, repeats of callers, new requests with a common prompt part. attempt_failed could not tell them apart.

Change: the line of a stream names the parts that other requests may share, how often the request has been sent and the incarnation of the target. No logic changes.

--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -49,6 +49,14 @@
     work_item_key: str = ''
     last_event: str = ''
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt parts that other requests may share.
+
+        The last part belongs to the request itself or to its session.
+        """
+        return tuple(part.ident for part in self.prompt_parts[:-1])
+
 
 class CallerRequest(NamedTuple):
     """Request of a caller that passed its checks.
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -318,6 +318,9 @@
             reason=str(error),
             last_event=job.events.last_id,
             left=round(job.left, 3),
+            sent=job.sent,
+            incarnation=target.incarnation,
+            parts=job.request.fields.shared_parts,
         )
         if job.left <= 0:
             raise RefusedError(find_timeout_reason(job.run), job.run)
