--- a/galenaswitch/platform/soak/faults.py
+++ b/galenaswitch/platform/soak/faults.py
@@ -205,11 +205,7 @@
 
     async def _crash(self, fault: Fault) -> None:
         """Reset a target's connections and restart it without a notice."""
-        target = self._subjects.runners[fault.subject]
-        target.proxy.change_mode('reset')
-        target.restart()
-        await asyncio.sleep(fault.seconds)
-        target.proxy.change_mode('well')
+        await self._subjects.runners[fault.subject].crash(fault.seconds)
 
     async def _leave(self, fault: Fault) -> None:
         """Restart a target after a leaving notice, during which it serves."""
--- a/galenaswitch/platform/soak/proxy.py
+++ b/galenaswitch/platform/soak/proxy.py
@@ -39,6 +39,13 @@
         listen_address = self._server.sockets[0].getsockname()
         self.address = f'{listen_address[0]}:{listen_address[1]}'
 
+    async def go_down(self, seconds: float) -> None:
+        """Reset all connections and refuse new ones for a time."""
+        await self.stop()
+        await asyncio.sleep(seconds)
+        host, _, port = self.address.rpartition(':')
+        await self.start(host, int(port))
+
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
         if self._server:
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -30,6 +30,8 @@
 PARTIAL_EVENT_BYTES = 7
 NOT_RUN_HEADERS = {'X-Not-Executed': '1'}
 SLOW_FACTOR = 6.0
+# Time for which a target is down after a request has ended it.
+CRASH_SECONDS = 0.6
 # One of this many requests of a target fails in the modes errors, hang and cut.
 FAILURE_INTERVAL = 3
 # Attempt id, stage and work item number of each stored result, by its handle.
@@ -45,6 +47,8 @@
     :ivar state: state in the target's document, ``ready`` or ``draining``.
     :ivar name: name of the target, which changes with each restart.
     :ivar born: time of the last restart in milliseconds.
+    :ivar harmful_part: id of the prompt part that ends the target when it
+        begins to answer, empty for none.
     """
 
     def __init__(
@@ -68,6 +72,8 @@
         self.zone = zone
         self.mode = 'well'
         self.state = 'ready'
+        self.harmful_part = ''
+        self._crash: asyncio.Task[None] | None = None
         self.address = ('', 0)
         self.proxy = Proxy(lambda: self.address)
         self._records = records
@@ -106,6 +112,11 @@
         await self.proxy.start(host)
         return serving
 
+    async def crash(self, seconds: float) -> None:
+        """End without a notice, and start again after a time."""
+        self.restart()
+        await self.proxy.go_down(seconds)
+
     async def register(self, store: FakeStore) -> None:
         """Keep the target's document in the store current until cancelled."""
         registered_name = ''
@@ -209,6 +220,11 @@
     ) -> web.StreamResponse:
         """Send a stream with the number of events that the path names."""
         count = int(request.path.rstrip('/').rpartition('/')[2])
+        if self._is_harmful(request):
+            await asyncio.sleep(EVENT_GAP_SECONDS)
+            # The crash cancels this handler, so it runs in a task of its own.
+            self._crash = asyncio.create_task(self.crash(CRASH_SECONDS))
+            await asyncio.shield(self._crash)
         answer = web.StreamResponse(headers=headers)
         answer.content_type = 'text/event-stream'
         await answer.prepare(request)
@@ -224,6 +240,10 @@
         await answer.write_eof()
         return answer
 
+    def _is_harmful(self, request: web.Request) -> bool:
+        prompt = request.headers.get('X-Prompt-Prefix', '')
+        return bool(self.harmful_part) and f'{self.harmful_part}:' in prompt
+
     def _has_lost_inputs(self, ident: str, field: str) -> bool:
         """Tell whether inputs are lost; if not, record which were read."""
         handles = [handle for handle in field.split(',') if handle]
