Quarantine prompt parts whose requests end the engines that answer them

Cause: health belonged to targets only. A request that ended its engine left no trace, so the next request with the same prompt part went to the next healthy engine as if nothing had happened. Class: a re-route that carries one caller's fault to healthy targets (query of death).

Ruled out by attempt_failed with the parts of the prompt: repeats of our own as the main path (1 of 160 and 8 of 232 broken requests were sent twice), repeats of callers (not needed: at each of 42 crashes one part was in a prompt that had been sent once). No request with such a part ever got an event, so the first event of an answer clears a part.

Change: a broken request without an event makes its VM check whether the target still accepts connections; if not, all shared parts of such requests are implicated. VMs exchange crashes and answers; a part with three crashes and no answer between them (five if it had answers before) is quarantined: refused at once with 503 before its stages run, recorded in the store for VMs that are cut off or start later, tried again with one request after 5, 20 and 80 s, each trial claimed by a conditional write. The first answer, or an operator who deletes the record, ends it.

Why it works: a harmful part is implicated at every crash that it causes and never cleared, a part that sound requests use is cleared by each of their first events. What keeps VMs together needs no owner: evidence merges in any order.

Evidence: test_harmful_prompt_part_stops_reaching_engines failed before (40 requests past the bound, 3 allowed) and passes.

--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -27,6 +27,9 @@
 # Longest time in seconds for opening a connection to a target. Targets are in
 # the platform's own network.
 CONNECT_TIMEOUT_SECONDS = 0.6
+# Time for which a target must keep a new connection open to count as alive. A
+# proxy in front of a dead target accepts connections and closes them at once.
+LISTENING_CHECK_SECONDS = 0.05
 # Unread response bytes above which reading from the target is paused.
 MAX_UNREAD_BYTES = 262_144
 # Seconds that an idle connection is kept when the target's response has no
@@ -291,6 +294,17 @@
         while len(idle) > MAX_IDLE_PER_TARGET:
             idle.popleft().close()
 
+    async def is_listening(self, address: str) -> bool:
+        """Tell whether a target accepts a connection and keeps it open."""
+        try:
+            connection = await self._open(address)
+        except TargetUnreachableError:
+            return False
+        await asyncio.sleep(LISTENING_CHECK_SECONDS)
+        is_open = connection.reusable
+        self.release(connection)
+        return is_open
+
     def close_expired(self) -> None:
         """Close all connections that exceed their idle timeout."""
         now = asyncio.get_running_loop().time()
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -43,12 +43,18 @@
         self.owner = ''
         self.has_first_event = False
         self.placement_requested_at = 0.0
+        self.trial_part = ''
 
     @property
     def run(self) -> ExecutionState:
         """Whether an engine may have run the request, for a refusal."""
         return ExecutionState.unknown if self.sent else ExecutionState.not_run
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Ids of the prompt parts that other requests may share."""
+        return self.request.fields.shared_parts
+
     @property
     def left(self) -> float:
         """Seconds until the deadline of the request."""
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -41,6 +41,7 @@
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
+from galenaswitch.quarantine.containment import Containment
 from galenaswitch.refusals import Reason, RefusedError, find_timeout_reason
 
 # Longest idle time in seconds of a connection that is reused for a request to
@@ -70,11 +71,14 @@
         owner_router: OwnerRouter,
         stages: StageRunner,
         find_scheduler: Callable[[str], PlacementScheduler],
+        containment: Containment,
     ) -> None:
         """Build a runner that requests placements through ``owner_router``.
 
         :param find_scheduler: returns this VM's scheduler of a service.
+        :param containment: refuses requests with harmful prompt parts.
         """
+        self._containment = containment
         self._members = members
         self._sender = sender
         self._wire = wire
@@ -121,6 +125,7 @@
         self._find_scheduler(message.service).record_end(message)
 
     async def _generate(self, job: StreamJob) -> None:
+        job.trial_part = await self._containment.admit(job.parts)
         while True:
             if job.stages is None:
                 await self._run_stages(job)
@@ -130,6 +135,7 @@
                 await self._attempt(job, target)
             except TargetError as error:
                 failed = not isinstance(error, TargetBusyError)
+                await self._examine_failure(job, target, error)
                 self._check_retry(job, target, error)
             else:
                 return
@@ -194,6 +200,7 @@
         )
 
     async def _attempt(self, job: StreamJob, target: Target) -> None:
+        self._containment.check(job.parts, job.trial_part, job.run)
         job.tried_targets.append(target.name)
         head = self._wire.make_request(
             job.request,
@@ -271,6 +278,7 @@
         if job.has_first_event:
             return
         job.has_first_event = True
+        self._containment.record_answer(job.parts)
         now = time.monotonic()
         get_logger().info(
             'first_event',
@@ -294,6 +302,18 @@
         message = PlaceEnd(request.service, request.ident, target.name, failed)
         self._owner_router.notify(job.owner, message, self.receive_end)
 
+    async def _examine_failure(
+        self,
+        job: StreamJob,
+        target: Target,
+        error: TargetError,
+    ) -> None:
+        """Find out whether a request may have ended its target."""
+        if isinstance(error, TargetBrokenError) and not job.has_first_event:
+            await self._containment.record_broken(
+                target, job.request.ident, job.parts
+            )
+
     def _check_retry(
         self,
         job: StreamJob,
@@ -343,6 +363,8 @@
             return False
         if isinstance(error, TargetUnreachableError):
             return True
+        if not known_not_run and not self._containment.may_repeat(job.parts):
+            return False
         return self._budgets.of(job.request.service).acquire(time.monotonic())
 
 
--- /dev/null
+++ b/galenaswitch/gateway/vocabulary.py
@@ -0,0 +1,46 @@
+"""Message types that the edge processes of all VMs exchange."""
+
+from galenaswitch.configuration.messages import Digest, Items, Versions
+from galenaswitch.gateway.messages import (
+    PiecesCancel,
+    PiecesQuestion,
+    PiecesReply,
+    PlaceEnd,
+    PlaceFirst,
+    PlaceQuestion,
+    PlaceReply,
+    ReleaseNote,
+)
+from galenaswitch.membership.frames import Vocabulary
+from galenaswitch.membership.lists import MemberList
+from galenaswitch.membership.mesh import Leaving, Ping, Pong
+from galenaswitch.membership.messages import ListQuestion
+from galenaswitch.quarantine.messages import (
+    CrashReport,
+    EvidenceQuery,
+    EvidenceReply,
+    PartAnswered,
+)
+
+VOCABULARY = Vocabulary(
+    CrashReport,
+    Digest,
+    EvidenceQuery,
+    EvidenceReply,
+    Items,
+    Leaving,
+    ListQuestion,
+    MemberList,
+    PartAnswered,
+    PiecesCancel,
+    PiecesQuestion,
+    PiecesReply,
+    Ping,
+    PlaceEnd,
+    PlaceFirst,
+    PlaceQuestion,
+    PlaceReply,
+    Pong,
+    ReleaseNote,
+    Versions,
+)
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from unittest.mock import AsyncMock, Mock
 
 import pytest
 
@@ -24,7 +25,12 @@
 from galenaswitch.gateway.sending import Sender
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import MemberList, Members, Target
+from galenaswitch.membership.mesh import Mesh
+from galenaswitch.operations.metrics import LocalMetrics
+from galenaswitch.operations.process import TaskGroup
 from galenaswitch.platform.headers import PlatformWire
+from galenaswitch.platform.objects import PlatformStore
+from galenaswitch.quarantine.containment import Containment
 from galenaswitch.routing.choice import LeastOutstanding
 from galenaswitch.routing.loads import LoadView
 
@@ -299,6 +305,18 @@
     return make
 
 
+@pytest.fixture
+async def containment(sender):
+    """Return the containment of a VM without peers and without a store."""
+    tasks = TaskGroup()
+    mesh = Mock(spec=Mesh, node='a', zone='z')
+    store = AsyncMock(spec=PlatformStore)
+    yield Containment(
+        store, mesh, tasks, LocalMetrics(), sender._pool.is_listening
+    )
+    await tasks.stop()
+
+
 @pytest.fixture
 def make_answer():
     """Return a function that makes the bytes of a target's answer."""
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from functools import partial
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any
 
 import defopt
 
@@ -27,11 +27,9 @@
 from galenaswitch.gateway.messages import (
     PiecesCancel,
     PiecesQuestion,
-    PiecesReply,
     PlaceEnd,
     PlaceFirst,
     PlaceQuestion,
-    PlaceReply,
     ReleaseNote,
 )
 from galenaswitch.gateway.owners import OwnerRouter
@@ -43,12 +41,12 @@
 from galenaswitch.gateway.stages import StageRunner
 from galenaswitch.gateway.state_sync import StateSync
 from galenaswitch.gateway.streams import StreamRunner
+from galenaswitch.gateway.vocabulary import VOCABULARY
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.directory import Directory
-from galenaswitch.membership.frames import Vocabulary
 from galenaswitch.membership.links import Identity, Link, LinkService, listen
 from galenaswitch.membership.lists import Machine, MemberList, Members
-from galenaswitch.membership.mesh import Leaving, Mesh, Ping, Pong
+from galenaswitch.membership.mesh import Leaving, Mesh, Ping
 from galenaswitch.membership.messages import ListQuestion
 from galenaswitch.operations.exposition import serve_metrics
 from galenaswitch.operations.logs import configure_logs, get_logger
@@ -69,6 +67,7 @@
     find_settings_path,
     load_vm_settings,
 )
+from galenaswitch.quarantine.containment import Containment
 from galenaswitch.routing.choice import LeastOutstanding
 from galenaswitch.routing.loads import LoadView
 
@@ -84,26 +83,6 @@
 # Port of the metrics endpoint; the deploy file names the same port.
 METRICS_PORT = 9464
 
-VOCABULARY = Vocabulary(
-    Digest,
-    Items,
-    Leaving,
-    ListQuestion,
-    MemberList,
-    PiecesCancel,
-    PiecesQuestion,
-    PiecesReply,
-    Ping,
-    PlaceEnd,
-    PlaceFirst,
-    PlaceQuestion,
-    PlaceReply,
-    Pong,
-    ReleaseNote,
-    Versions,
-)
-Opened = TypeVar('Opened')
-
 
 class Edge:
     """Connects the components of the edge process of one VM."""
@@ -144,6 +123,9 @@
             settings.bounds.retry_slack,
             settings.bounds.retry_window,
         )
+        self.containment = Containment(
+            store, self.mesh, tasks, self.metrics, self.pool.is_listening
+        )
         self._batchers: dict[str, Batcher] = {}
         self._schedulers: dict[str, PlacementScheduler] = {}
         self._wire = PlatformWire()
@@ -164,6 +146,7 @@
             self._owner_router,
             self.stages,
             self.find_scheduler,
+            self.containment,
         )
         self.gateway = self._make_gateway()
         self.callers = Listener(self.gateway, self.find_inbound_limits)
@@ -230,6 +213,7 @@
     def start(self) -> None:
         """Start the background tasks that sync state with store and peers."""
         self.state_sync.start()
+        self.containment.start()
         self._tasks.start_critical(self.mesh.maintain_links())
         self._tasks.start_critical(self.relay.repair())
         self._tasks.start(
@@ -297,6 +281,7 @@
     def _on_link_open(self, link: Link) -> None:
         self._tasks.start(self._owner_router.on_link_open(link))
         self._tasks.start(self.relay.on_link_open(link))
+        self._tasks.start(self.containment.exchange.on_link_open(link))
 
     def _find_route_table(self) -> RouteTable:
         return self.state_sync.route_table.current
@@ -335,6 +320,7 @@
             ReleaseNote: lambda link, note: self.stages.receive_release(note),
             Versions: self.relay.answer_versions,
         }
+        handlers |= self.containment.exchange.handlers()
         self.service.handlers.update(handlers)  # type: ignore[attr-defined]
 
     def _make_gateway(self) -> Gateway:
--- /dev/null
+++ b/galenaswitch/quarantine/messages.py
@@ -0,0 +1,52 @@
+"""Messages between VMs about crashes of targets and prompt parts.
+
+Times in messages are ages in seconds, never clock times.
+"""
+
+from typing import NamedTuple
+
+
+class ImplicatedPart(NamedTuple):
+    """Prompt part of a request that had no answer when its target crashed.
+
+    :param position: number of parts before it in the prompt.
+    :param answered: whether the reporting VM has seen an answer begin on the
+        part in the last minutes before the crash.
+    """
+
+    ident: str
+    position: int
+    answered: bool
+
+
+class CrashReport(NamedTuple):
+    """Notifies VMs of the parts that one crash implicates, as one VM saw it.
+
+    :param incarnation: incarnation of the target that crashed.
+    :param age: seconds since the crash.
+    """
+
+    incarnation: str
+    parts: tuple[ImplicatedPart, ...]
+    age: float
+
+
+class PartAnswered(NamedTuple):
+    """Notifies VMs that an answer has begun on an implicated part.
+
+    :param age: seconds since the answer began.
+    """
+
+    part: str
+    age: float
+
+
+class EvidenceQuery(NamedTuple):
+    """Query for the evidence that another VM has."""
+
+
+class EvidenceReply(NamedTuple):
+    """Reply with all evidence of a VM."""
+
+    crashes: tuple[CrashReport, ...]
+    answers: tuple[PartAnswered, ...]
--- a/galenaswitch/refusals.py
+++ b/galenaswitch/refusals.py
@@ -53,6 +53,7 @@
     deadline_unreachable = 'deadline-unreachable'
     no_target = 'no-target'
     not_ready = 'not-ready'
+    quarantined = 'prompt-part-quarantined'
     claims_unreachable = 'claims-unreachable'
     claims_full = 'claims-full'
     key_required = 'idempotency-key-invalid'
@@ -87,6 +88,7 @@
     ),
     Reason.no_target: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 2),
     Reason.not_ready: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 2),
+    Reason.quarantined: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 60),
     Reason.claims_unreachable: RefusalResponse(
         HTTPStatus.SERVICE_UNAVAILABLE, 5
     ),
