--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -115,6 +115,8 @@
     :param misdirected: whether the address belongs to another target now.
     :param inputs_lost: whether stage results that the request reads are lost.
     :param load: load of the target, ``None`` when not sent.
+    :param rate_limit: requests per second that the target takes from all VMs
+        together, ``None`` when not sent.
     """
 
     status: int
@@ -124,6 +126,7 @@
     misdirected: bool
     inputs_lost: bool
     load: Load | None
+    rate_limit: float | None = None
 
 
 class WorkItem(NamedTuple):
@@ -198,6 +201,12 @@
     def read_load(self, head: AnswerHead) -> Load | None:
         """Decode the load in an answer, ``None`` when not sent."""
 
+    def read_rate_limit(self, head: AnswerHead) -> float | None:
+        """Decode the requests per second that a target takes from all VMs.
+
+        :returns: ``None`` when not sent.
+        """
+
     def is_not_run(self, head: AnswerHead) -> bool:
         """Tell whether an answer states that the target ran nothing."""
 
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -150,6 +150,7 @@
             misdirected=head.status == MISDIRECTED,
             inputs_lost=head.status == CONFLICT and self.is_not_run(head),
             load=self.read_load(head),
+            rate_limit=self.read_rate_limit(head),
         )
 
     def read_load(self, head: AnswerHead) -> Load | None:
@@ -159,6 +160,13 @@
         )
         return Load(*counts) if len(counts) == len(Load._fields) else None
 
+    def read_rate_limit(self, head: AnswerHead) -> float | None:
+        """Decode the requests per second that a target takes from all VMs.
+
+        :returns: ``None`` when not sent.
+        """
+        return _read_decimal(find_header_text(head.headers, b'server-limit'))
+
     def is_not_run(self, head: AnswerHead) -> bool:
         """Tell whether an answer states that the target ran nothing."""
         has_header = bool(find_header_values(head.headers, _NOT_RUN_HEADER))
@@ -288,6 +296,17 @@
     return int(field) / MILLISECONDS if field.isdecimal() else None
 
 
+def _read_decimal(field: str) -> float | None:
+    """Decode a decimal number that isn't negative, ``None`` if malformed.
+
+    >>> _read_decimal('1.5'), _read_decimal('nan'), _read_decimal('')
+    (1.5, None, None)
+    """
+    whole, _, fraction = field.strip().partition('.')
+    is_decimal = whole.isdecimal() and (fraction or '0').isdecimal()
+    return float(field) if is_decimal and field.isascii() else None
+
+
 def _read_integers(field: str) -> tuple[int, ...]:
     """Decode a comma-separated list of integers, empty when one is malformed.
 
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -49,6 +49,8 @@
     :ivar born: time of the last restart in milliseconds.
     :ivar harmful_part: id of the prompt part that ends the target when it
         begins to answer, empty for none.
+    :ivar rate_limit: limit in requests per second that the answers name, 0
+        for none.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.mode = 'well'
         self.state = 'ready'
         self.harmful_part = ''
+        self.rate_limit = 0.0
         self._crash: asyncio.Task[None] | None = None
         self.address = ('', 0)
         self.proxy = Proxy(lambda: self.address)
@@ -189,7 +192,11 @@
                 after,
             ),
         )
-        headers = {'X-Attempt-Id': ident, 'X-Server-Seal': f'{self.name}.1'}
+        headers = {
+            'X-Attempt-Id': ident,
+            'X-Server-Seal': f'{self.name}.1',
+            **self._make_limit_header(),
+        }
         should_fail = self._should_fail()
         if should_fail and self.mode == 'errors':
             return web.Response(
@@ -240,6 +247,9 @@
         await answer.write_eof()
         return answer
 
+    def _make_limit_header(self) -> dict[str, str]:
+        return {'Server-Limit': str(self.rate_limit)} if self.rate_limit else {}
+
     def _is_harmful(self, request: web.Request) -> bool:
         prompt = request.headers.get('X-Prompt-Prefix', '')
         return bool(self.harmful_part) and f'{self.harmful_part}:' in prompt
@@ -268,7 +278,7 @@
             seconds = BATCH_OVERHEAD_SECONDS + WORK_ITEM_SECONDS * len(items)
             await asyncio.sleep(self._scale_seconds(seconds))
             outcomes = [self._run_work_item(item) for item in items]
-        headers = {'X-Server-Load': '1,0,1'}
+        headers = {'X-Server-Load': '1,0,1', **self._make_limit_header()}
         return web.json_response({'items': outcomes}, headers=headers)
 
     def _run_work_item(self, item: Document) -> Document:
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -3,10 +3,14 @@
 The gateway runs in one process with scripted targets.
 """
 
+import secrets
 import time
+from typing import NamedTuple
 from unittest.mock import AsyncMock, Mock
 
+import aiohttp
 import pytest
+from yarl import URL
 
 from galenaswitch.connections.heads import RequestHead
 from galenaswitch.connections.outbound import ConnectionPool
@@ -30,6 +34,9 @@
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.platform.headers import PlatformWire
 from galenaswitch.platform.objects import PlatformStore
+from galenaswitch.platform.soak.callers import API_KEY as SOAK_KEY
+from galenaswitch.platform.soak.callers import HOST
+from galenaswitch.platform.soak.soak import Plan, Soak
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.routing.choice import LeastOutstanding
 from galenaswitch.routing.loads import LoadView
@@ -334,3 +341,71 @@
 def kinds():
     """Return the kinds of requests that a route may have."""
     return CallKind
+
+
+class Sent(NamedTuple):
+    """Request that a driver sent.
+
+    :param sent_at: seconds since the start of the soak.
+    :param status: status of a complete answer, 0 for none.
+    """
+
+    ident: str
+    sent_at: float
+    status: int
+    seconds: float
+
+
+class SoakDriver:
+    """Sends requests of a test to the machines of a soak in turn."""
+
+    def __init__(self, soak, session):
+        """Send to the machines of a running soak without callers."""
+        self.soak = soak
+        self._session = session
+        self._turn = 0
+
+    async def send(self, route, *parts):
+        """Send a request with shared prompt parts."""
+        machines = self.soak._machines
+        machine = machines[self._turn % len(machines)]
+        self._turn += 1
+        ident = secrets.token_hex(8)
+        headers = {
+            'Host': HOST,
+            'X-Attempt-Id': ident,
+            'X-Deadline-Ms': '3000',
+            'Authorization': f'Bearer {SOAK_KEY}',
+            'X-Token-Usage': '150,10',
+            'X-Prompt-Prefix': ','.join(f'{one}:50' for one in (*parts, ident)),
+        }
+        url = URL(f'http://{machine.callers}/{route}/3', encoded=True)
+        sent_at = self.soak._now()
+        status = 0
+        try:
+            async with self._session.post(
+                url, headers=headers, data=b'x'
+            ) as answer:
+                await answer.read()
+                status = answer.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            status = 0
+        return Sent(ident, sent_at, status, self.soak._now() - sent_at)
+
+
+@pytest.fixture
+async def open_driver(tmp_path):
+    """Return a function that starts the processes of a soak and a driver."""
+    opened = []
+
+    async def start(network):
+        soak = Soak(Plan(1, network=network), tmp_path)
+        session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=4))
+        opened.append((soak, session))
+        await soak.open()
+        return SoakDriver(soak, session)
+
+    yield start
+    for soak, session in opened:
+        await session.close()
+        await soak.close()
