--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -19,11 +19,8 @@
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.routing.ejection import Ejector
-from galenaswitch.routing.engines import (
-    EnginePlacements,
-    Placement,
-    PlacementRequest,
-)
+from galenaswitch.routing.engine_states import Placement
+from galenaswitch.routing.engines import EnginePlacements, PlacementRequest
 
 # Longest time in seconds between two placement attempts of a waiting request.
 # A change in placements starts an attempt earlier.
