Keep the limits that targets name: turns given out by the owner of a service

What callers saw: engines and bookings in need named one or two requests a second and got up to 23 in 4 s where 11 are allowed; who came after waited.

Cause: nothing read the field. Class: a limit for all that each member keeps for itself, or not at all; a share of one or two a second is less than a request in five seconds on six VMs, so it can't be divided in advance.

Change: Sender passes the limit in each answer to work to Turns, which tells the other VMs of changes. The owner of a service gives out turns with a generic cell rate algorithm: as part of a placement or a batch, which it decides anyway, or for a query of the VM that would send to a limited target of a plain service. Targets with room come first. A request without a turn in time is refused at once with the time of the next turn. Mesh.spread floods news for turns and for evidence alike.

Why it works: one place counts all sends of a service, first ones, repeats, resumed streams and batches, and the limits are known wherever the owner goes. A change of owner adds two requests at one moment at most, within what a target tolerates.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -46,9 +46,6 @@
 # Timeout of a batch: its expected seconds times the factor, plus the margin.
 TIMEOUT_FACTOR = 2.5
 TIMEOUT_MARGIN_SECONDS = 0.3
-# A pending stage fails once its retries reach this number for each missing
-# result, plus this number once more.
-RETRIES_PER_RESULT = 3
 # Seconds between two searches for free targets while work items are queued.
 POLL_SECONDS = 0.05
 # Seconds for which a target with full result memory gets no batches.
@@ -212,6 +209,7 @@
             self._tasks.start(self._run_batch(batch, limits))
             target_state = self._batch_queue.target_state(batch.target)
             self._inputs.watch(batch, target_state)
+            target_state.pause_until(self._sender.turns.take(batch.target))
         if self._batch_queue.waiting():
             loop = asyncio.get_running_loop()
             self._dispatch_timer = loop.call_later(POLL_SECONDS, self._dispatch)
@@ -281,7 +279,7 @@
         head, body = self._wire.make_batch(work_items, left, batch.target)
         seconds = batch.expected * TIMEOUT_FACTOR + TIMEOUT_MARGIN_SECONDS
         async with self._sender.send(
-            batch.target.url, head, body, MAX_IDLE_SECONDS
+            batch.target, head, body, MAX_IDLE_SECONDS
         ) as attempt:
             answer = await attempt.read_head(seconds)
             content = await attempt.read_complete(seconds)
@@ -388,9 +386,7 @@
             return False
         if failure == _NO_MEMORY:
             return True
-        if pending.retries >= RETRIES_PER_RESULT * (
-            pending.missing_results + 1
-        ):
+        if not pending.has_retries_left:
             return False
         return self._budgets.of(self._service).acquire(now)
 
--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -115,8 +115,6 @@
     :param misdirected: whether the address belongs to another target now.
     :param inputs_lost: whether stage results that the request reads are lost.
     :param load: load of the target, ``None`` when not sent.
-    :param rate_limit: requests per second that the target takes from all VMs
-        together, ``None`` when not sent.
     """
 
     status: int
@@ -126,7 +124,6 @@
     misdirected: bool
     inputs_lost: bool
     load: Load | None
-    rate_limit: float | None = None
 
 
 class WorkItem(NamedTuple):
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -1,4 +1,4 @@
-"""Messages between VMs about engine placements and work items.
+"""Messages between VMs about placements, work items and turns at targets.
 
 Times in messages are seconds left, never clock times.
 """
@@ -135,3 +135,46 @@
 
     service: str
     ident: str
+
+
+class TargetLimit(NamedTuple):
+    """Notifies VMs of the limit that a target has named or withdrawn.
+
+    :param rate: requests per second for all VMs together, 0 for no limit.
+    """
+
+    incarnation: str
+    rate: float
+
+
+class LimitsQuery(NamedTuple):
+    """Query for the limits that another VM knows."""
+
+
+class LimitsReply(NamedTuple):
+    """Reply with all limits that a VM knows."""
+
+    limits: tuple[TargetLimit, ...]
+
+
+class TurnQuery(NamedTuple):
+    """Query for a turn at one of several targets with limits.
+
+    :param incarnations: incarnations of the targets, the preferred one first.
+    :param max_wait: longest useful wait for a turn in seconds.
+    """
+
+    service: str
+    incarnations: tuple[str, ...]
+    max_wait: float
+
+
+class TurnReply(NamedTuple):
+    """Reply with a turn.
+
+    :param incarnation: target of the turn, empty when none is near enough.
+    :param wait: seconds until the turn, or until the next turn of any target.
+    """
+
+    incarnation: str
+    wait: float
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -16,6 +16,7 @@
     PlaceReply,
 )
 from galenaswitch.gateway.routes import EngineLimits
+from galenaswitch.limits.pacing import Pacer
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.routing.ejection import Ejector
@@ -40,12 +41,15 @@
         service: str,
         find_limits: Callable[[str], EngineLimits | None],
         members: Members,
+        pacer: Pacer,
     ) -> None:
         """Build a scheduler for the ``members`` that serve ``service``.
 
         :param find_limits: returns the engine limits of a service, ``None``
             when the configuration has none.
+        :param pacer: turns at engines that have named a limit.
         """
+        self._pacer = pacer
         self._service = service
         self._find_limits = find_limits
         self._members = members
@@ -63,6 +67,9 @@
         now = time.monotonic()
         wait_deadline = now + query.left - MIN_RUN_SECONDS
         self._drop_expired(now)
+        excess = self._estimate_wait(query, now) - query.left
+        if excess > 0:
+            return PlaceReply('', max(excess, RETRY_AFTER_SECONDS))
         self._waiting[query.ident] = (
             query.start_in < 0,
             query.priority,
@@ -133,12 +140,37 @@
         first = min(self._waiting.values())
         if limits is None or self._waiting[query.ident] > first:
             return None
-        return self._placements.place(
-            _make_placement_request(query),
-            self._members.usable(self._service),
-            limits,
-            time.monotonic(),
+        now = time.monotonic()
+        targets = self._members.usable(self._service)
+        without_turn = frozenset(
+            target.name
+            for target in targets
+            if self._pacer.find_wait(target.incarnation, now)
+        )
+        placement = self._placements.place(
+            _make_placement_request(query), targets, limits, now, without_turn
+        )
+        if placement:
+            self._pacer.take(placement.target.incarnation, now)
+        return placement
+
+    def _estimate_wait(self, query: PlaceQuestion, now: float) -> float:
+        """Return the seconds until an engine's limit leaves a turn.
+
+        It is 0 as long as one engine has no limit.
+        """
+        incarnations = [
+            target.incarnation
+            for target in self._members.usable(self._service)
+            if target.name not in query.avoided
+        ]
+        rates = [self._pacer.rates.get(one) for one in incarnations]
+        if not rates or None in rates:
+            return 0
+        first_turn = min(
+            self._pacer.find_wait(one, now) for one in incarnations
         )
+        return first_turn + len(self._waiting) / sum(filter(None, rates))
 
     def _notify_waiting(self) -> None:
         self._changed.set()
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -5,7 +5,9 @@
 the service limits the retries.
 """
 
+import asyncio
 import time
+from collections.abc import Sequence
 
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import AnswerWriter
@@ -84,7 +86,7 @@
         progress = Progress()
         tried: set[str] = set()
         while True:
-            target = self._choose(request, progress, tried)
+            target = await self._choose(request, progress, tried)
             tried.add(target.name)
             try:
                 head, body = await self._attempt(request, target, progress)
@@ -100,7 +102,7 @@
         """Return the seconds for which each ejected target is paused."""
         return self._ejector.dump()
 
-    def _choose(
+    async def _choose(
         self,
         request: CallerRequest,
         progress: Progress,
@@ -118,9 +120,52 @@
         if not candidates:
             reason = Reason.stage_failed if progress.sent else Reason.no_target
             raise RefusedError(reason, progress.run)
-        return self._chooser.choose(
-            candidates, WorkEstimate((), 0, 0, self._zone, now)
+        chosen = self._choose_untried(candidates, now)
+        if chosen.incarnation not in self._sender.turns.pacer.rates:
+            return chosen
+        return await self._find_turn(request, progress, candidates, chosen)
+
+    def _choose_untried(
+        self, candidates: Sequence[Target], now: float
+    ) -> Target:
+        work = WorkEstimate((), 0, 0, self._zone, now)
+        return self._chooser.choose(candidates, work)
+
+    async def _find_turn(
+        self,
+        request: CallerRequest,
+        progress: Progress,
+        candidates: Sequence[Target],
+        chosen: Target,
+    ) -> Target:
+        """Return a target that takes the request under its own limit.
+
+        :raises RefusedError: when all targets have a limit, and none of them
+            has a turn in time for the request's objective.
+        """
+        now = time.monotonic()
+        rates = self._sender.turns.pacer.rates
+        limited = [chosen]
+        limited.extend(
+            one
+            for one in candidates
+            if one.incarnation in rates and one is not chosen
+        )
+        unlimited = [one for one in candidates if one.incarnation not in rates]
+        latency = self._loads.typical_latency(request.service)
+        max_wait = max(0, request.objective_deadline - now - latency)
+        target, wait = await self._sender.turns.find_turn(
+            request.service, limited, 0 if unlimited else max_wait
         )
+        if target is None and unlimited:
+            return self._choose_untried(unlimited, now)
+        if target is None:
+            reason = Reason.stage_failed if progress.sent else Reason.capacity
+            raise RefusedError(
+                reason, progress.run, 'all targets are at their limits', wait
+            )
+        await asyncio.sleep(wait)
+        return target
 
     async def _attempt(
         self,
@@ -141,7 +186,7 @@
         progress.record_sent(repeatable=not once)
         try:
             async with self._sender.send(
-                target.url,
+                target,
                 head,
                 request.body,
                 MAX_IDLE_NON_IDEMPOTENT_SECONDS if once else MAX_IDLE_SECONDS,
--- a/galenaswitch/gateway/result_memory.py
+++ b/galenaswitch/gateway/result_memory.py
@@ -77,10 +77,11 @@
         head = self._wire.make_free_bytes_query(target)
         try:
             async with self._sender.send(
-                target.url,
+                target,
                 head,
                 b'',
                 MAX_IDLE_SECONDS,
+                names_limit=False,
             ) as attempt:
                 await attempt.read_head(REPLY_TIMEOUT_SECONDS)
                 content = await attempt.read_complete(REPLY_TIMEOUT_SECONDS)
--- a/galenaswitch/gateway/results.py
+++ b/galenaswitch/gateway/results.py
@@ -115,10 +115,11 @@
         head, body = self._wire.make_release(handles, target)
         try:
             async with self._sender.send(
-                producer,
+                target,
                 head,
                 body,
                 MAX_IDLE_SECONDS,
+                names_limit=False,
             ) as attempt:
                 await attempt.read_head(RELEASE_TIMEOUT_SECONDS)
                 await attempt.read_complete(RELEASE_TIMEOUT_SECONDS)
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -4,8 +4,9 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 
 from galenaswitch.connections.heads import AnswerHead, RequestHead
 from galenaswitch.connections.outbound import (
@@ -14,6 +15,8 @@
     TargetConnection,
 )
 from galenaswitch.errors import TargetBrokenError, TargetLateError
+from galenaswitch.gateway.turns import Turns
+from galenaswitch.membership.lists import Target
 
 # Largest answer in bytes that is buffered completely before it is passed on.
 MAX_BUFFERED_BYTES = 4_194_304
@@ -23,11 +26,18 @@
     """One attempt of a request at a target, in flight."""
 
     def __init__(
-        self, connection: TargetConnection, exchange: Exchange
+        self,
+        connection: TargetConnection,
+        exchange: Exchange,
+        on_head: Callable[[AnswerHead], None],
     ) -> None:
-        """Build an attempt for ``exchange`` on ``connection``."""
+        """Build an attempt for ``exchange`` on ``connection``.
+
+        :param on_head: receives the head of the answer when it is read.
+        """
         self.connection = connection
         self.exchange = exchange
+        self._on_head = on_head
 
     async def read_head(self, seconds: float) -> AnswerHead:
         """Return the head of the answer.
@@ -37,9 +47,11 @@
         """
         try:
             async with asyncio.timeout(seconds):
-                return await self.exchange.read_head()
+                head = await self.exchange.read_head()
         except TimeoutError as error:
             raise TargetLateError('no answer head arrived in time') from error
+        self._on_head(head)
+        return head
 
     async def read(self, seconds: float) -> bytes:
         """Return the next chunk of the body, empty after a complete body.
@@ -74,19 +86,34 @@
 
 
 class Sender:
-    """Sends requests to targets, each exactly once."""
+    """Sends requests to targets, each exactly once.
 
-    def __init__(self, pool: ConnectionPool) -> None:
-        """Build a sender that uses connections of ``pool``."""
+    :ivar turns: limits that the targets name in their answers.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        turns: Turns,
+        read_rate_limit: Callable[[AnswerHead], float | None],
+    ) -> None:
+        """Build a sender that uses connections of ``pool``.
+
+        :param read_rate_limit: decodes the limit in the head of an answer.
+        """
+        self.turns = turns
         self._pool = pool
+        self._read_rate_limit = read_rate_limit
 
     @asynccontextmanager
     async def send(
         self,
-        address: str,
+        target: Target,
         head: RequestHead,
         body: bytes,
         max_idle_seconds: float,
+        *,
+        names_limit: bool = True,
     ) -> AsyncIterator[Attempt]:
         """Send a request and yield its attempt.
 
@@ -94,11 +121,21 @@
         completely.
 
         :param max_idle_seconds: longest idle time of a reused connection.
+        :param names_limit: whether an answer without a limit means that the
+            target has none. Only answers to work do.
         :raises TargetUnreachableError: when no byte was sent.
         """
-        connection = await self._pool.acquire(address, max_idle_seconds)
+        connection = await self._pool.acquire(target.url, max_idle_seconds)
         try:
             exchange = connection.send(head, body)
-            yield Attempt(connection, exchange)
+            on_head = partial(self._observe, target, names_limit)
+            yield Attempt(connection, exchange, on_head)
         finally:
             self._pool.release(connection)
+
+    def _observe(
+        self, target: Target, names_limit: bool, head: AnswerHead
+    ) -> None:
+        rate = self._read_rate_limit(head)
+        if names_limit or rate is not None:
+            self.turns.observe(target, rate)
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -210,7 +210,7 @@
             job.events.last_id,
         )
         async with self._sender.send(
-            target.url,
+            target,
             head,
             job.request.body,
             MAX_IDLE_SECONDS,
--- a/galenaswitch/gateway/tests/test_placements.py
+++ b/galenaswitch/gateway/tests/test_placements.py
@@ -7,6 +7,7 @@
 from galenaswitch.gateway.messages import PlaceEnd, PlaceFirst, PlaceQuestion
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.routes import EngineLimits
+from galenaswitch.limits.pacing import Pacer
 from galenaswitch.membership.lists import MemberList, Members, Target
 
 ONE_SLOT = EngineLimits(slots=1, kv_cache_tokens=100_000)
@@ -18,7 +19,7 @@
     members = Members()
     engine = Target('e', 'e/1', 'z', 'llm', '127.0.0.1:1')
     members.accept(MemberList(1, (), (engine,)))
-    return PlacementScheduler('llm', lambda _: ONE_SLOT, members)
+    return PlacementScheduler('llm', lambda _: ONE_SLOT, members, Pacer())
 
 
 def make_query(ident, priority=1, left=2.0, start_in=1.0, tokens=100):
@@ -97,3 +98,47 @@
     scheduler.record_first_event(PlaceFirst('llm', 'x'))
     scheduler.record_end(make_end('x'))
     assert (await scheduler.place(make_query('a'))).target == 'e'
+
+
+@pytest.fixture
+def limited():
+    """Return a scheduler of two engines of which ``e1`` takes one a second."""
+    members = Members()
+    engines = tuple(
+        Target(name, f'{name}/1', 'z', 'llm', '127.0.0.1:1')
+        for name in ('e1', 'e2')
+    )
+    members.accept(MemberList(1, (), engines))
+    pacer = Pacer()
+    pacer.set_rate('e1/1', 1.0, 0)
+    roomy = EngineLimits(slots=50, kv_cache_tokens=1_000_000)
+    return PlacementScheduler('llm', lambda _: roomy, members, pacer)
+
+
+async def test_engine_with_room_gets_what_the_limit_of_others_leaves(limited):
+    replies = [
+        await limited.place(make_query(str(number))) for number in range(20)
+    ]
+    targets = [reply.target for reply in replies]
+    assert targets.count('e1') <= 2
+    assert targets.count('e2') >= 18
+
+
+async def test_request_without_a_turn_in_time_is_refused_at_once(limited):
+    limited._pacer.set_rate('e2/1', 0.5, 0)
+    async with asyncio.timeout(0.5):
+        replies = [
+            await limited.place(make_query(str(number), left=0.9))
+            for number in range(6)
+        ]
+    assert [bool(reply.target) for reply in replies] == [True] * 4 + [False] * 2
+    assert all(0.05 < reply.retry_after < 2 for reply in replies[4:])
+
+
+async def test_request_waits_for_the_turn_of_a_limited_engine(limited):
+    limited._pacer.set_rate('e2/1', 2.0, 0)
+    for number in range(4):
+        await limited.place(make_query(str(number)))
+    started_at = asyncio.get_running_loop().time()
+    assert (await limited.place(make_query('late', left=2))).target
+    assert 0.3 < asyncio.get_running_loop().time() - started_at < 1.2
--- a/galenaswitch/gateway/tests/test_results.py
+++ b/galenaswitch/gateway/tests/test_results.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest.mock import Mock
 
 import pytest
 
@@ -9,6 +10,7 @@
 from galenaswitch.connections.outbound import ConnectionPool
 from galenaswitch.gateway.results import StoredResult, StoredResults
 from galenaswitch.gateway.sending import Sender
+from galenaswitch.gateway.turns import Turns
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.operations.process import TaskGroup
 
@@ -46,7 +48,7 @@
         members.accept(MemberList(1, (), (target,)))
         stored_results = StoredResults(
             members,
-            Sender(pool),
+            Sender(pool, Mock(spec=Turns), lambda head: None),
             StubWire(),
             tasks,
             released.append,
--- /dev/null
+++ b/galenaswitch/gateway/turns.py
@@ -0,0 +1,150 @@
+"""Turns at targets that name how many requests a second they take.
+
+Each VM reads the limits from the answers that it gets and tells the others. The
+owner of a service gives out the turns at the service's targets.
+"""
+
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from galenaswitch.errors import PeerError
+from galenaswitch.gateway.messages import (
+    LimitsQuery,
+    LimitsReply,
+    TargetLimit,
+    TurnQuery,
+    TurnReply,
+)
+from galenaswitch.gateway.owners import OwnerRouter
+from galenaswitch.limits.pacing import Pacer
+from galenaswitch.membership.links import Link
+from galenaswitch.membership.lists import Members, Target
+from galenaswitch.membership.mesh import Mesh
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.metrics import Metrics
+
+REPLY_TIMEOUT_SECONDS = 1.0
+
+
+class Turns:
+    """Limits of targets, and the turns at them."""
+
+    def __init__(
+        self,
+        members: Members,
+        mesh: Mesh,
+        owner_router: OwnerRouter,
+        metrics: Metrics,
+    ) -> None:
+        """Build turns without a known limit."""
+        self.pacer = Pacer()
+        self._members = members
+        self._mesh = mesh
+        self._owner_router = owner_router
+        self._metrics = metrics
+
+    def handlers(self) -> dict[type[Any], Any]:
+        """Return the handlers of the messages from other VMs."""
+        return {
+            TargetLimit: self._receive_limit,
+            LimitsQuery: self._answer_limits_query,
+            TurnQuery: self._answer_turn_query,
+        }
+
+    async def on_link_open(self, link: Link) -> None:
+        """Learn the limits that a peer knows whose link has just opened."""
+        try:
+            reply = await link.request(LimitsQuery(), REPLY_TIMEOUT_SECONDS)
+        except PeerError as error:
+            get_logger().info(
+                'limits_unknown', peer=link.peer.node, reason=str(error)
+            )
+            return
+        for limit in reply.limits:
+            if limit.incarnation not in self.pacer.rates:
+                self._apply(limit, link)
+
+    def observe(self, target: Target, rate: float | None) -> None:
+        """Apply what an answer of a target says about its limit.
+
+        :param rate: requests per second, ``None`` when the answer has none.
+        """
+        now = time.monotonic()
+        if self.pacer.observe(target.incarnation, rate, now):
+            self._spread(TargetLimit(target.incarnation, rate or 0), None)
+
+    async def find_turn(
+        self, service: str, targets: Sequence[Target], max_wait: float
+    ) -> tuple[Target | None, float]:
+        """Get a turn at one of several targets with limits.
+
+        :param targets: targets, the preferred one first.
+        :param max_wait: longest useful wait for a turn in seconds.
+        :returns: the target, ``None`` when no turn is near enough; and the
+            seconds until the turn, or until the next one of any target.
+        """
+        targets_by_incarnation = {one.incarnation: one for one in targets}
+        query = TurnQuery(service, tuple(targets_by_incarnation), max_wait)
+        _, reply = await self._owner_router.query(
+            service, query, REPLY_TIMEOUT_SECONDS, self._give_turn
+        )
+        return targets_by_incarnation.get(reply.incarnation), reply.wait
+
+    def take(self, target: Target) -> float:
+        """Take a turn at a target of a service that this VM owns.
+
+        :returns: monotonic time of the next turn.
+        """
+        now = time.monotonic()
+        self.pacer.take(target.incarnation, now)
+        return now + self.pacer.find_wait(target.incarnation, now)
+
+    def forget_ended(self) -> None:
+        """Forget the limits of targets that are gone."""
+        self.pacer.retain(
+            {one.incarnation for one in self._members.member_list.targets}
+        )
+
+    async def _give_turn(self, query: TurnQuery) -> TurnReply:
+        """Give the first turn of a target, the preferred one of equals."""
+        now = time.monotonic()
+        waits = [self.pacer.find_wait(one, now) for one in query.incarnations]
+        wait = min(waits)
+        if wait > query.max_wait:
+            return TurnReply('', wait)
+        incarnation = query.incarnations[waits.index(wait)]
+        return TurnReply(incarnation, self.pacer.take(incarnation, now))
+
+    async def _answer_turn_query(
+        self, link: Link, query: TurnQuery
+    ) -> TurnReply:
+        return await self._give_turn(query)
+
+    async def _answer_limits_query(
+        self, link: Link, query: LimitsQuery
+    ) -> LimitsReply:
+        return LimitsReply(
+            tuple(TargetLimit(*pair) for pair in self.pacer.rates.items())
+        )
+
+    async def _receive_limit(self, link: Link, message: TargetLimit) -> None:
+        self._apply(message, link)
+
+    def _apply(self, limit: TargetLimit, source: Link) -> None:
+        """Apply a limit that another VM has observed."""
+        is_news = limit.incarnation in self.pacer.rates
+        if limit.rate:
+            now = time.monotonic()
+            is_news = self.pacer.set_rate(limit.incarnation, limit.rate, now)
+        else:
+            self.pacer.remove(limit.incarnation)
+        if is_news:
+            self._spread(limit, source)
+
+    def _spread(self, limit: TargetLimit, source: Link | None) -> None:
+        get_logger().info(
+            'target_limit', incarnation=limit.incarnation, rate=limit.rate
+        )
+        self._metrics.count('target_limit')
+        self._mesh.spread(limit, source)
--- a/galenaswitch/gateway/vocabulary.py
+++ b/galenaswitch/gateway/vocabulary.py
@@ -2,6 +2,8 @@
 
 from galenaswitch.configuration.messages import Digest, Items, Versions
 from galenaswitch.gateway.messages import (
+    LimitsQuery,
+    LimitsReply,
     PiecesCancel,
     PiecesQuestion,
     PiecesReply,
@@ -10,6 +12,9 @@
     PlaceQuestion,
     PlaceReply,
     ReleaseNote,
+    TargetLimit,
+    TurnQuery,
+    TurnReply,
 )
 from galenaswitch.membership.frames import Vocabulary
 from galenaswitch.membership.lists import MemberList
@@ -29,6 +34,8 @@
     EvidenceReply,
     Items,
     Leaving,
+    LimitsQuery,
+    LimitsReply,
     ListQuestion,
     MemberList,
     PartAnswered,
@@ -42,5 +49,8 @@
     PlaceReply,
     Pong,
     ReleaseNote,
+    TargetLimit,
+    TurnQuery,
+    TurnReply,
     Versions,
 )
--- a/galenaswitch/membership/mesh.py
+++ b/galenaswitch/membership/mesh.py
@@ -188,6 +188,19 @@
                 continue
             push(link, message)
 
+    def spread(self, message: Any, source: Link | None) -> None:
+        """Send news to all VMs that its source doesn't reach itself.
+
+        Each VM has links to all VMs of its own zone and to some of each other
+        zone, which pass the news on in theirs.
+
+        :param source: link that the news came from, ``None`` for own news.
+        """
+        if source is None:
+            self.broadcast(message)
+        elif source.peer.zone != self.zone:
+            self.broadcast(message, self.zone, source)
+
     async def maintain_links(self) -> None:
         """Run one dialer for each wanted peer, until cancelled.
 
--- a/galenaswitch/pipelines/pending.py
+++ b/galenaswitch/pipelines/pending.py
@@ -18,6 +18,9 @@
 # were this many seconds earlier. The value is less than the usual slack of
 # requests.
 SAME_ZONE_ADVANCE_SECONDS = 0.3
+# A pending stage fails once its retries reach this number for each missing
+# result, plus this number once more.
+RETRIES_PER_RESULT = 3
 
 
 class Urgency(NamedTuple):
@@ -86,6 +89,11 @@
         """Monotonic time after which results are useless."""
         return self.urgency.deadline
 
+    @property
+    def has_retries_left(self) -> bool:
+        """Whether failed work items may be retried once more."""
+        return self.retries < RETRIES_PER_RESULT * (self.missing_results + 1)
+
     @property
     def inputs_released(self) -> bool:
         """Whether the inputs were released, so work items can't be retried."""
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -150,7 +150,6 @@
             misdirected=head.status == MISDIRECTED,
             inputs_lost=head.status == CONFLICT and self.is_not_run(head),
             load=self.read_load(head),
-            rate_limit=self.read_rate_limit(head),
         )
 
     def read_load(self, head: AnswerHead) -> Load | None:
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -27,6 +27,7 @@
     Workspace,
 )
 from galenaswitch.gateway.sending import Sender
+from galenaswitch.gateway.turns import Turns
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.membership.mesh import Mesh
@@ -280,10 +281,10 @@
 
 
 @pytest.fixture
-async def sender():
+async def sender(turns):
     """Return a sender; its connections are closed after the test."""
     pool = ConnectionPool()
-    yield Sender(pool)
+    yield Sender(pool, turns, PlatformWire().read_rate_limit)
     pool.close()
 
 
@@ -312,6 +313,29 @@
     return make
 
 
+class LocalOwnerRouter:
+    """Owner router that treats this machine as the owner of every service."""
+
+    async def query(self, service, message, seconds, decide):
+        """Answer a query on this machine."""
+        return 'me', await decide(message)
+
+    def notify(self, owner, message, deliver):
+        """Deliver a message on this machine."""
+        deliver(message)
+
+    def find_owner(self, service):
+        """Return the name of this machine."""
+        return 'me'
+
+
+@pytest.fixture
+def turns():
+    """Return the turns of a VM that owns all services."""
+    mesh = Mock(spec=Mesh, node='a', zone='z')
+    return Turns(Members(), mesh, LocalOwnerRouter(), LocalMetrics())
+
+
 @pytest.fixture
 async def containment(sender):
     """Return the containment of a VM without peers and without a store."""
--- a/galenaswitch/platform/tests/test_stages.py
+++ b/galenaswitch/platform/tests/test_stages.py
@@ -120,7 +120,7 @@
             'z', listed, wire, LocalOwnerRouter(), lambda _: batcher
         )
         scheduler = PlacementScheduler(
-            'desk', lambda _: EngineLimits(4, 9999), listed
+            'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
         )
         runner = StreamRunner(
             listed,
--- a/galenaswitch/platform/tests/test_streams.py
+++ b/galenaswitch/platform/tests/test_streams.py
@@ -9,6 +9,7 @@
 from galenaswitch.gateway.stages import StageRunner
 from galenaswitch.gateway.streams import StreamRunner
 from galenaswitch.platform.headers import PlatformWire
+from galenaswitch.platform.tests.conftest import LocalOwnerRouter
 from galenaswitch.refusals import ExecutionState, RefusedError
 from standins.scripted import find_header
 
@@ -33,22 +34,6 @@
     return HEAD % seal + body + end
 
 
-class LocalOwnerRouter:
-    """Owner router that treats this machine as the owner of every service."""
-
-    async def query(self, service, message, seconds, decide):
-        """Answer a query on this machine."""
-        return 'me', await decide(message)
-
-    def notify(self, owner, message, deliver):
-        """Deliver a message on this machine."""
-        deliver(message)
-
-    def find_owner(self, service):
-        """Return the name of this machine."""
-        return 'me'
-
-
 @pytest.fixture
 def run_stream(
     members,
@@ -67,7 +52,7 @@
     async def run(route, *targets):
         listed = members(*targets)
         scheduler = PlacementScheduler(
-            'desk', lambda _: EngineLimits(4, 9999), listed
+            'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
         )
         wire = PlatformWire()
         stages = StageRunner('z', listed, wire, LocalOwnerRouter(), None)
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -41,6 +41,7 @@
 from galenaswitch.gateway.stages import StageRunner
 from galenaswitch.gateway.state_sync import StateSync
 from galenaswitch.gateway.streams import StreamRunner
+from galenaswitch.gateway.turns import Turns
 from galenaswitch.gateway.vocabulary import VOCABULARY
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.directory import Directory
@@ -123,14 +124,17 @@
             settings.bounds.retry_slack,
             settings.bounds.retry_window,
         )
+        self._owner_router = OwnerRouter(self.members, self.mesh)
+        self.turns = Turns(
+            self.members, self.mesh, self._owner_router, self.metrics
+        )
         self.containment = Containment(
             store, self.mesh, tasks, self.metrics, self.pool.is_listening
         )
         self._batchers: dict[str, Batcher] = {}
         self._schedulers: dict[str, PlacementScheduler] = {}
         self._wire = PlatformWire()
-        self._sender = Sender(self.pool)
-        self._owner_router = OwnerRouter(self.members, self.mesh)
+        self._sender = Sender(self.pool, self.turns, self._wire.read_rate_limit)
         self.stages = StageRunner(
             settings.zone,
             self.members,
@@ -176,7 +180,10 @@
         """Return the placement scheduler of a service; create it if needed."""
         if service not in self._schedulers:
             self._schedulers[service] = PlacementScheduler(
-                service, self.find_engine_limits, self.members
+                service,
+                self.find_engine_limits,
+                self.members,
+                self.turns.pacer,
             )
         return self._schedulers[service]
 
@@ -232,6 +239,7 @@
         self.reload()
         self.pool.close_expired()
         self.budgets.update_machine_count(len(self.members.machines()))
+        self.turns.forget_ended()
 
     def reload(self) -> None:
         """Reload the settings file; invalid settings are logged and ignored."""
@@ -282,6 +290,7 @@
         self._tasks.start(self._owner_router.on_link_open(link))
         self._tasks.start(self.relay.on_link_open(link))
         self._tasks.start(self.containment.exchange.on_link_open(link))
+        self._tasks.start(self.turns.on_link_open(link))
 
     def _find_route_table(self) -> RouteTable:
         return self.state_sync.route_table.current
@@ -321,6 +330,7 @@
             Versions: self.relay.answer_versions,
         }
         handlers |= self.containment.exchange.handlers()
+        handlers |= self.turns.handlers()
         self.service.handlers.update(handlers)  # type: ignore[attr-defined]
 
     def _make_gateway(self) -> Gateway:
--- a/galenaswitch/quarantine/exchange.py
+++ b/galenaswitch/quarantine/exchange.py
@@ -53,17 +53,8 @@
         }
 
     def spread(self, message: Any, source: Source) -> None:
-        """Send news to all VMs that its source doesn't reach itself.
-
-        Each VM has links to all VMs of its own zone and to some of each other
-        zone, which pass the news on in theirs.
-
-        :param source: link that the news came from, ``None`` for own news.
-        """
-        if source is None:
-            self._mesh.broadcast(message)
-        elif source.peer.zone != self._mesh.zone:
-            self._mesh.broadcast(message, self._mesh.zone, source)
+        """Send news to all VMs that its source doesn't reach itself."""
+        self._mesh.spread(message, source)
 
     async def on_link_open(self, link: Link) -> None:
         """Merge the evidence of a peer whose link has just opened."""
--- a/galenaswitch/quarantine/tests/conftest.py
+++ b/galenaswitch/quarantine/tests/conftest.py
@@ -72,10 +72,14 @@
         """Quarantined parts."""
         return set(self.containment.dump())
 
-    def broadcast(self, message, zone='', source=None):
-        """Queue a message to all VMs or to those of one zone."""
+    def spread(self, message, source):
+        """Queue a message as a mesh would send it."""
         for vm in self.cluster.vms:
-            if vm not in {self, source} and zone in {'', vm.zone}:
+            is_known = vm in {self, source}
+            if not is_known and (
+                source is None
+                or (source.zone != self.zone and vm.zone == self.zone)
+            ):
                 self.cluster.messages.append((self, vm, message))
 
     async def request(self, message, seconds):
--- a/galenaswitch/routing/engines.py
+++ b/galenaswitch/routing/engines.py
@@ -7,7 +7,7 @@
 all go to one engine.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 from xxhash import xxh3_64_intdigest
@@ -99,10 +99,13 @@
         targets: Sequence[Target],
         limits: EngineLimits,
         now: float,
+        without_turn: Collection[str] = (),
     ) -> Placement | None:
         """Place a request on the cheapest engine that has free capacity.
 
         :param now: monotonic time in seconds.
+        :param without_turn: names of engines whose own limit allows no request
+            now.
         :returns: the placement, ``None`` when no engine has free capacity.
         """
         candidates = [
@@ -111,6 +114,7 @@
         usable = set(
             self._ejector.select([target.name for target in candidates], now),
         )
+        usable.difference_update(without_turn)
         chain = make_hash_chain(request.parts)
         engines = [
             (target, engine, engine.count_cached_tokens(chain))
