--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -198,6 +198,12 @@
     def read_load(self, head: AnswerHead) -> Load | None:
         """Decode the load in an answer, ``None`` when not sent."""
 
+    def read_rate_limit(self, head: AnswerHead) -> float | None:
+        """Decode the requests per second that a target takes from all VMs.
+
+        :returns: ``None`` when not sent.
+        """
+
     def is_not_run(self, head: AnswerHead) -> bool:
         """Tell whether an answer states that the target ran nothing."""
 
