connections: bound what a target sends without a byte of a body

What callers saw: nothing yet. A target that never stops sending a status line, headers, interim responses, a chunk's size line or trailers kept a request until its deadline, and its headers were kept in memory all the while.

Cause: only bodies and unread bytes had a bound. An event that came in many small parts was searched from its start each time, a second of work for each hundred kilobytes.

Change: a response fails after 64 KiB without a byte of a body, and its connection is closed; trailers are not stored. EventBuffer searches only what is new.

Suspected, not shown: the product's own client bounds the number of headers by time only.";

--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -32,6 +32,9 @@
 LISTENING_CHECK_SECONDS = 0.05
 # Unread response bytes above which reading from the target is paused.
 MAX_UNREAD_BYTES = 262_144
+# Most bytes that a target may send without a byte of a body: its head, interim
+# responses, the framing of a chunk, or trailers.
+MAX_FRAMING_BYTES = 65_536
 # Seconds that an idle connection is kept when the target's response has no
 # Keep-Alive timeout.
 DEFAULT_IDLE_TIMEOUT_SECONDS = 4.0
@@ -130,6 +133,7 @@
         self._ends_at_close = False
         self._closed = False
         self._reading_paused = False
+        self._framing_bytes = 0
 
     @property
     def reusable(self) -> bool:
@@ -146,10 +150,14 @@
         if self._exchange is None:
             self.close()
             return
+        self._framing_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail('the target sent bytes that are not an HTTP response')
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._fail('the target sent too many bytes without a body')
+            self.close()
         exchange = self._exchange
         if exchange and exchange.unread_bytes > MAX_UNREAD_BYTES:
             self._reading_paused = True
@@ -176,8 +184,9 @@
             self.close()
 
     def on_header(self, name: bytes, header_value: bytes) -> None:
-        """Store a response header; called by the HTTP parser."""
-        self._headers.append((name, header_value))
+        """Store a header of the head; called by the HTTP parser."""
+        if self._exchange and not self._exchange.head:
+            self._headers.append((name, header_value))
 
     def on_headers_complete(self) -> None:
         """Pass on a final response head; called by the HTTP parser."""
@@ -199,6 +208,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the response body; called by the HTTP parser."""
+        self._framing_bytes = 0
         if self._exchange:
             self._exchange.receive_body(body)
 
@@ -223,6 +233,7 @@
                 f'{self.address}: the connection is closed or in use'
             )
         self._exchange = Exchange()
+        self._framing_bytes = 0
         self.was_used = True
         self._transport.write(encode_request(head, body))
         return self._exchange
--- a/galenaswitch/gateway/events.py
+++ b/galenaswitch/gateway/events.py
@@ -23,7 +23,7 @@
     def __init__(self, last_id: str = '') -> None:
         """Build a buffer for a stream that starts after event ``last_id``."""
         self.last_id = last_id
-        self._partial_event = b''
+        self._partial_event = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
@@ -37,20 +37,21 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes of a stream and return the events that are complete."""
-        joined = self._partial_event + chunk
-        end = joined.rfind(EVENT_END)
+        # The end of an event may begin with the last byte received before.
+        searched = max(0, len(self._partial_event) - len(EVENT_END) + 1)
+        self._partial_event += chunk
+        end = self._partial_event.rfind(EVENT_END, searched)
         if end < 0:
-            self._partial_event = joined
             return b''
         end += len(EVENT_END)
-        complete_events = joined[:end]
-        self._partial_event = joined[end:]
+        complete_events = bytes(self._partial_event[:end])
+        self._partial_event = self._partial_event[end:]
         self._record_last_id(complete_events)
         return complete_events
 
     def drop_partial_event(self) -> None:
         """Discard the incomplete event of a target that failed."""
-        self._partial_event = b''
+        self._partial_event.clear()
 
     def _record_last_id(self, complete_events: bytes) -> None:
         at = complete_events.rfind(ID_FIELD)
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -16,6 +16,7 @@
 from galenaswitch.connections.outbound import ConnectionPool
 from galenaswitch.connections.requests import InboundLimits, InboundRequest
 from galenaswitch.gateway.checks import check_request
+from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.plain import PlainRunner
 from galenaswitch.gateway.routes import (
     CallKind,
@@ -27,6 +28,8 @@
     Workspace,
 )
 from galenaswitch.gateway.sending import Sender
+from galenaswitch.gateway.stages import StageRunner
+from galenaswitch.gateway.streams import StreamRunner
 from galenaswitch.gateway.turns import Turns
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import MemberList, Members, Target
@@ -348,6 +351,50 @@
     await tasks.stop()
 
 
+@pytest.fixture
+def run_stream(
+    members,
+    sender,
+    budgets,
+    make_caller_request,
+    make_table,
+    writer,
+    containment,
+):
+    """Return a function that runs a stream on given targets.
+
+    After a run, no request may wait for or hold a placement.
+    """
+
+    async def run(route, *targets):
+        listed = members(*targets)
+        scheduler = PlacementScheduler(
+            'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
+        )
+        wire = PlatformWire()
+        stages = StageRunner('z', listed, wire, LocalOwnerRouter(), None)
+        runner = StreamRunner(
+            listed,
+            sender,
+            wire,
+            budgets,
+            LocalOwnerRouter(),
+            stages,
+            lambda _: scheduler,
+            containment,
+        )
+        try:
+            await runner.run(
+                make_caller_request(route), make_table(route), writer
+            )
+        finally:
+            assert not scheduler.dump()['waiting']
+            engines = scheduler.dump()['engines'].values()
+            assert not any(engine['running'] for engine in engines)
+
+    return run
+
+
 @pytest.fixture
 def make_answer():
     """Return a function that makes the bytes of a target's answer."""
--- a/galenaswitch/platform/tests/test_streams.py
+++ b/galenaswitch/platform/tests/test_streams.py
@@ -4,12 +4,7 @@
 
 import pytest
 
-from galenaswitch.gateway.placements import PlacementScheduler
-from galenaswitch.gateway.routes import CallKind, EngineLimits
-from galenaswitch.gateway.stages import StageRunner
-from galenaswitch.gateway.streams import StreamRunner
-from galenaswitch.platform.headers import PlatformWire
-from galenaswitch.platform.tests.conftest import LocalOwnerRouter
+from galenaswitch.gateway.routes import CallKind
 from galenaswitch.refusals import ExecutionState, RefusedError
 from standins.scripted import find_header
 
@@ -34,50 +29,6 @@
     return HEAD % seal + body + end
 
 
-@pytest.fixture
-def run_stream(
-    members,
-    sender,
-    budgets,
-    make_caller_request,
-    make_table,
-    writer,
-    containment,
-):
-    """Return a function that runs a stream on given targets.
-
-    After a run, no request may wait for or hold a placement.
-    """
-
-    async def run(route, *targets):
-        listed = members(*targets)
-        scheduler = PlacementScheduler(
-            'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
-        )
-        wire = PlatformWire()
-        stages = StageRunner('z', listed, wire, LocalOwnerRouter(), None)
-        runner = StreamRunner(
-            listed,
-            sender,
-            wire,
-            budgets,
-            LocalOwnerRouter(),
-            stages,
-            lambda _: scheduler,
-            containment,
-        )
-        try:
-            await runner.run(
-                make_caller_request(route), make_table(route), writer
-            )
-        finally:
-            assert not scheduler.dump()['waiting']
-            engines = scheduler.dump()['engines'].values()
-            assert not any(engine['running'] for engine in engines)
-
-    return run
-
-
 async def test_complete_events_are_forwarded(
     run_stream,
     make_route,
