quarantine: judge a crash by the reports of all VMs

Cause: a VM judged with each report. Of two VMs with requests at the target that crashed, one had a request with the subject's part alone, the other one with the harmful part behind it. Where the former's report came first, the subject's part had three crashes and the harmful one two.

Ruled out: a tie between the parts (the deeper one wins it), and answers that had not arrived (the subject's part had none).

Change: the judgement starts 0.2 s after the first report of a crash.

Why it works: the connections of all VMs to a target end together, and a refused connection and the links take milliseconds, so the reports are in by then.

Evidence: test_crash_is_judged_by_the_reports_of_all_vms failed before and passes.

--- a/galenaswitch/quarantine/containment.py
+++ b/galenaswitch/quarantine/containment.py
@@ -5,6 +5,7 @@
 refuses requests with a part that has been found harmful.
 """
 
+import asyncio
 import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Iterable
@@ -44,6 +45,8 @@
 WATCH_SECONDS = 10.0
 # Seconds between two searches for records that the store lacks.
 MAINTENANCE_SECONDS = 1.0
+# Time within which the VMs that a crash concerns have reported it.
+SETTLE_SECONDS = 0.2
 # Crashes after which this VM sends a request with a implicated part only once.
 CRASHES_TO_STOP_REPEATS = 2
 # Most parts of one prompt that are tracked, and most parts whose last answer a
@@ -87,6 +90,8 @@
         self._records = QuarantineRecords(store, mesh.node, _read_clock)
         self._answered: OrderedDict[str, float] = OrderedDict()
         self._unremoved: dict[str, Quarantine] = {}
+        self._judgement: asyncio.Task[None] | None = None
+        self._has_own_report = False
         self._follower = Follower(
             store,
             QUARANTINE_KIND,
@@ -192,7 +197,7 @@
         self._add_crash(report, None)
 
     def _add_crash(self, report: CrashReport, source: Source) -> None:
-        """Merge a report and quarantine the parts that it shows as harmful.
+        """Merge a report, and judge it with the reports of other VMs.
 
         :param source: link that the report came from, ``None`` for its own.
         """
@@ -206,9 +211,23 @@
             if answered_at is not None:
                 answer = PartAnswered(part.ident, now - answered_at)
                 self._add_answer(answer, None)
+        self._has_own_report = self._has_own_report or source is None
+        if self._judgement is None:
+            self._judgement = self._tasks.start(self._judge())
+
+    async def _judge(self) -> None:
+        """Quarantine harmful parts once all VMs have reported a crash.
+
+        By the reports of a few VMs alone, a sound part may seem to be in more
+        crashes than the harmful one.
+        """
+        await asyncio.sleep(SETTLE_SECONDS)
+        self._judgement = None
+        writes = self._has_own_report
+        self._has_own_report = False
         harmful = self._evidence.find_harmful(self._records.quarantines)
-        for ident in harmful:
-            self._begin(ident, writes=source is None)
+        for part in harmful:
+            self._begin(part, writes=writes)
 
     def _add_answer(self, answer: PartAnswered, source: Source) -> None:
         """Merge the time of an answer and end a quarantine that it refutes."""
--- a/galenaswitch/quarantine/tests/conftest.py
+++ b/galenaswitch/quarantine/tests/conftest.py
@@ -145,7 +145,9 @@
         """Deliver all messages and let all VMs read the store."""
         await self.deliver()
         for vm in self.vms:
-            await asyncio.gather(*vm.tasks._tasks)
+            while vm.tasks._tasks:
+                await asyncio.gather(*vm.tasks._tasks)
+                await asyncio.sleep(0)
         for vm in self.vms:
             vm.read_store()
 
@@ -153,6 +155,7 @@
         """Break requests, given as pairs of a VM and its parts, and settle."""
         for vm, parts in requests:
             await vm.break_request(incarnation, *parts)
+        await self.deliver()
         await self.settle()
         self.now += 1
 
@@ -166,6 +169,7 @@
         clock = SimpleNamespace(monotonic=cluster.monotonic)
         monkeypatch.setattr(containment, 'time', clock)
         monkeypatch.setattr(detector, 'time', clock)
+        monkeypatch.setattr(containment, 'SETTLE_SECONDS', 0.001)
         return cluster
 
     return build
--- a/galenaswitch/quarantine/tests/test_containment.py
+++ b/galenaswitch/quarantine/tests/test_containment.py
@@ -28,6 +28,19 @@
     assert all(vm.quarantined == {'bad'} for vm in cluster.vms)
 
 
+# Guards against a sound part that is blamed on a part of a crash's reports.
+async def test_crash_is_judged_by_the_reports_of_all_vms(open_cluster):
+    cluster = open_cluster()
+    sound, bad = ('first', 'subject'), ('first', 'subject', 'bad')
+    for incarnation in THREE_CRASHES:
+        await cluster.crash(
+            incarnation, (cluster.vms[0], sound), (cluster.vms[1], bad)
+        )
+        cluster.vms[2].containment.record_answer(('first',))
+        await cluster.deliver()
+    assert all(vm.quarantined == {'bad'} for vm in cluster.vms)
+
+
 async def test_first_part_is_quarantined_when_all_with_it_crash(open_cluster):
     cluster = open_cluster()
     for incarnation in THREE_CRASHES:
@@ -133,7 +146,8 @@
     for incarnation in THREE_CRASHES[:2]:
         await cluster.crash(incarnation, (cluster.vms[0], ('bad',)))
     await late.containment.exchange.on_link_open(cluster.vms[1])
-    await late.break_request('t9/1', 'bad')
+    cluster.vms.append(late)
+    await cluster.crash('t9/1', (late, ('bad',)))
     assert late.quarantined == {'bad'}
 
 
