stages: a work item is sent to another target after one crash, not after two

What callers saw: nothing yet; found by looking for the cause of the query of death elsewhere. A work item that ends its target was sent to six targets and more within the retry budget, with the work items of others in its batch.

Cause: the retries of a stage counted failures of any kind alike. Class: a repeat that carries one caller's fault to healthy targets.

Change: a batch whose target broke it and no longer listens counts as a crash against all stages in it; a stage fails at its second crash. Targets that broke a batch and live are retried as before.

Why it works: one crash may be another's fault and is forgiven, a second one in the same request's time rarely is; the request itself has not run, so its caller is told so and may come back.

Evidence: test_work_item_of_crashed_targets_is_sent_twice_at_most failed before (the fourth send was answered) and passes; the retry at targets that live has a test as well.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -26,6 +26,7 @@
 )
 from galenaswitch.gateway.questions import (
     acquire_budget,
+    count_crash,
     estimate_retry_after,
     has_memory_pressure,
     make_pending_stage,
@@ -248,6 +249,7 @@
                 reason=str(error),
                 seconds=round(time.monotonic() - started_at, 3),
             )
+            await count_crash(batch, error, self._sender)
             self._handle_failure(batch, error, limits)
         else:
             seconds = time.monotonic() - started_at
--- a/galenaswitch/gateway/questions.py
+++ b/galenaswitch/gateway/questions.py
@@ -6,10 +6,13 @@
 
 import random
 
+from galenaswitch.errors import GalenaError, TargetBrokenError
 from galenaswitch.gateway.messages import PiecesQuestion
 from galenaswitch.gateway.routes import BatchLimits
+from galenaswitch.gateway.sending import Sender
 from galenaswitch.limits.retries import RetryBudget
 from galenaswitch.pipelines.arrivals import WINDOW_SECONDS
+from galenaswitch.pipelines.batch_queue import Batch
 from galenaswitch.pipelines.pending import PendingStage, Urgency
 
 # Share of used result memory above which a target has memory pressure. The
@@ -33,6 +36,16 @@
     return True
 
 
+async def count_crash(batch: Batch, error: GalenaError, sender: Sender) -> None:
+    """Count a crash of a batch's target against all stages in the batch."""
+    if not isinstance(error, TargetBrokenError):
+        return
+    if await sender.is_listening(batch.target):
+        return
+    for pending in {id(one): one for one, _ in batch.work_items}.values():
+        pending.crashes += 1
+
+
 def has_memory_pressure(used_bytes: float, limits: BatchLimits | None) -> bool:
     """Tell whether a target's result memory is nearly full."""
     return (
--- a/galenaswitch/pipelines/pending.py
+++ b/galenaswitch/pipelines/pending.py
@@ -21,6 +21,8 @@
 # A pending stage fails once its retries reach this number for each missing
 # result, plus this number once more.
 RETRIES_PER_RESULT = 3
+# Crashes of targets that ran its batches after which a pending stage fails.
+MAX_CRASHES = 2
 
 
 class Urgency(NamedTuple):
@@ -78,6 +80,7 @@
             urgency.start_by + urgency.priority * PRIORITY_STEP_SECONDS
         )
         self.retries = 0
+        self.crashes = 0
 
     @property
     def start_by(self) -> float:
@@ -91,8 +94,14 @@
 
     @property
     def has_retries_left(self) -> bool:
-        """Whether failed work items may be retried once more."""
-        return self.retries < RETRIES_PER_RESULT * (self.missing_results + 1)
+        """Whether failed work items may be retried once more.
+
+        The work items of this stage may be what made targets crash.
+        """
+        return (
+            self.crashes < MAX_CRASHES
+            and self.retries < RETRIES_PER_RESULT * (self.missing_results + 1)
+        )
 
     @property
     def inputs_released(self) -> bool:
--- a/galenaswitch/platform/tests/test_batcher.py
+++ b/galenaswitch/platform/tests/test_batcher.py
@@ -15,6 +15,7 @@
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.operations.process import TaskGroup
+from galenaswitch.pipelines import target_states
 from galenaswitch.platform.headers import PlatformWire
 
 BATCHES = BatchLimits(1, 4, 0.2, 0.01, 9e6, 4)
@@ -92,6 +93,31 @@
     assert count_batches(target) == 2
 
 
+# Guards against a work item that ends one target after the other.
+async def test_work_item_of_crashed_targets_is_sent_twice_at_most(
+    open_batcher, monkeypatch
+):
+    monkeypatch.setattr(target_states, 'FAILURE_PAUSE_SECONDS', 0.01)
+    batcher, target = await open_batcher(BROKEN, BROKEN, BROKEN, MADE)
+
+    async def is_listening(address):
+        return False
+
+    batcher._sender._pool.is_listening = is_listening
+    reply = await batcher.make_results(make_query())
+    assert reply.failure == 'TargetBrokenError'
+    assert count_batches(target) == 2
+
+
+async def test_work_item_of_targets_that_broke_it_and_live_is_retried(
+    open_batcher, monkeypatch
+):
+    monkeypatch.setattr(target_states, 'FAILURE_PAUSE_SECONDS', 0.01)
+    batcher, target = await open_batcher(BROKEN, BROKEN, MADE)
+    assert (await batcher.make_results(make_query())).handles
+    assert count_batches(target) == 3
+
+
 async def test_work_item_is_not_retried_without_a_budget(open_batcher):
     batcher, target = await open_batcher(BUSY, MADE, min_retries=0)
     reply = await batcher.make_results(make_query())
