pipelines: a request breaks three targets at most

What callers saw: nothing yet; found by looking for the cause of the query of death elsewhere, on the product's own face. A request of a repeatable stage that ends its target was sent to each target of the pool in turn while the retry budget of all requests lasted.

Cause: repeats ended only when targets, time or the budget did. Class: a repeat that carries one caller's fault to healthy targets.

Change: Progress counts the attempts that broke; tokens that a target made clear the count. After the third the request fails.

Evidence: test_request_breaks_three_targets_at_most failed before (six targets of six) and passes. The test of a call's weight shares its arrangement now and expects the same. Tests of killed and frozen engines pass. Requests of several callers with a common cause are not counted together on this face: its prompts have no parts with ids.

--- a/galenaswitch/pipelines/attempts.py
+++ b/galenaswitch/pipelines/attempts.py
@@ -152,6 +152,7 @@
             raise RefusedError(Reason.stage_failed, job.progress.run)
         if isinstance(error, (TargetLeavingError, TargetLateError)):
             return
+        job.progress.check_harmless()
         if asyncio.get_running_loop().time() >= job.request.deadline:
             raise RefusedError(Reason.deadline, job.progress.run)
         if not self._budgets.retries(job.stage.pool).acquire():
@@ -196,12 +197,9 @@
         return {asyncio.create_task(self._call_once(job, other))}
 
     def _find_hedge_delay(self, target: Target) -> float:
-        seconds = self._find_typical_latency(target.pool) * HEDGE_DELAY_FACTOR
+        seconds = self._loads.typical_latency(target.pool) * HEDGE_DELAY_FACTOR
         return max(MIN_HEDGE_DELAY_SECONDS, seconds)
 
-    def _find_typical_latency(self, pool: str) -> float:
-        return self._loads.typical_latency(pool)
-
     async def _call_once(self, job: StageRun, target: Target) -> dict[str, Any]:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -233,7 +231,7 @@
 
         The timeout is half of the time left for a pool of unknown latency.
         """
-        typical_latency = self._find_typical_latency(target.pool)
+        typical_latency = self._loads.typical_latency(target.pool)
         if not typical_latency:
             return max(MIN_TIMEOUT_SECONDS, seconds_left / 2)
         return max(MIN_TIMEOUT_SECONDS, typical_latency * TIMEOUT_FACTOR)
@@ -296,7 +294,7 @@
         tokens_made: int,
     ) -> None:
         """Count the tokens and the cost of an attempt that has ended."""
-        job.progress.tokens += tokens_made
+        job.progress.record_tokens(tokens_made)
         self._metrics.count('tokens_doubled', sequence.pop_duplicate_count())
         cost = job.stage.cost + tokens_made * job.stage.cost_per_token
         self._count_cost(job, cost, tokens_made > 0)
@@ -341,6 +339,7 @@
         error: TargetError,
     ) -> None:
         now = asyncio.get_running_loop().time()
+        job.progress.record_failure(error)
         if isinstance(error, TargetLateError):
             return
         if isinstance(error, TargetLeavingError):
--- a/galenaswitch/pipelines/requests.py
+++ b/galenaswitch/pipelines/requests.py
@@ -3,10 +3,13 @@
 from typing import Any, NamedTuple
 
 from galenaswitch.contracts.documents import Contract, Pipeline, Stage
-from galenaswitch.refusals import ExecutionState
+from galenaswitch.errors import TargetBrokenError, TargetError
+from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 from galenaswitch.routing.choice import WorkEstimate
 
 CHARACTERS_PER_TOKEN = 4
+# Targets that one request may break before it counts as what breaks them.
+MAX_BROKEN_TARGETS = 3
 
 
 class PipelineRequest(NamedTuple):
@@ -56,6 +59,7 @@
         self.attempts = 0
         self.tokens = 0
         self._sent = 0
+        self._broken = 0
         self._outcome_unknown = False
         self._nonrepeatable_ran = False
 
@@ -92,6 +96,31 @@
         self._sent += 1
         self._outcome_unknown = not repeatable
 
+    def record_failure(self, error: TargetError) -> None:
+        """Record that an attempt failed, perhaps by what the request holds."""
+        self._broken += isinstance(error, TargetBrokenError)
+
+    def record_tokens(self, count: int) -> None:
+        """Record the tokens that an attempt made.
+
+        A request that an engine has begun to answer is harmless.
+        """
+        self.tokens += count
+        if count:
+            self._broken = 0
+
+    def check_harmless(self) -> None:
+        """Check that the request may be sent to one more target.
+
+        :raises RefusedError: when it broke too many targets.
+        """
+        if self._broken >= MAX_BROKEN_TARGETS:
+            raise RefusedError(
+                Reason.stage_failed,
+                self.run,
+                'the request broke its targets',
+            )
+
     def record_not_run(self) -> None:
         """Record that the last attempt did not run.
 
