--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -27,7 +27,11 @@
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.store.client import ABSENT, Listing, StoredObject
-from galenaswitch.store.registry import Follower, ObjectCache, Registry
+from galenaswitch.store.registry import (
+    Follower,
+    ObjectCache,
+    WritableRegistry,
+)
 
 CONFIGURATION_KIND = 'config'
 CONFIGURATION_NAME = 'main'
@@ -73,19 +77,6 @@
         """
 
 
-class Store(Registry, Protocol):
-    """Client of the platform's object store."""
-
-    async def write(
-        self,
-        kind: str,
-        name: str,
-        body: dict[str, Any],
-        replaces: int,
-    ) -> int:
-        """Write an object if its revision is still ``replaces``."""
-
-
 class ActiveRouteTable:
     """Holds the route table of the configuration in force."""
 
@@ -124,7 +115,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: WritableRegistry,
         documents: DocumentReader,
         directory: Directory,
         own: Machine,
--- a/galenaswitch/quarantine/containment.py
+++ b/galenaswitch/quarantine/containment.py
@@ -9,7 +9,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Any, Protocol
+from typing import Any
 
 from xxhash import xxh3_64_hexdigest
 
@@ -35,10 +35,9 @@
     QUARANTINE_KIND,
     Quarantine,
     QuarantineRecords,
-    QuarantineStore,
 )
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
-from galenaswitch.store.registry import Follower, ObjectCache, Registry
+from galenaswitch.store.registry import Follower, ObjectCache, WritableRegistry
 
 # Longest wait of one watch for records. Records rarely change, and each watch
 # call is billed.
@@ -47,7 +46,7 @@
 MAINTENANCE_SECONDS = 1.0
 # Time within which the VMs that a crash concerns have reported it.
 SETTLE_SECONDS = 0.2
-# Crashes after which this VM sends a request with a implicated part only once.
+# Crashes after which this VM sends a request with an implicated part only once.
 CRASHES_TO_STOP_REPEATS = 2
 # Most parts of one prompt that are tracked, and most parts whose last answer a
 # VM remembers.
@@ -57,16 +56,12 @@
 MAX_IDENT_LENGTH = 32
 
 
-class ContainmentStore(Registry, QuarantineStore, Protocol):
-    """Client of the platform's store."""
-
-
 class Containment:
     """Evidence and quarantines of one VM, shared with all others."""
 
     def __init__(
         self,
-        store: ContainmentStore,
+        store: WritableRegistry,
         mesh: Mesh,
         tasks: TaskGroup,
         metrics: Metrics,
--- a/galenaswitch/quarantine/records.py
+++ b/galenaswitch/quarantine/records.py
@@ -8,12 +8,12 @@
 """
 
 from collections.abc import Callable
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
 from galenaswitch.errors import StoreConflictError, StoreError
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.store.client import ABSENT
-from galenaswitch.store.registry import ObjectCache
+from galenaswitch.store.registry import ObjectCache, WritableRegistry
 
 QUARANTINE_KIND = 'galena-quarantines'
 # Seconds from the start of a quarantine, or from its last trial, to the next
@@ -31,22 +31,6 @@
 MAX_LISTED_CRASHES = 8
 
 
-class QuarantineStore(Protocol):
-    """Conditional writes to the platform's store."""
-
-    async def write(
-        self,
-        kind: str,
-        name: str,
-        body: dict[str, Any],
-        replaces: int,
-    ) -> int:
-        """Write an object if its revision is still ``replaces``."""
-
-    async def remove(self, kind: str, name: str, revision: int) -> None:
-        """Remove an object if its revision is still ``revision``."""
-
-
 class Quarantine(NamedTuple):
     """Quarantine of one prompt part.
 
@@ -92,7 +76,7 @@
 
     def __init__(
         self,
-        store: QuarantineStore,
+        store: WritableRegistry,
         node: str,
         now: Callable[[], float],
     ) -> None:
--- a/galenaswitch/store/registry.py
+++ b/galenaswitch/store/registry.py
@@ -9,7 +9,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from galenaswitch.errors import (
     StoreError,
@@ -71,6 +71,25 @@
         """
 
 
+class WritableRegistry(Registry, Protocol):
+    """Interface of a store with conditional writes as well."""
+
+    async def write(
+        self,
+        kind: str,
+        name: str,
+        body: dict[str, Any],
+        replaces: int,
+    ) -> int:
+        """Write an object if its revision is still ``replaces``.
+
+        :returns: the new revision.
+        """
+
+    async def remove(self, kind: str, name: str, revision: int) -> None:
+        """Remove an object if its revision is still ``revision``."""
+
+
 class ObjectCache:
     """Local copy of the store's objects of one kind.
 
