placements: wait for a turn only as long as that is useful

What callers saw: a stream cut off as it began, three seconds after its request came (test_target_gets_no_more_than_the_limit_that_it_names[chat-64], once, beside 16 busy processes; status 0 where 200 and 503 are allowed).

Cause: with limits of all engines in force, a request could wait for a turn until 0.1 s before its deadline. It took the turn and was cut off in its run, and all that were served came late.

Ruled out: the limit itself (no window was over it) and refusals (none but 503).

Change: a request that can be on time waits for a turn as long as it stays so, a late one for half of the time that it has left; otherwise it is refused at once, also when its wait proves longer than expected. Only requests that rank before it count as ahead of it.

Why it works: the rest of its time is left for the run, and a turn that a request can't use goes to the next one.

Evidence: test_request_that_a_turn_leaves_little_time_is_refused failed before and passes; the tests of limits pass beside the same load.

--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -65,23 +65,19 @@
         The reply names no engine when none has capacity in time.
         """
         now = time.monotonic()
-        wait_deadline = now + query.left - MIN_RUN_SECONDS
         self._drop_expired(now)
-        excess = self._estimate_wait(query, now) - query.left
-        if excess > 0:
-            return PlaceReply('', max(excess, RETRY_AFTER_SECONDS))
         self._waiting[query.ident] = (
             query.start_in < 0,
             query.priority,
             now + query.start_in,
         )
         try:
-            placement = await self._wait_for_engine(query, wait_deadline)
+            placement, retry_after = await self._wait_for_engine(query, now)
         finally:
             self._waiting.pop(query.ident, None)
             self._notify_waiting()
         if placement is None:
-            return PlaceReply('', RETRY_AFTER_SECONDS)
+            return PlaceReply('', retry_after)
         self._expires_at[query.ident] = now + query.left
         get_logger().info(
             'place_given',
@@ -119,15 +115,20 @@
         }
 
     async def _wait_for_engine(
-        self,
-        query: PlaceQuestion,
-        wait_deadline: float,
-    ) -> Placement | None:
+        self, query: PlaceQuestion, asked_at: float
+    ) -> tuple[Placement | None, float]:
+        """Wait for an engine as long as that is useful.
+
+        :returns: the placement, ``None`` when none came in time, and the
+            seconds after which a retry may succeed.
+        """
+        wait_deadline = asked_at + query.left - MIN_RUN_SECONDS
         while True:
             placement = self._try_place(query)
             now = time.monotonic()
-            if placement or now >= wait_deadline:
-                return placement
+            excess = self._find_excess_wait(query, asked_at, now)
+            if placement or now >= wait_deadline or excess > 0:
+                return placement, max(excess, RETRY_AFTER_SECONDS)
             self._changed.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(
@@ -154,8 +155,23 @@
             self._pacer.take(placement.target.incarnation, now)
         return placement
 
+    def _find_excess_wait(
+        self, query: PlaceQuestion, asked_at: float, now: float
+    ) -> float:
+        """Return by how much the wait for a turn exceeds a useful wait.
+
+        A request that can be on time may wait as long as it stays so, a late
+        one for half of its time, since it has to run in the rest.
+        """
+        waited = now - asked_at
+        left = query.left - waited
+        useful_wait = min(query.start_in - waited, left)
+        if useful_wait <= 0:
+            useful_wait = left / 2
+        return self._estimate_wait(query, now) - useful_wait
+
     def _estimate_wait(self, query: PlaceQuestion, now: float) -> float:
-        """Return the seconds until an engine's limit leaves a turn.
+        """Return the seconds until the limits of engines leave a turn.
 
         It is 0 as long as one engine has no limit.
         """
@@ -170,7 +186,9 @@
         first_turn = min(
             self._pacer.find_wait(one, now) for one in incarnations
         )
-        return first_turn + len(self._waiting) / sum(filter(None, rates))
+        own_rank = self._waiting[query.ident]
+        ahead = sum(rank < own_rank for rank in self._waiting.values())
+        return first_turn + ahead / sum(filter(None, rates))
 
     def _notify_waiting(self) -> None:
         self._changed.set()
--- a/galenaswitch/gateway/tests/test_placements.py
+++ b/galenaswitch/gateway/tests/test_placements.py
@@ -142,3 +142,16 @@
     started_at = asyncio.get_running_loop().time()
     assert (await limited.place(make_query('late', left=2))).target
     assert 0.3 < asyncio.get_running_loop().time() - started_at < 1.2
+
+
+# Guards against a turn for a request that is cut off as it begins.
+async def test_request_that_a_turn_leaves_little_time_is_refused(limited):
+    limited._pacer.set_rate('e1/1', 0.5, 0)
+    limited._pacer.set_rate('e2/1', 0.5, 0)
+    for number in range(4):
+        await limited.place(make_query(str(number)))
+    async with asyncio.timeout(0.5):
+        late = await limited.place(make_query('a', start_in=-1, left=2.5))
+        on_time = await limited.place(make_query('b', start_in=1, left=9))
+    assert (late.target, on_time.target) == ('', '')
+    assert 0.5 <= late.retry_after < 2
