turns: an owner learns a limit from the query for a turn; zero is a limit

What callers saw: nothing yet; found by reading the change. An owner that had not heard of a limit gave turns at once, and a target that named 0 was taken for one without a limit by all VMs but the one that saw its answer.

Cause: a query named its targets only, and a spread limit used 0 for none.

Change: a query carries the limits as the asking VM knows them, and a limit is spread at the rate that is kept, which is never 0.

Evidence: test_owner_learns_a_limit_from_the_query and test_limit_of_zero_is_spread_as_a_limit failed before and pass.

--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -160,12 +160,13 @@
 class TurnQuery(NamedTuple):
     """Query for a turn at one of several targets with limits.
 
-    :param incarnations: incarnations of the targets, the preferred one first.
+    :param limits: the targets and their limits as the asking VM knows them, the
+        preferred one first.
     :param max_wait: longest useful wait for a turn in seconds.
     """
 
     service: str
-    incarnations: tuple[str, ...]
+    limits: tuple[TargetLimit, ...]
     max_wait: float
 
 
--- a/galenaswitch/gateway/tests/test_turns.py
+++ b/galenaswitch/gateway/tests/test_turns.py
@@ -70,7 +70,7 @@
 
 async def test_owner_gives_turns_to_all_vms_together(turns):
     turns.observe(ONE, 1.0)
-    query = TurnQuery('desk', ('one/1',), 0)
+    query = TurnQuery('desk', (TargetLimit('one/1', 1.0),), 0)
     answer = turns.handlers()[TurnQuery]
     given = [await answer(Mock(), query) for _ in range(6)]
     assert sum(bool(reply.incarnation) for reply in given) == 2
@@ -87,3 +87,18 @@
     turns._members.accept(MemberList(2, (), (TWO,)))
     turns.forget_ended()
     assert not turns.pacer.rates
+
+
+# Guards against an owner that has not heard of a limit and gives turns freely.
+async def test_owner_learns_a_limit_from_the_query(turns):
+    query = TurnQuery('desk', (TargetLimit('one/1', 1.0),), 0)
+    answer = turns.handlers()[TurnQuery]
+    given = [await answer(Mock(), query) for _ in range(6)]
+    assert sum(bool(reply.incarnation) for reply in given) == 2
+
+
+# Guards against a limit of zero that other VMs take for none.
+async def test_limit_of_zero_is_spread_as_a_limit(turns, mesh):
+    turns.observe(ONE, 0.0)
+    (limit,) = mesh.spread.call_args.args[:1]
+    assert limit.rate > 0
--- a/galenaswitch/gateway/turns.py
+++ b/galenaswitch/gateway/turns.py
@@ -72,7 +72,7 @@
         """
         now = time.monotonic()
         if self.pacer.observe(target.incarnation, rate, now):
-            self._spread(TargetLimit(target.incarnation, rate or 0), None)
+            self._spread(self._make_limit(target.incarnation), None)
 
     async def find_turn(
         self, service: str, targets: Sequence[Target], max_wait: float
@@ -85,7 +85,8 @@
             seconds until the turn, or until the next one of any target.
         """
         targets_by_incarnation = {one.incarnation: one for one in targets}
-        query = TurnQuery(service, tuple(targets_by_incarnation), max_wait)
+        limits = tuple(map(self._make_limit, targets_by_incarnation))
+        query = TurnQuery(service, limits, max_wait)
         _, reply = await self._owner_router.query(
             service, query, REPLY_TIMEOUT_SECONDS, self._give_turn
         )
@@ -109,11 +110,15 @@
     async def _give_turn(self, query: TurnQuery) -> TurnReply:
         """Give the first turn of a target, the preferred one of equals."""
         now = time.monotonic()
-        waits = [self.pacer.find_wait(one, now) for one in query.incarnations]
+        for limit in query.limits:
+            if limit.incarnation not in self.pacer.rates:
+                self.pacer.set_rate(limit.incarnation, limit.rate, now)
+        incarnations = [limit.incarnation for limit in query.limits]
+        waits = [self.pacer.find_wait(one, now) for one in incarnations]
         wait = min(waits)
         if wait > query.max_wait:
             return TurnReply('', wait)
-        incarnation = query.incarnations[waits.index(wait)]
+        incarnation = incarnations[waits.index(wait)]
         return TurnReply(incarnation, self.pacer.take(incarnation, now))
 
     async def _answer_turn_query(
@@ -124,9 +129,10 @@
     async def _answer_limits_query(
         self, link: Link, query: LimitsQuery
     ) -> LimitsReply:
-        return LimitsReply(
-            tuple(TargetLimit(*pair) for pair in self.pacer.rates.items())
-        )
+        return LimitsReply(tuple(map(self._make_limit, self.pacer.rates)))
+
+    def _make_limit(self, incarnation: str) -> TargetLimit:
+        return TargetLimit(incarnation, self.pacer.rates.get(incarnation, 0))
 
     async def _receive_limit(self, link: Link, message: TargetLimit) -> None:
         self._apply(message, link)
