quarantine: ignore malformed records, bound the evidence of a crash

What callers saw: nothing yet; found by reading the change. A record whose crashes are no names would have ended the processes that read it, and long prompts at many crashes could have made evidence larger than a frame of a link.

Change: such a record is ignored like other malformed ones; 128 crashes with 256 parts each are kept; a target whose examination fails is examined anew.

Evidence: test_malformed_record_is_ignored[body4] and test_evidence_of_a_crash_is_bounded failed before and pass.

--- a/galenaswitch/quarantine/detector.py
+++ b/galenaswitch/quarantine/detector.py
@@ -72,8 +72,10 @@
         await asyncio.shield(broken.check)
 
     async def _check_target(self, target: Target) -> None:
-        is_listening = await self._is_listening(target.url)
-        broken = self._broken.pop(target.incarnation)
+        try:
+            is_listening = await self._is_listening(target.url)
+        finally:
+            broken = self._broken.pop(target.incarnation)
         if is_listening:
             return
         get_logger().warning(
--- a/galenaswitch/quarantine/evidence.py
+++ b/galenaswitch/quarantine/evidence.py
@@ -12,6 +12,7 @@
 
 import math
 from collections.abc import Iterable, Iterator
+from itertools import islice
 
 from galenaswitch.quarantine.messages import (
     CrashReport,
@@ -29,7 +30,9 @@
 # that crash at one moment have a cause in common, such as their host.
 JOINT_CRASH_SECONDS = 0.1
 RETENTION_SECONDS = 600.0
-MAX_CRASHES = 512
+# Most crashes, and most implicated parts of each, that are kept and sent.
+MAX_CRASHES = 128
+MAX_PARTS_PER_CRASH = 256
 # Crashes, whether there was no answer, position in the prompt, and id.
 Rank = tuple[int, bool, int, str]
 _NO_RANK: Rank = (0, False, 0, '')
@@ -50,7 +53,7 @@
     def add(self, parts: Iterable[ImplicatedPart]) -> bool:
         """Add parts and return whether one of them was new."""
         before = len(self.parts)
-        for part in parts:
+        for part in islice(parts, MAX_PARTS_PER_CRASH - before):
             known = self.parts.setdefault(part.ident, part)
             self.parts[part.ident] = known._replace(
                 position=max(known.position, part.position),
--- a/galenaswitch/quarantine/records.py
+++ b/galenaswitch/quarantine/records.py
@@ -247,4 +247,5 @@
         body.get('part') == name
         and isinstance(body.get('trials'), int)
         and isinstance(body.get('crashes'), list)
+        and all(isinstance(name, str) for name in body['crashes'])
     )
--- a/galenaswitch/quarantine/tests/test_containment.py
+++ b/galenaswitch/quarantine/tests/test_containment.py
@@ -226,6 +226,35 @@
     assert not any(vm.quarantined for vm in cluster.vms)
 
 
+# Guards against a process that ends by a record that another program wrote.
+@pytest.mark.parametrize(
+    'body',
+    [
+        None,
+        {},
+        {'part': 'bad'},
+        {'part': 'bad', 'trials': 'x', 'crashes': []},
+        {'part': 'bad', 'trials': 0, 'crashes': [['x']]},
+    ],
+)
+async def test_malformed_record_is_ignored(open_cluster, body):
+    cluster = open_cluster(1)
+    await cluster.store.write('galena-quarantines', 'bad', body, 0)
+    cluster.vms[0].read_store()
+    assert not cluster.vms[0].quarantined
+
+
+async def test_evidence_of_a_crash_is_bounded(open_cluster):
+    cluster = open_cluster(2)
+    for number in range(20):
+        parts = tuple(f'p{number}x{one}' for one in range(50))
+        await cluster.vms[0].break_request('t1/1', *parts)
+    evidence = await cluster.vms[1].request(None, 1)
+    await cluster.settle()
+    evidence = await cluster.vms[1].request(None, 1)
+    assert len(evidence.crashes[0].parts) <= 256
+
+
 async def test_request_of_a_implicated_part_is_not_repeated(open_cluster):
     cluster = open_cluster()
     parts = ('first', 'bad')
