quarantine: a record that the watch has not shown yet isn't taken for deleted

What callers saw: nothing yet; found by reading the change. A VM that had just written the record of one part and then got an older event of the watch, such as the record of another part, ended the quarantine as if an operator had deleted the record, and removed it for all VMs when the event of its own write came.

Cause: the view of the watch was compared with what the answer to a write had told, without their revisions.

Change: a record counts as deleted only in a view that is as new as the record.

Evidence: test_record_that_the_watch_has_not_shown_yet_is_not_lifted failed before and passes.

--- a/galenaswitch/quarantine/records.py
+++ b/galenaswitch/quarantine/records.py
@@ -114,6 +114,8 @@
     def apply(self, cache: ObjectCache) -> tuple[list[str], list[str]]:
         """Apply the records in the store.
 
+        This VM may have written a record that the cache doesn't show yet.
+
         :returns: the parts whose quarantine has begun and has ended.
         """
         stored = {
@@ -124,7 +126,8 @@
         ended = [
             part
             for part, quarantine in self.quarantines.items()
-            if quarantine.version != ABSENT and part not in stored
+            if ABSENT < quarantine.version <= cache.revision
+            and part not in stored
         ]
         for part in ended:
             self.end(part)
--- a/galenaswitch/quarantine/tests/test_containment.py
+++ b/galenaswitch/quarantine/tests/test_containment.py
@@ -1,11 +1,14 @@
 """Which prompt parts are quarantined, on which VMs, and for how long."""
 
+import asyncio
+
 import hypothesis
 import pytest
 from hypothesis import strategies
 
 from galenaswitch.quarantine.records import TRIAL_INTERVALS_SECONDS
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
+from galenaswitch.store.client import Listing, StoredObject
 
 CONTACT_SECONDS = 3.0
 MAX_CRASHES = 5
@@ -226,6 +229,36 @@
     assert not any(vm.quarantined for vm in cluster.vms)
 
 
+# Guards against a quarantine that ends by a view of the store older than
+# its record.
+async def test_record_that_the_watch_has_not_shown_yet_is_not_lifted(
+    open_cluster,
+):
+    cluster = open_cluster(1)
+    vm = cluster.vms[0]
+    await cluster.store.write('galena-quarantines', 'z', {}, 0)
+    vm.read_store()
+    older = Listing(
+        cluster.store.revision + 1,
+        (
+            StoredObject(
+                'galena-quarantines', 'other', cluster.store.revision + 1, {}
+            ),
+        ),
+    )
+    cluster.store.revision += 1
+    for incarnation in THREE_CRASHES:
+        await vm.break_request(incarnation, 'bad')
+        cluster.now += 1
+    await asyncio.gather(*vm.containment._tasks._tasks)
+    while vm.containment._tasks._tasks:
+        await asyncio.sleep(0.002)
+    assert cluster.store.objects['bad']
+    vm.cache.apply_listing(older, cluster.now)
+    vm.containment._apply_records(vm.cache)
+    assert vm.quarantined == {'bad'}
+
+
 # Guards against a process that ends by a record that another program wrote.
 @pytest.mark.parametrize(
     'body',
