--- a/galenaswitch/limits/pacing.py
+++ b/galenaswitch/limits/pacing.py
@@ -13,9 +13,10 @@
 
 # Requests that a target may get at one moment after a pause.
 BURST_REQUESTS = 2
-# Smallest rate in requests per second; a target that names 0 is tried at this.
+# Smallest rate in requests per second, also for a target that names 0. Without
+# any request, no answer would show that the limit has ended.
 MIN_RATE = 0.05
-# Relative change from which a new rate replaces the known one.
+# Relative change from which a new rate replaces the known one and is spread.
 MIN_RATE_CHANGE = 0.02
 # An answer without a rate ends a limit only this many seconds after the last
 # answer with one, because answers overtake each other.
--- a/galenaswitch/quarantine/containment.py
+++ b/galenaswitch/quarantine/containment.py
@@ -1,8 +1,8 @@
 """Keeps requests with a harmful prompt part away from targets.
 
 A prompt part may end each target that begins to answer it ("query of death").
-Every VM reports the parts that the crashes it sees implicate to all others and
-refuses requests with a part that has been found harmful.
+Every VM reports to all others which parts a crash implicates, and refuses
+requests with a part that has been found harmful.
 """
 
 import asyncio
--- a/galenaswitch/quarantine/tests/test_containment.py
+++ b/galenaswitch/quarantine/tests/test_containment.py
@@ -282,7 +282,6 @@
     for number in range(20):
         parts = tuple(f'p{number}x{one}' for one in range(50))
         await cluster.vms[0].break_request('t1/1', *parts)
-    evidence = await cluster.vms[1].request(None, 1)
     await cluster.settle()
     evidence = await cluster.vms[1].request(None, 1)
     assert len(evidence.crashes[0].parts) <= 256
