soak: two crashes of a fake target may overlap

Cause: since a crash refuses connections, each crash opens the target's address again at its end; the second of two that overlapped found it open.

Change: the address is opened at the end of the last one.

Evidence: test_overlapping_crashes_of_a_target_leave_it_up failed before and passes.

--- a/galenaswitch/platform/soak/proxy.py
+++ b/galenaswitch/platform/soak/proxy.py
@@ -30,6 +30,7 @@
         self._find_upstream = find_upstream
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._down_count = 0
 
     async def start(self, host: str, port: int = 0) -> None:
         """Start to listen; port 0 chooses a free port."""
@@ -40,9 +41,16 @@
         self.address = f'{listen_address[0]}:{listen_address[1]}'
 
     async def go_down(self, seconds: float) -> None:
-        """Reset all connections and refuse new ones for a time."""
+        """Reset all connections and refuse new ones for a time.
+
+        Several such times may overlap.
+        """
+        self._down_count += 1
         await self.stop()
         await asyncio.sleep(seconds)
+        self._down_count -= 1
+        if self._down_count:
+            return
         host, _, port = self.address.rpartition(':')
         await self.start(host, int(port))
 
--- a/galenaswitch/platform/tests/test_soak.py
+++ b/galenaswitch/platform/tests/test_soak.py
@@ -1,8 +1,11 @@
 """Tests of the soak's invariant checks, and short soaks of regression seeds."""
 
+import asyncio
+
 import pytest
 
 from galenaswitch.platform.soak.promises import CHECKS, check_recovery
+from galenaswitch.platform.soak.proxy import Proxy
 from galenaswitch.platform.soak.records import (
     InjectedFault,
     SentRequest,
@@ -179,6 +182,20 @@
     assert len(list(check_recovery(records, 99))) == 1
 
 
+# Guards against a soak that ends by two crashes of one target at a time.
+async def test_overlapping_crashes_of_a_target_leave_it_up():
+    proxy = Proxy(lambda: ('127.0.0.1', 1))
+    await proxy.start('127.0.0.1')
+    async with asyncio.TaskGroup() as group:
+        group.create_task(proxy.go_down(0.05))
+        await asyncio.sleep(0.02)
+        group.create_task(proxy.go_down(0.1))
+    host, _, port = proxy.address.rpartition(':')
+    _, writer = await asyncio.open_connection(host, int(port))
+    writer.close()
+    await proxy.stop()
+
+
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize('seed', REGRESSION_SEEDS)
 async def test_soak_with_a_seed_that_failed_has_no_violations(seed, tmp_path):
