quarantine: the planned end of an engine is no crash

What callers saw: nothing yet; found by reading the change. An engine that left at its end of service with requests that it had not begun to answer counted as crashed, and their prompt parts as implicated; three engines replaced one after the other could have a rare sound part quarantined.

Cause: a target that no longer listens was taken for one that ended by itself.

Change: requests at a target that the list or a notice has as leaving, or no longer has, implicate nothing.

Evidence: test_engine_that_is_leaving_has_not_crashed[True] failed before and passes. test_stream_of_a_part_with_two_crashes_is_not_repeated is new for what held already: without the check the second engine gets the request.

--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -308,8 +308,13 @@
         target: Target,
         error: TargetError,
     ) -> None:
-        """Find out whether a request may have ended its target."""
-        if isinstance(error, TargetBrokenError) and not job.has_first_event:
+        """Find out whether a request may have ended its target.
+
+        A target that is leaving ends by itself.
+        """
+        if not isinstance(error, TargetBrokenError) or job.has_first_event:
+            return
+        if target in self._members.usable(job.request.service):
             await self._containment.record_broken(
                 target, job.request.ident, job.parts
             )
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -366,7 +366,7 @@
     After a run, no request may wait for or hold a placement.
     """
 
-    async def run(route, *targets):
+    async def run(route, *targets, **headers):
         listed = members(*targets)
         scheduler = PlacementScheduler(
             'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
@@ -385,7 +385,9 @@
         )
         try:
             await runner.run(
-                make_caller_request(route), make_table(route), writer
+                make_caller_request(route, **headers),
+                make_table(route),
+                writer,
             )
         finally:
             assert not scheduler.dump()['waiting']
--- a/galenaswitch/platform/tests/test_streams.py
+++ b/galenaswitch/platform/tests/test_streams.py
@@ -1,10 +1,13 @@
 """Generated answers: complete events, resumes and refusals."""
 
 import asyncio
+from unittest.mock import AsyncMock
 
 import pytest
 
 from galenaswitch.gateway.routes import CallKind
+from galenaswitch.membership.lists import Members
+from galenaswitch.quarantine.messages import CrashReport, ImplicatedPart
 from galenaswitch.refusals import ExecutionState, RefusedError
 from standins.scripted import find_header
 
@@ -175,3 +178,43 @@
     task.cancel()
     async with asyncio.timeout(0.5):
         await connection_closed.wait()
+
+
+BROKEN = b''
+PROMPT = {'X-Prompt-Prefix': 'bad:10,own:10'}
+
+
+# Guards against a repeat that carries a harmful part to the next engine.
+@pytest.mark.parametrize(('crash_count', 'send_count'), [(1, 2), (2, 1)])
+async def test_stream_of_a_part_with_two_crashes_is_not_repeated(
+    run_stream, make_route, scripted, containment, crash_count, send_count
+):
+    parts = (ImplicatedPart('bad', 0, answered=False),)
+    for number in range(crash_count):
+        report = CrashReport(f'e{number}/1', parts, age=9 - number)
+        containment._add_crash(report, None)
+    targets = [await scripted([BROKEN]) for _ in range(2)]
+    with pytest.raises(RefusedError):
+        await run_stream(
+            make_route(CallKind.stream, resumable=True), *targets, **PROMPT
+        )
+    assert sum(len(target.requests) for target in targets) == send_count
+
+
+# Guards against parts that are blamed for the planned end of an engine.
+@pytest.mark.parametrize('is_leaving', [False, True])
+async def test_engine_that_is_leaving_has_not_crashed(
+    run_stream, make_route, scripted, containment, monkeypatch, is_leaving
+):
+    containment.record_broken = AsyncMock()
+    target = await scripted([BROKEN])
+
+    async def end(reader, stream_writer):
+        await target.read_request(reader)
+        if is_leaving:
+            monkeypatch.setattr(Members, 'usable', lambda listed, pool: ())
+
+    target._script = end
+    with pytest.raises(RefusedError):
+        await run_stream(make_route(CallKind.stream), target, **PROMPT)
+    assert containment.record_broken.await_count == (not is_leaving)
