turns: an owner learns the limits of engines from queries for a placement

What callers saw: nothing yet; found by reading the change. An owner that had missed a limit, as after a freeze or on a link that had just closed, placed requests on the engine without turns until it saw an answer of its own.

Cause: only queries for turns carried the limits that the asking VM knows.

Change: queries for a placement carry them too; a limit that the owner knows itself stays as it is.

Evidence: test_owner_learns_the_limits_of_engines_from_a_query failed before and passes.

--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -83,6 +83,16 @@
     handles: tuple[str, ...]
 
 
+class TargetLimit(NamedTuple):
+    """Notifies VMs of the limit that a target has named or withdrawn.
+
+    :param rate: requests per second for all VMs together, 0 for no limit.
+    """
+
+    incarnation: str
+    rate: float
+
+
 class PlaceQuestion(NamedTuple):
     """Query for the engine that should run a request.
 
@@ -92,6 +102,7 @@
     :param priority: priority of the request; 0 is the most urgent.
     :param start_in: seconds until the latest start that is still on time.
     :param left: seconds until the request must be answered.
+    :param limits: limits of engines that the asking VM knows of.
     """
 
     service: str
@@ -105,6 +116,7 @@
     priority: int
     start_in: float
     left: float
+    limits: tuple[TargetLimit, ...] = ()
 
 
 class PlaceReply(NamedTuple):
@@ -137,16 +149,6 @@
     ident: str
 
 
-class TargetLimit(NamedTuple):
-    """Notifies VMs of the limit that a target has named or withdrawn.
-
-    :param rate: requests per second for all VMs together, 0 for no limit.
-    """
-
-    incarnation: str
-    rate: float
-
-
 class LimitsQuery(NamedTuple):
     """Query for the limits that another VM knows."""
 
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -66,6 +66,8 @@
         """
         now = time.monotonic()
         self._drop_expired(now)
+        for limit in query.limits:
+            self._pacer.learn(*limit, now)
         self._waiting[query.ident] = (
             query.start_in < 0,
             query.priority,
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -181,6 +181,9 @@
             request.priority,
             request.objective_deadline - now,
             seconds_left,
+            self._sender.turns.find_limits(
+                self._members.usable(request.service)
+            ),
         )
         owner, reply = await self._owner_router.query(
             request.service,
--- a/galenaswitch/gateway/tests/test_placements.py
+++ b/galenaswitch/gateway/tests/test_placements.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from galenaswitch.gateway.messages import PlaceEnd, PlaceFirst, PlaceQuestion
+from galenaswitch.gateway.messages import (
+    PlaceEnd,
+    PlaceFirst,
+    PlaceQuestion,
+    TargetLimit,
+)
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.routes import EngineLimits
 from galenaswitch.limits.pacing import Pacer
@@ -155,3 +160,14 @@
         on_time = await limited.place(make_query('b', start_in=1, left=9))
     assert (late.target, on_time.target) == ('', '')
     assert 0.5 <= late.retry_after < 2
+
+
+# Guards against an owner that has not heard of a limit and places freely.
+async def test_owner_learns_the_limits_of_engines_from_a_query(scheduler):
+    limits = (TargetLimit('e/1', 1.0),)
+    replies = []
+    for number in range(4):
+        query = make_query(str(number), left=0.3)._replace(limits=limits)
+        replies.append(await scheduler.place(query))
+        scheduler.record_end(make_end(str(number)))
+    assert [reply.target for reply in replies] == ['e', 'e', '', '']
--- a/galenaswitch/gateway/turns.py
+++ b/galenaswitch/gateway/turns.py
@@ -85,13 +85,20 @@
             seconds until the turn, or until the next one of any target.
         """
         targets_by_incarnation = {one.incarnation: one for one in targets}
-        limits = tuple(map(self._make_limit, targets_by_incarnation))
-        query = TurnQuery(service, limits, max_wait)
+        query = TurnQuery(service, self.find_limits(targets), max_wait)
         _, reply = await self._owner_router.query(
             service, query, REPLY_TIMEOUT_SECONDS, self._give_turn
         )
         return targets_by_incarnation.get(reply.incarnation), reply.wait
 
+    def find_limits(self, targets: Sequence[Target]) -> tuple[TargetLimit, ...]:
+        """Return the known limits of some targets, in their order."""
+        return tuple(
+            self._make_limit(target.incarnation)
+            for target in targets
+            if target.incarnation in self.pacer.rates
+        )
+
     def take(self, target: Target) -> float:
         """Take a turn at a target of a service that this VM owns.
 
@@ -111,8 +118,7 @@
         """Give the first turn of a target, the preferred one of equals."""
         now = time.monotonic()
         for limit in query.limits:
-            if limit.incarnation not in self.pacer.rates:
-                self.pacer.set_rate(limit.incarnation, limit.rate, now)
+            self.pacer.learn(*limit, now)
         incarnations = [limit.incarnation for limit in query.limits]
         waits = [self.pacer.find_wait(one, now) for one in incarnations]
         wait = min(waits)
--- a/galenaswitch/limits/pacing.py
+++ b/galenaswitch/limits/pacing.py
@@ -64,6 +64,11 @@
         self.rates[incarnation] = rate
         return True
 
+    def learn(self, incarnation: str, rate: float, now: float) -> None:
+        """Set the limit of a target unless one is known."""
+        if incarnation not in self.rates:
+            self.set_rate(incarnation, rate, now)
+
     def remove(self, incarnation: str) -> None:
         """Remove the limit of a target."""
         self.rates.pop(incarnation, None)
