--- a/galenaswitch/gateway/tests/test_turns.py
+++ b/galenaswitch/gateway/tests/test_turns.py
@@ -1,11 +1,17 @@
 """Turns at limited targets: shared limits, owners and what is refused."""
 
 import time
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 import pytest
 
-from galenaswitch.gateway.messages import TargetLimit, TurnQuery
+from galenaswitch.gateway.messages import (
+    LimitsQuery,
+    LimitsReply,
+    TargetLimit,
+    TurnQuery,
+)
+from galenaswitch.gateway.tests.fakes import LocalOwnerRouter
 from galenaswitch.gateway.turns import Turns
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.operations.metrics import LocalMetrics
@@ -14,14 +20,6 @@
 TWO = Target('two', 'two/1', 'z', 'desk', 'a:2')
 
 
-class LocalOwnerRouter:
-    """Owner router of a VM that owns all services."""
-
-    async def query(self, service, query, seconds, answer_locally):
-        """Answer a query on this VM."""
-        return 'a', await answer_locally(query)
-
-
 @pytest.fixture
 def mesh():
     """Return a mesh that records what is spread."""
@@ -102,3 +100,13 @@
     turns.observe(ONE, 0.0)
     (limit,) = mesh.spread.call_args.args[:1]
     assert limit.rate > 0
+
+
+async def test_vm_that_starts_late_learns_the_limits_of_its_peers(turns):
+    link = Mock(peer=Mock(zone='north'))
+    limit = TargetLimit('one/1', 1.0)
+    link.request = AsyncMock(return_value=LimitsReply((limit,)))
+    await turns.on_link_open(link)
+    assert turns.pacer.rates == {'one/1': 1.0}
+    answer = await turns.handlers()[LimitsQuery](link, LimitsQuery())
+    assert answer.limits == (limit,)
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -3,14 +3,11 @@
 The gateway runs in one process with scripted targets.
 """
 
-import secrets
 import time
-from typing import NamedTuple
 from unittest.mock import AsyncMock, Mock
 
 import aiohttp
 import pytest
-from yarl import URL
 
 from galenaswitch.connections.heads import RequestHead
 from galenaswitch.connections.outbound import ConnectionPool
@@ -30,6 +27,7 @@
 from galenaswitch.gateway.sending import Sender
 from galenaswitch.gateway.stages import StageRunner
 from galenaswitch.gateway.streams import StreamRunner
+from galenaswitch.gateway.tests.fakes import LocalOwnerRouter
 from galenaswitch.gateway.turns import Turns
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import MemberList, Members, Target
@@ -38,9 +36,9 @@
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.platform.headers import PlatformWire
 from galenaswitch.platform.objects import PlatformStore
-from galenaswitch.platform.soak.callers import API_KEY as SOAK_KEY
-from galenaswitch.platform.soak.callers import HOST
 from galenaswitch.platform.soak.soak import Plan, Soak
+from galenaswitch.platform.tests.driver import SoakDriver
+from galenaswitch.platform.tests.fakes import AnswerRecorder
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.routing.choice import LeastOutstanding
 from galenaswitch.routing.loads import LoadView
@@ -161,35 +159,6 @@
     }
 
 
-class AnswerRecorder:
-    """Records the answer to one request."""
-
-    def __init__(self):
-        """Record an answer that has not started."""
-        self.head = None
-        self.body = b''
-        self.started = False
-        self.finished = False
-        self.aborted = False
-
-    def start(self, head, length):
-        """Record the head of the answer."""
-        self.started = True
-        self.head = head
-
-    async def write(self, chunk):
-        """Record a part of the answer's body."""
-        self.body += chunk
-
-    def finish(self):
-        """Record that the answer is complete."""
-        self.finished = True
-
-    def abort(self):
-        """Record that the answer was aborted."""
-        self.aborted = True
-
-
 @pytest.fixture
 def writer():
     """Return the recorder of one request's answer."""
@@ -316,22 +285,6 @@
     return make
 
 
-class LocalOwnerRouter:
-    """Owner router that treats this machine as the owner of every service."""
-
-    async def query(self, service, message, seconds, decide):
-        """Answer a query on this machine."""
-        return 'me', await decide(message)
-
-    def notify(self, owner, message, deliver):
-        """Deliver a message on this machine."""
-        deliver(message)
-
-    def find_owner(self, service):
-        """Return the name of this machine."""
-        return 'me'
-
-
 @pytest.fixture
 def turns():
     """Return the turns of a VM that owns all services."""
@@ -416,56 +369,6 @@
     return CallKind
 
 
-class Sent(NamedTuple):
-    """Request that a driver sent.
-
-    :param sent_at: seconds since the start of the soak.
-    :param status: status of a complete answer, 0 for none.
-    """
-
-    ident: str
-    sent_at: float
-    status: int
-    seconds: float
-
-
-class SoakDriver:
-    """Sends requests of a test to the machines of a soak in turn."""
-
-    def __init__(self, soak, session):
-        """Send to the machines of a running soak without callers."""
-        self.soak = soak
-        self._session = session
-        self._turn = 0
-
-    async def send(self, route, *parts):
-        """Send a request with shared prompt parts."""
-        machines = self.soak._machines
-        machine = machines[self._turn % len(machines)]
-        self._turn += 1
-        ident = secrets.token_hex(8)
-        headers = {
-            'Host': HOST,
-            'X-Attempt-Id': ident,
-            'X-Deadline-Ms': '3000',
-            'Authorization': f'Bearer {SOAK_KEY}',
-            'X-Token-Usage': '150,10',
-            'X-Prompt-Prefix': ','.join(f'{one}:50' for one in (*parts, ident)),
-        }
-        url = URL(f'http://{machine.callers}/{route}/3', encoded=True)
-        sent_at = self.soak._now()
-        status = 0
-        try:
-            async with self._session.post(
-                url, headers=headers, data=b'x'
-            ) as answer:
-                await answer.read()
-                status = answer.status
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            status = 0
-        return Sent(ident, sent_at, status, self.soak._now() - sent_at)
-
-
 @pytest.fixture
 async def open_driver(tmp_path):
     """Return a function that starts the processes of a soak and a driver."""
--- /dev/null
+++ b/galenaswitch/platform/tests/driver.py
@@ -0,0 +1,59 @@
+"""Sends the requests of a test to the machines of a soak."""
+
+import secrets
+from typing import NamedTuple
+
+import aiohttp
+from yarl import URL
+
+from galenaswitch.platform.soak.callers import API_KEY, HOST
+
+
+class Sent(NamedTuple):
+    """Request that a driver sent.
+
+    :param sent_at: seconds since the start of the soak.
+    :param status: status of a complete answer, 0 for none.
+    """
+
+    ident: str
+    sent_at: float
+    status: int
+    seconds: float
+
+
+class SoakDriver:
+    """Sends requests of a test to the machines of a soak in turn."""
+
+    def __init__(self, soak, session):
+        """Send to the machines of a running soak without callers."""
+        self.soak = soak
+        self._session = session
+        self._turn = 0
+
+    async def send(self, route, *parts):
+        """Send a request with shared prompt parts."""
+        machines = self.soak._machines
+        machine = machines[self._turn % len(machines)]
+        self._turn += 1
+        ident = secrets.token_hex(8)
+        headers = {
+            'Host': HOST,
+            'X-Attempt-Id': ident,
+            'X-Deadline-Ms': '3000',
+            'Authorization': f'Bearer {API_KEY}',
+            'X-Token-Usage': '150,10',
+            'X-Prompt-Prefix': ','.join(f'{one}:50' for one in (*parts, ident)),
+        }
+        url = URL(f'http://{machine.callers}/{route}/3', encoded=True)
+        sent_at = self.soak._now()
+        status = 0
+        try:
+            async with self._session.post(
+                url, headers=headers, data=b'x'
+            ) as answer:
+                await answer.read()
+                status = answer.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            status = 0
+        return Sent(ident, sent_at, status, self.soak._now() - sent_at)
--- a/galenaswitch/platform/tests/test_batcher.py
+++ b/galenaswitch/platform/tests/test_batcher.py
@@ -12,6 +12,7 @@
     PiecesQuestion,
 )
 from galenaswitch.gateway.routes import BatchLimits
+from galenaswitch.limits.pacing import BURST_REQUESTS
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.operations.process import TaskGroup
@@ -93,6 +94,36 @@
     assert count_batches(target) == 2
 
 
+# Guards against batches that don't count towards the limit of their target.
+async def test_batches_keep_the_limit_of_their_target(open_batcher):
+    limited = answer(
+        b'{"items":[{"handle":"127.0.0.1:1/h"}]}',
+        extra=b'Server-Limit: 0.5\r\n',
+    )
+    batcher, target = await open_batcher(limited)
+    async with asyncio.TaskGroup() as group:
+        for number in range(5):
+            query = make_query(left=1.0, ident=f'r{number}')
+            group.create_task(batcher.make_results(query))
+            await asyncio.sleep(0.1)
+    assert count_batches(target) <= 1 + BURST_REQUESTS
+
+
+# Guards against a limit that the answer to a release or a report ends.
+async def test_answer_to_a_report_does_not_end_a_limit(open_batcher):
+    batcher, target = await open_batcher(FREE_MEMORY)
+    (member,) = batcher._members.usable('intake')
+    pacer = batcher._sender.turns.pacer
+    pacer.set_rate(member.incarnation, 1.0, -100)
+    batcher._result_memory._queried_at.clear()
+    batcher._result_memory.query(member, BATCHES)
+    async with asyncio.timeout(1):
+        while len(target.requests) < 2:
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(0.05)
+    assert pacer.rates == {member.incarnation: 1.0}
+
+
 # Guards against a work item that ends one target after the other.
 async def test_work_item_of_crashed_targets_is_sent_twice_at_most(
     open_batcher, monkeypatch
--- a/galenaswitch/platform/tests/test_stages.py
+++ b/galenaswitch/platform/tests/test_stages.py
@@ -17,10 +17,10 @@
 )
 from galenaswitch.gateway.stages import StageRunner
 from galenaswitch.gateway.streams import StreamRunner
+from galenaswitch.gateway.tests.fakes import LocalOwnerRouter
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.platform.headers import PlatformWire
-from galenaswitch.platform.tests.conftest import LocalOwnerRouter
 from galenaswitch.platform.tests.test_streams import event, stream
 from galenaswitch.refusals import RefusedError
 from standins.scripted import ScriptedTarget, find_header
