--- a/galenaswitch/quarantine/tests/conftest.py
+++ b/galenaswitch/quarantine/tests/conftest.py
@@ -119,6 +119,7 @@
         self.store = MemoryStore()
         self.messages = []
         self.listening = False
+        self._tasks_may_end = asyncio.Event()
         self.vms = [Vm(self, number) for number in range(count)]
 
     def monotonic(self):
@@ -141,12 +142,18 @@
             await handlers[type(message)](sender, message)
         self.messages = kept
 
+    async def pause(self, seconds):
+        """Pause a task until the test lets the tasks end."""
+        await self._tasks_may_end.wait()
+
     async def run_tasks(self):
-        """Let the tasks of all VMs end, whose pauses are short."""
+        """Let the pauses of all tasks be over, and the tasks end."""
+        self._tasks_may_end.set()
         for vm in self.vms:
             while vm.tasks._tasks:
                 await asyncio.gather(*vm.tasks._tasks)
                 await asyncio.sleep(0)
+        self._tasks_may_end.clear()
 
     async def settle(self):
         """Deliver all messages and let all VMs read the store."""
@@ -173,7 +180,8 @@
         clock = SimpleNamespace(monotonic=cluster.monotonic)
         monkeypatch.setattr(containment, 'time', clock)
         monkeypatch.setattr(detector, 'time', clock)
-        monkeypatch.setattr(containment, 'SETTLE_SECONDS', 0.001)
+        pauses = SimpleNamespace(sleep=cluster.pause)
+        monkeypatch.setattr(containment, 'asyncio', pauses)
         return cluster
 
     return build
--- a/galenaswitch/quarantine/tests/test_containment.py
+++ b/galenaswitch/quarantine/tests/test_containment.py
@@ -1,7 +1,5 @@
 """Which prompt parts are quarantined, on which VMs, and for how long."""
 
-import asyncio
-
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -263,9 +261,7 @@
     for incarnation in THREE_CRASHES:
         await vm.break_request(incarnation, 'bad')
         cluster.now += 1
-    await asyncio.gather(*vm.containment._tasks._tasks)
-    while vm.containment._tasks._tasks:
-        await asyncio.sleep(0.002)
+    await cluster.run_tasks()
     assert cluster.store.objects['bad']
     vm.cache.apply_listing(older, cluster.now)
     vm.containment._apply_records(vm.cache)
