Tests: what a stream asks of the containment

Taking out the check before a send, or the record of a first event, left all tests without real processes green. Two tests fail without them now.

--- a/galenaswitch/platform/tests/test_streams.py
+++ b/galenaswitch/platform/tests/test_streams.py
@@ -8,7 +8,7 @@
 from galenaswitch.gateway.routes import CallKind
 from galenaswitch.membership.lists import Members
 from galenaswitch.quarantine.messages import CrashReport, ImplicatedPart
-from galenaswitch.refusals import ExecutionState, RefusedError
+from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 from standins.scripted import find_header
 
 HEAD = (
@@ -218,3 +218,27 @@
     with pytest.raises(RefusedError):
         await run_stream(make_route(CallKind.stream), target, **PROMPT)
     assert containment.record_broken.await_count == (not is_leaving)
+
+
+async def test_first_event_clears_the_parts_of_a_prompt(
+    run_stream, make_route, scripted, containment
+):
+    parts = (ImplicatedPart('bad', 0, answered=False),)
+    containment._add_crash(CrashReport('e0/1', parts, age=5), None)
+    assert containment._evidence.count_crashes('bad') == 1
+    target = await scripted([stream([event(1)])])
+    await run_stream(make_route(CallKind.stream), target, **PROMPT)
+    assert containment._evidence.count_crashes('bad') == 0
+
+
+# Guards against a request that was under way when its part was quarantined.
+async def test_part_quarantined_meanwhile_is_not_sent(
+    run_stream, make_route, scripted, containment
+):
+    containment.admit = AsyncMock(return_value='')
+    containment._records.add('bad', ())
+    target = await scripted([stream([event(1)])])
+    with pytest.raises(RefusedError) as caught:
+        await run_stream(make_route(CallKind.stream), target, **PROMPT)
+    assert caught.value.reason is Reason.quarantined
+    assert not target.requests
