--- a/galenaswitch/quarantine/evidence.py
+++ b/galenaswitch/quarantine/evidence.py
@@ -6,8 +6,8 @@
 So a harmful part collects crashes, while parts that sound requests use as well
 are cleared again and again.
 
-Evidence merges in any order and any number of times: crashes are keyed by the
-incarnation of the target, and of several answers the last one counts.
+Reports of one crash merge in any order and any number of times, since crashes
+are keyed by the incarnation of the target.
 """
 
 import math
--- a/galenaswitch/quarantine/records.py
+++ b/galenaswitch/quarantine/records.py
@@ -186,13 +186,11 @@
             return True
         try:
             await self._store.remove(QUARANTINE_KIND, part, ended.version)
-        except StoreConflictError as error:
-            get_logger().info('entry_changed', reason=str(error))
         except StoreError as error:
             get_logger().info(
                 'quarantine_unwritten', part=part, reason=str(error)
             )
-            return False
+            return isinstance(error, StoreConflictError)
         return True
 
     async def _write(
