Logs: a listing or a configuration that is ignored as older leaves a line

Callers saw acknowledged routes answered 404 after the store was restored. Whether the follower ignored the store's listing or a later step dropped the configuration could not be told from the logs.

'listing_ignored' names the kind and both revisions, 'configuration_ignored' the revisions of a configuration that the catalog already has newer, and 'store_history_lost' the revision that was watched.

--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -233,6 +233,14 @@
             for stored in held.objects.values()
             if stored.name == CONFIGURATION_NAME
         )
+        for item in items:
+            known = self.catalog.find(item.kind, item.name)
+            if known and known.version > item.version:
+                get_logger().warning(
+                    'configuration_ignored',
+                    revision=item.version,
+                    known_revision=known.version,
+                )
         if self.relay:
             self.relay.has_read_store = True
             self.relay.accept(items)
--- a/galenaswitch/store/registry.py
+++ b/galenaswitch/store/registry.py
@@ -228,7 +228,11 @@
                 await self._list()
                 await self._watch()
             except StoreHistoryLostError:
-                get_logger().info('store_history_lost', kind=self._kind)
+                get_logger().info(
+                    'store_history_lost',
+                    kind=self._kind,
+                    revision=self.cache.revision,
+                )
             except StoreError as error:
                 self._record_failure(error)
                 await asyncio.sleep(self._retry_seconds)
@@ -250,6 +254,13 @@
     async def _list(self) -> None:
         listing = await self._store.list_kind(self._kind)
         self._record_success()
+        if listing.revision < self.cache.revision:
+            get_logger().warning(
+                'listing_ignored',
+                kind=self._kind,
+                revision=listing.revision,
+                cached_revision=self.cache.revision,
+            )
         changed = self.cache.apply_listing(listing, time.monotonic())
         if changed or not self.has_listing:
             self.has_listing = True
