Tests: a VM after the store was restored from a copy (known red)

Callers saw routes that were acknowledged after the restore answered 404.

The store stand-in plays restores: its era rises and is in all answers, revisions are given out again, a watch from a revision that it doesn't have gets 410; a removal keeps its condition. Eight tests follow one VM through a restore with real HTTP.

--- a/galenaswitch/platform/soak/store.py
+++ b/galenaswitch/platform/soak/store.py
@@ -3,7 +3,8 @@
 import asyncio
 import contextlib
 from collections import deque
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
 
 from aiohttp import web
 
@@ -14,9 +15,22 @@
 SLOW_SECONDS = 0.4
 # Longest wait of a watch, even if the client asks for more.
 MAX_WAIT_SECONDS = 10.0
+ERA_HEADER = 'Store-Era'
 Document = dict[str, Any]
 
 
+class StoreCopy(NamedTuple):
+    """State of a store, from which it can be restored.
+
+    :param revision: revision of the last change.
+    :param history: changes that watches can read.
+    """
+
+    revision: int
+    objects: dict[tuple[str, str], Document]
+    history: tuple[tuple[int, str, Document, bool], ...]
+
+
 class FakeStore:
     """Object store in memory with one revision counter for all objects.
 
@@ -25,12 +39,16 @@
         answers by ``SLOW_SECONDS``, ``mute`` applies writes and delays their
         answers by ``MAX_WAIT_SECONDS``.
     :ivar revision: revision of the last change.
+    :ivar era: number that rises with each restore, and is in all answers.
+    :ivar call_count: number of calls received.
     """
 
     def __init__(self) -> None:
         """Build a store without objects, at revision 1."""
         self.mode = 'well'
         self.revision = 1
+        self.era = 1
+        self.call_count = 0
         self._objects: dict[tuple[str, str], Document] = {}
         self._history: deque[tuple[int, str, Document, bool]] = deque()
         self._compacted_revision = 0
@@ -38,7 +56,7 @@
 
     def make_application(self) -> web.Application:
         """Return the store's HTTP interface."""
-        app = web.Application()
+        app = web.Application(middlewares=(self._add_era,))
         app.router.add_get('/api/objects/{kind}', self._read)
         app.router.add_post('/api/objects/{kind}', self._create)
         app.router.add_put('/api/objects/{kind}/{name}', self._replace)
@@ -70,6 +88,32 @@
         self._compacted_revision = self.revision
         self._wake_watches()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the current state."""
+        return StoreCopy(
+            self.revision, dict(self._objects), tuple(self._history)
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; its later revisions are given out again."""
+        self.era += 1
+        self.revision = copy.revision
+        self._objects = dict(copy.objects)
+        self._history = deque(copy.history)
+        self._compacted_revision = min(self._compacted_revision, self.revision)
+        self._wake_watches()
+
+    @web.middleware
+    async def _add_era(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        self.call_count += 1
+        answer = await handler(request)
+        answer.headers[ERA_HEADER] = str(self.era)
+        return answer
+
     def _record_change(
         self, kind: str, entry: Document, *, deleted: bool
     ) -> None:
@@ -127,7 +171,8 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait
         while True:
-            if after_revision < self._compacted_revision:
+            is_known = self._compacted_revision <= after_revision
+            if not is_known or after_revision > self.revision:
                 return web.json_response({}, status=GONE)
             events = [
                 {'object': entry, 'deleted': deleted}
@@ -177,5 +222,14 @@
         failure = await self._apply_mode()
         if failure:
             return failure
-        self.remove(request.match_info['kind'], request.match_info['name'])
+        kind, name = request.match_info['kind'], request.match_info['name']
+        current = self._objects.get((kind, name))
+        expected_revision = int(request.query.get('revision', 0))
+        if (
+            current
+            and expected_revision
+            and expected_revision != current['metadata']['revision']
+        ):
+            return await self._answer_write(current, CONFLICT)
+        self.remove(kind, name)
         return await self._answer_write({})
--- /dev/null
+++ b/galenaswitch/platform/tests/test_restored_store.py
@@ -0,0 +1,231 @@
+"""State of a VM after the store was restored from a copy."""
+
+import asyncio
+import time
+
+import pytest
+from aiohttp import web
+
+from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.gateway.state_sync import StateSync
+from galenaswitch.membership.directory import Directory
+from galenaswitch.membership.lists import Machine, Members
+from galenaswitch.operations.process import TaskGroup
+from galenaswitch.platform.documents import PlatformDocuments
+from galenaswitch.platform.objects import PlatformStore
+from galenaswitch.platform.soak.configuration import make_configuration
+from galenaswitch.platform.soak.store import FakeStore
+
+# Seconds within which a configuration has to be in force.
+APPLY_SECONDS = 2.0
+# Calls to the store within one such span, over all kinds of objects.
+MAX_CALLS = 40
+POLL_SECONDS = 0.01
+
+
+class Vm:
+    """State sync of one VM, and the versions that it has brought into force."""
+
+    def __init__(self, store_address, name='a'):
+        """Build a state sync that follows the store at an address."""
+        self.pool = ConnectionPool()
+        self.tasks = TaskGroup()
+        self.members = Members()
+        own = Machine(name, 'z', '127.0.0.1', 1)
+        self.state_sync = StateSync(
+            PlatformStore(self.pool, store_address),
+            PlatformDocuments(),
+            Directory(self.members, own),
+            own,
+            self.tasks,
+        )
+        self.versions = []
+
+    @property
+    def version(self):
+        """Version of the configuration in force."""
+        return self.state_sync.route_table.current.version
+
+    @property
+    def usable(self):
+        """Names of the targets that may receive requests."""
+        return {target.name for target in self.members.usable('desk')}
+
+    async def wait_until(self, condition, seconds=APPLY_SECONDS):
+        """Record each version in force until a condition holds.
+
+        :returns: whether it holds in time.
+        """
+        deadline = time.monotonic() + seconds
+        while not condition() and time.monotonic() < deadline:
+            if self.versions[-1:] != [self.version]:
+                self.versions.append(self.version)
+            await asyncio.sleep(POLL_SECONDS)
+        self.versions.append(self.version)
+        return condition()
+
+    async def stop(self):
+        """Stop the tasks of the VM."""
+        await self.tasks.stop()
+        self.pool.close()
+
+
+@pytest.fixture
+async def store():
+    """Return a store without objects, which listens on a port."""
+    fake = FakeStore()
+    server = web.AppRunner(fake.make_application())
+    await server.setup()
+    await web.TCPSite(server, '127.0.0.1', 0, shutdown_timeout=0.1).start()
+    host, port = server.addresses[0]
+    fake.address = f'{host}:{port}'
+    yield fake
+    await server.cleanup()
+
+
+@pytest.fixture
+async def start_vm(store):
+    """Return a function that starts a VM."""
+    vms = []
+
+    def start(name='a'):
+        vm = Vm(store.address, name)
+        vm.state_sync.start()
+        vms.append(vm)
+        return vm
+
+    yield start
+    for vm in vms:
+        await vm.stop()
+
+
+def write_configuration(store, version):
+    """Write a configuration as the operator does."""
+    store.put('config', 'main', make_configuration(version, ()))
+
+
+def write_target(store, name, state='ready', sequence=1, born=1):
+    """Write a target's entry as the target does."""
+    entry = {
+        'service': 'desk',
+        'address': '127.0.0.1:9',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 8,
+        'state': state,
+        'cold-left-ms': 0,
+        'sequence': sequence,
+        'born': born,
+    }
+    store.put('servers', name, entry)
+
+
+@pytest.fixture
+async def vm(store, start_vm):
+    """Return a VM with version 1 in force and the target ``a``."""
+    write_configuration(store, 1)
+    write_target(store, 'a')
+    started = start_vm()
+    assert await started.wait_until(
+        lambda: started.version == 1 and started.usable == {'a'}
+    )
+    return started
+
+
+# Guards against a VM that ignores a restored store as older than its copy.
+async def test_version_acknowledged_after_a_restore_comes_into_force(store, vm):
+    copy = store.copy()
+    for version in (4, 7, 10):
+        write_configuration(store, version)
+    assert await vm.wait_until(lambda: vm.version == 10)
+    store.restore(copy)
+    await asyncio.sleep(0.3)
+    write_configuration(store, 10)
+    write_configuration(store, 13)
+    assert await vm.wait_until(lambda: vm.version == 13)
+    assert vm.versions == sorted(vm.versions)
+
+
+# Guards against a loop of calls without a pause while a listing is ignored.
+async def test_restored_store_is_not_called_without_a_pause(store, vm):
+    copy = store.copy()
+    for version in (4, 7, 10):
+        write_configuration(store, version)
+    assert await vm.wait_until(lambda: vm.version == 10)
+    store.restore(copy)
+    store.call_count = 0
+    await asyncio.sleep(APPLY_SECONDS)
+    assert store.call_count <= MAX_CALLS
+
+
+# Guards against a watch that goes on in another history, with no answer 410.
+async def test_restore_shows_although_the_watched_revision_was_passed(
+    store, vm
+):
+    copy = store.copy()
+    write_configuration(store, 4)
+    for name in ('b', 'c'):
+        write_target(store, name)
+    assert await vm.wait_until(lambda: vm.usable == {'a', 'b', 'c'})
+    store.restore(copy)
+    write_configuration(store, 7)
+    for name in ('d', 'e', 'f'):
+        write_target(store, name)
+    assert store.revision > vm.state_sync._followers[0].cache.revision
+    assert await vm.wait_until(lambda: vm.version == 7)
+    assert await vm.wait_until(lambda: {'d', 'e', 'f'} <= vm.usable)
+
+
+# Guards against a VM that goes back to the copy from which a store came.
+async def test_restored_older_version_does_not_replace_a_newer_one(store, vm):
+    copy = store.copy()
+    write_configuration(store, 4)
+    assert await vm.wait_until(lambda: vm.version == 4)
+    store.restore(copy)
+    store.put('other', 'x', {})
+    assert not await vm.wait_until(lambda: vm.version == 1)
+    assert vm.versions == sorted(vm.versions)
+
+
+# Guards against a leaving target that an older listing shows as ready.
+async def test_target_that_was_leaving_gets_nothing_after_a_restore(store, vm):
+    copy = store.copy()
+    write_target(store, 'a', state='draining', sequence=9)
+    assert await vm.wait_until(lambda: not vm.usable)
+    store.restore(copy)
+    store.put('other', 'x', {})
+    assert not await vm.wait_until(lambda: 'a' in vm.usable)
+
+
+# Guards against a target that is used again though it has left.
+async def test_target_that_had_left_is_not_used_after_a_restore(store, vm):
+    copy = store.copy()
+    store.remove('servers', 'a')
+    assert await vm.wait_until(lambda: not vm.usable)
+    store.restore(copy)
+    store.put('other', 'x', {})
+    assert not await vm.wait_until(lambda: 'a' in vm.usable)
+    write_target(store, 'a', sequence=9)
+    assert await vm.wait_until(lambda: 'a' in vm.usable)
+
+
+# Guards against a target that is lost until it happens to write again.
+async def test_target_that_came_since_the_copy_is_kept(store, vm):
+    copy = store.copy()
+    write_target(store, 'b')
+    assert await vm.wait_until(lambda: vm.usable == {'a', 'b'})
+    store.restore(copy)
+    assert not await vm.wait_until(lambda: 'b' not in vm.usable, 1)
+    write_target(store, 'b', sequence=2)
+    assert not await vm.wait_until(lambda: 'b' not in vm.usable, 3)
+
+
+# Guards against entries of VMs that nobody writes again.
+async def test_vm_enters_itself_again_after_a_restore(store, start_vm):
+    copy = store.copy()
+    write_configuration(store, 1)
+    vm = start_vm()
+    assert await vm.wait_until(lambda: ('galena-vms', 'a') in store._objects)
+    store.restore(copy)
+    write_configuration(store, 1)
+    assert await vm.wait_until(lambda: ('galena-vms', 'a') in store._objects, 5)
