store: revisions are ordered by era; across eras the writer's counter decides

Cause: revisions of one history were compared with those of another. The cache ignored the listing of the restored store as older; the watch then named a revision that the store didn't have, got 410, and was repeated without a pause (3,984 lines in 30 s). Once the store's revision had passed the cached one, the watch went on in the other history with changes missing, and the cache dropped the configuration itself, whose new revision was not above its old one.

Ruled out: the catalog dropping it (no line configuration_ignored), the older copy coming into force (no route_table_in_force after 12 s).

Change: - A version joins the era of the answer with the revision, in the adapter's client, so that no revision is compared, watched or used as a condition without its era. Any answer that names a new era ends all watches, so that a restore shows without a 410. A condition of an earlier era is not sent. - Across eras, (era, revision) alone would bring the older copy into force. The writer's own counter orders contents there: the operator's version; a target's start, whether it leaves, and its sequence.

Why it works: within an era the store's revision is a total order, between eras only a counter that the restored writer itself continues is.

--- a/galenaswitch/configuration/catalog.py
+++ b/galenaswitch/configuration/catalog.py
@@ -5,7 +5,7 @@
 has ``deleted`` set, so that an older version can't restore the item.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from xxhash import xxh3_64_hexdigest
@@ -33,7 +33,8 @@
 
     :param kind: kind of the object, such as ``contracts``.
     :param name: name of the object.
-    :param version: version of the object in the store.
+    :param version: number that orders the versions of the object, the highest
+        last.
     :param body: document as stored, including the fields that writes add.
     """
 
@@ -46,8 +47,12 @@
 class Catalog:
     """Highest version of each configuration item, by kind and name."""
 
-    def __init__(self) -> None:
-        """Create a catalog without items."""
+    def __init__(self, kinds: Container[str] | None = None) -> None:
+        """Create a catalog without items.
+
+        :param kinds: kinds of the items that it takes, all by default.
+        """
+        self._kinds = kinds
         self._items: dict[tuple[str, str], Item] = {}
         self._digest = ''
 
@@ -71,6 +76,8 @@
         """
         newer = []
         for item in items:
+            if self._kinds is not None and item.kind not in self._kinds:
+                continue
             held = self._items.get((item.kind, item.name))
             if held is None or held.version < item.version:
                 self._items[item.kind, item.name] = item
@@ -79,6 +86,17 @@
             self._digest = ''
         return tuple(newer)
 
+    def correct(self, item: Item) -> bool:
+        """Replace the content of an item at an unchanged version.
+
+        :returns: whether the content differs from the catalog's.
+        """
+        held = self._items.get((item.kind, item.name))
+        if held is None or held.version != item.version:
+            return False
+        self._items[item.kind, item.name] = item
+        return held.body != item.body
+
     def find(self, kind: str, name: str) -> Item | None:
         """Return an item, also if it is a deletion, or ``None``."""
         return self._items.get((kind, name))
--- /dev/null
+++ b/galenaswitch/gateway/machine_sync.py
@@ -0,0 +1,139 @@
+"""Entry of this VM in the store, and the list of all VMs."""
+
+import asyncio
+import random
+import time
+
+from pydantic import TypeAdapter, ValidationError
+
+from galenaswitch.errors import StoreConflictError, StoreError
+from galenaswitch.membership.directory import Directory
+from galenaswitch.membership.lists import Machine
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.store.client import ABSENT, Listing, StoredObject
+from galenaswitch.store.registry import WritableRegistry
+
+MACHINE_KIND = 'galena-vms'
+# Seconds between two reads of the list of VMs, which changes rarely.
+POLL_SECONDS = 3.0
+# Seconds between two attempts to enter this VM in the store.
+RETRY_PAUSE_SECONDS = 0.5
+# Share by which the pauses vary, so that VMs that started together don't call
+# the store together.
+PAUSE_SPREAD = 0.3
+# Time in seconds for which a VM is kept that the store's list lacks. After a
+# restore of the store, each VM enters itself again at its next poll.
+GRACE_SECONDS = 3 * POLL_SECONDS
+
+_MACHINE = TypeAdapter(Machine)
+
+
+class MachineSync:
+    """Keeps this VM's entry in the store, and the list of VMs up to date."""
+
+    def __init__(
+        self,
+        store: WritableRegistry,
+        directory: Directory,
+        own: Machine,
+    ) -> None:
+        """Build a sync that has entered nothing yet.
+
+        :param directory: receives the list of VMs.
+        :param own: entry of this VM in the store.
+        """
+        self._store = store
+        self._directory = directory
+        self._own = own
+        self._registered_era: int | None = None
+        self._seen: dict[str, tuple[Machine, float]] = {}
+
+    async def poll(self) -> None:
+        """Enter this VM and read the list of VMs at regular intervals."""
+        while True:
+            try:
+                await self._read()
+            except StoreError as error:
+                get_logger().info('machines_unknown', reason=str(error))
+            pause = POLL_SECONDS if self._is_registered else RETRY_PAUSE_SECONDS
+            await asyncio.sleep(
+                pause * random.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
+            )
+
+    @property
+    def _is_registered(self) -> bool:
+        """Whether this VM is entered in the store's current era.
+
+        A store that was restored may lack the entry.
+        """
+        return self._registered_era == self._store.era
+
+    async def _read(self) -> None:
+        """Read the list of VMs, and enter this VM if it isn't entered.
+
+        :raises StoreError: when the store doesn't answer.
+        """
+        listing = await self._store.list_kind(
+            MACHINE_KIND, stale=self._is_registered
+        )
+        era = self._store.era
+        if not self._is_registered and await self._register(listing):
+            self._registered_era = era
+        self._apply(listing)
+
+    async def _register(self, listing: Listing) -> bool:
+        """Write this VM's store entry if it is missing or out of date.
+
+        :returns: whether the store holds the current entry.
+        """
+        body = self._own._asdict()
+        replaces = ABSENT
+        for stored in listing.objects:
+            if stored.name == self._own.name:
+                if stored.body == body:
+                    return True
+                replaces = stored.version
+        try:
+            await self._store.write(
+                MACHINE_KIND, self._own.name, body, replaces
+            )
+        except StoreConflictError as error:
+            # An earlier write took effect, but its answer was lost. The next
+            # list shows the entry.
+            get_logger().info('entry_changed', reason=str(error))
+            return False
+        return True
+
+    def _apply(self, listing: Listing) -> None:
+        """Apply the list of VMs, and keep those that were in it recently."""
+        now = time.monotonic()
+        for stored in listing.objects:
+            machine = read_machine(stored)
+            if machine:
+                self._seen[machine.name] = (machine, now)
+        self._seen = {
+            name: (machine, seen_at)
+            for name, (machine, seen_at) in self._seen.items()
+            if now - seen_at < GRACE_SECONDS
+        }
+        self._directory.apply_machines(
+            [machine for machine, _ in self._seen.values()]
+        )
+
+
+def read_machine(stored: StoredObject) -> Machine | None:
+    """Return the VM of a store entry, ``None`` when the entry is not valid.
+
+    Fields that a newer version adds are ignored.
+    """
+    body = stored.body if isinstance(stored.body, dict) else {}
+    fields = {name: body[name] for name in Machine._fields if name in body}
+    try:
+        return _MACHINE.validate_python(fields)
+    except ValidationError as error:
+        get_logger().info(
+            'machine_unreadable',
+            machine=stored.name,
+            reason=str(error),
+        )
+        return None
--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -3,22 +3,22 @@
 Each VM follows the store itself, so that no VM depends on another. An update
 that the store delivers to only some VMs reaches the others through the exchange
 between peers, where the newer version always wins.
+
+Configurations are ordered by the operator's own version, since the revisions of
+a store that was restored say nothing about those of an earlier era.
 """
 
 import asyncio
 import time
 from typing import Any, Protocol
 
-from pydantic import TypeAdapter, ValidationError
-
 from galenaswitch.configuration.catalog import Catalog, Item
 from galenaswitch.configuration.relay import Relay
 from galenaswitch.errors import (
     InvalidInputError,
     PeerError,
-    StoreConflictError,
-    StoreError,
 )
+from galenaswitch.gateway.machine_sync import MachineSync
 from galenaswitch.gateway.routes import EMPTY_TABLE, RouteTable
 from galenaswitch.membership.directory import Directory
 from galenaswitch.membership.links import LinkService, dial
@@ -26,17 +26,16 @@
 from galenaswitch.membership.messages import ListQuestion
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
-from galenaswitch.store.client import ABSENT, Listing, StoredObject
-from galenaswitch.store.registry import (
-    Follower,
-    ObjectCache,
-    WritableRegistry,
-)
+from galenaswitch.store.cache import ObjectCache, WriterOrder
+from galenaswitch.store.registry import Follower, WritableRegistry
+from galenaswitch.store.versions import format_version
 
 CONFIGURATION_KIND = 'config'
 CONFIGURATION_NAME = 'main'
+# Kind of the items that VMs exchange. It differs from the kind in the store,
+# under which earlier builds exchange configurations by revision.
+CONFIGURATION_ITEM_KIND = 'route-tables'
 TARGET_KIND = 'servers'
-MACHINE_KIND = 'galena-vms'
 # Changes of targets are collected for this many seconds and applied together.
 # A leaving target may receive work for several times as long.
 COALESCE_SECONDS = 0.4
@@ -46,21 +45,19 @@
 # the relays.
 RELAY_WATCH_SECONDS = 1.5
 NON_RELAY_WATCH_SECONDS = 20.0
-# Seconds between two reads of the list of VMs, which changes rarely.
-MACHINE_POLL_SECONDS = 3.0
-# Seconds between two queries to the seeds while the store is unreachable, and
-# between two attempts to register this VM in the store.
+# Seconds between two queries to the seeds while the store is unreachable.
 RETRY_PAUSE_SECONDS = 0.5
 REPLY_TIMEOUT_SECONDS = 1.0
+# Time in seconds for which the known state of a target outlives an older one
+# that a restored store shows: longer than the store keeps the entry of a target
+# that no longer writes.
+MAX_DOUBT_SECONDS = 6.0
 # Seconds between two comparisons of the clocks, and the smallest difference in
 # seconds that counts as a suspension of the VM.
 CLOCK_CHECK_SECONDS = 0.2
 MIN_SUSPENSION_SECONDS = 0.5
 
 
-_MACHINE = TypeAdapter(Machine)
-
-
 class DocumentReader(Protocol):
     """Parses the documents of the platform's store."""
 
@@ -76,6 +73,12 @@
         :raises InvalidInputError: when the document is not valid.
         """
 
+    def read_configuration_order(self, document: Any) -> WriterOrder:
+        """Return the operator's order of a configuration, empty if unknown."""
+
+    def read_target_order(self, document: Any) -> WriterOrder:
+        """Return a target's order of its own entry, empty if unknown."""
+
 
 class ActiveRouteTable:
     """Holds the route table of the configuration in force."""
@@ -90,25 +93,29 @@
 
     def apply(self, item: Item) -> None:
         """Bring a newer configuration into force, unless it is not valid."""
-        try:
-            table = self._documents.read_configuration(item.body)
-        except InvalidInputError as error:
-            get_logger().error(
-                'configuration_rejected',
-                revision=item.version,
-                in_force=self.current.version,
-                reason=str(error),
-            )
+        table = self.read(item.body)
+        if table is None:
             return
         self.current = table
         get_logger().info(
             'route_table_in_force',
             configuration=table.version,
-            revision=item.version,
             routes=sum(len(routes) for routes in table.routes.values()),
             keys=len(table.workspaces),
         )
 
+    def read(self, document: Any) -> RouteTable | None:
+        """Return the route table of a configuration, ``None`` if not valid."""
+        try:
+            return self._documents.read_configuration(document)
+        except InvalidInputError as error:
+            get_logger().error(
+                'configuration_rejected',
+                in_force=self.current.version,
+                reason=str(error),
+            )
+            return None
+
 
 class StateSync:
     """Keeps a VM's state up to date from the store and from peers."""
@@ -127,7 +134,7 @@
         :param tasks: runs the background tasks.
         """
         self.route_table = ActiveRouteTable(documents)
-        self.catalog = Catalog()
+        self.catalog = Catalog({CONFIGURATION_ITEM_KIND})
         self.relay: Relay | None = None
         self._store = store
         self._documents = documents
@@ -140,14 +147,24 @@
                 CONFIGURATION_KIND,
                 self._apply_configuration,
                 find_watch_seconds=self._find_watch_seconds,
+                cache=ObjectCache(
+                    lambda stored: documents.read_configuration_order(
+                        stored.body
+                    )
+                ),
             ),
             Follower(
                 store,
                 TARGET_KIND,
                 self._apply_targets,
                 COALESCE_SECONDS,
+                cache=ObjectCache(
+                    lambda stored: documents.read_target_order(stored.body),
+                    MAX_DOUBT_SECONDS,
+                ),
             ),
         )
+        self._machines = MachineSync(store, directory, own)
         self._follow_tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -166,7 +183,7 @@
         self._restart_followers()
         for follower in self._followers:
             self._tasks.start_critical(follower.run_expiry())
-        self._tasks.start_critical(self._poll_machines())
+        self._tasks.start_critical(self._machines.poll())
         self._tasks.start_critical(self._detect_suspension())
 
     def apply_items(self, message: Any) -> None:
@@ -223,29 +240,36 @@
             return NON_RELAY_WATCH_SECONDS
         return RELAY_WATCH_SECONDS
 
-    def _apply_newer(self, items: tuple[Item, ...]) -> None:
-        for item in self.catalog.accept(items):
-            self.route_table.apply(item)
-
     def _apply_configuration(self, held: ObjectCache) -> None:
-        items = tuple(
-            Item(CONFIGURATION_KIND, stored.name, stored.version, stored.body)
-            for stored in held.objects.values()
-            if stored.name == CONFIGURATION_NAME
-        )
-        for item in items:
-            known = self.catalog.find(item.kind, item.name)
-            if known and known.version > item.version:
-                get_logger().warning(
-                    'configuration_ignored',
-                    revision=item.version,
-                    known_revision=known.version,
-                )
+        items = self._read_items(held)
         if self.relay:
             self.relay.has_read_store = True
             self.relay.accept(items)
         else:
-            self._apply_newer(items)
+            for item in self.catalog.accept(items):
+                self.route_table.apply(item)
+        for item in items:
+            if self.catalog.correct(item):
+                self.route_table.apply(item)
+
+    def _read_items(self, held: ObjectCache) -> tuple[Item, ...]:
+        """Return the configuration in the store, if it is valid."""
+        stored = held.objects.get(CONFIGURATION_NAME)
+        table = self.route_table.read(stored.body) if stored else None
+        if stored is None or table is None:
+            return ()
+        item = Item(
+            CONFIGURATION_ITEM_KIND, stored.name, table.version, stored.body
+        )
+        known = self.catalog.find(item.kind, item.name)
+        if known and known.version > item.version:
+            get_logger().warning(
+                'configuration_ignored',
+                configuration=item.version,
+                known=known.version,
+                revision=format_version(stored.version),
+            )
+        return (item,)
 
     def _apply_targets(self, held: ObjectCache) -> None:
         targets = []
@@ -256,63 +280,13 @@
                 get_logger().info(
                     'target_unreadable',
                     target=stored.name,
-                    revision=stored.version,
+                    revision=format_version(stored.version),
                     reason=str(error),
                 )
                 continue
             targets.append(target)
         self._directory.apply_targets(targets)
 
-    async def _poll_machines(self) -> None:
-        """Register this VM and read the list of VMs at regular intervals."""
-        registered = False
-        while True:
-            try:
-                listing = await self._store.list_kind(
-                    MACHINE_KIND, stale=registered
-                )
-                registered = registered or await self._register(listing)
-                self._apply_machines(listing)
-            except StoreError as error:
-                get_logger().info('machines_unknown', reason=str(error))
-            await asyncio.sleep(
-                MACHINE_POLL_SECONDS if registered else RETRY_PAUSE_SECONDS
-            )
-
-    async def _register(self, listing: Listing) -> bool:
-        """Write this VM's store entry if it is missing or out of date.
-
-        :returns: whether the store holds the current entry.
-        """
-        body = self._own._asdict()
-        for stored in listing.objects:
-            if stored.name != self._own.name:
-                continue
-            if stored.body == body:
-                return True
-            return await self._write_entry(body, stored.version)
-        return await self._write_entry(body, ABSENT)
-
-    async def _write_entry(self, body: dict[str, Any], replaces: int) -> bool:
-        try:
-            await self._store.write(
-                MACHINE_KIND, self._own.name, body, replaces
-            )
-        except StoreConflictError as error:
-            # An earlier write took effect, but its answer was lost. The next
-            # list shows the entry.
-            get_logger().info('entry_changed', reason=str(error))
-            return False
-        return True
-
-    def _apply_machines(self, listing: Listing) -> None:
-        machines = []
-        for stored in listing.objects:
-            machine = read_machine(stored)
-            if machine:
-                machines.append(machine)
-        self._directory.apply_machines(machines)
-
     async def _detect_suspension(self) -> None:
         """Restart the watches after a suspension of the VM.
 
@@ -331,24 +305,6 @@
             before = now
 
 
-def read_machine(stored: StoredObject) -> Machine | None:
-    """Return the VM of a store entry, ``None`` when the entry is not valid.
-
-    Fields that a newer version adds are ignored.
-    """
-    body = stored.body if isinstance(stored.body, dict) else {}
-    fields = {name: body[name] for name in Machine._fields if name in body}
-    try:
-        return _MACHINE.validate_python(fields)
-    except ValidationError as error:
-        get_logger().info(
-            'machine_unreadable',
-            machine=stored.name,
-            reason=str(error),
-        )
-        return None
-
-
 def _read_suspended_seconds() -> float:
     """Return the total time that the VM was suspended since it booted."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/galenaswitch/platform/documents.py
+++ b/galenaswitch/platform/documents.py
@@ -10,6 +10,7 @@
   event of a stream.
 - ``target-itl-ms``: objective for the longest gap between two events.
 - ``born``: number that a target changes when it starts again.
+- ``sequence``: number of a target's own reports since its start.
 """
 
 from typing import Any
@@ -34,6 +35,7 @@
     MEGABYTE,
     MILLISECONDS,
 )
+from galenaswitch.store.cache import WriterOrder
 
 _CALL_KINDS = {
     'idempotent': CallKind.repeatable,
@@ -55,6 +57,27 @@
         """Decode and check the document of a target."""
         return read_target(name, document)
 
+    def read_configuration_order(self, document: Any) -> WriterOrder:
+        """Decode the operator's version, empty when it can't be read."""
+        try:
+            return (_check_type(document['version'], int),)
+        except DECODE_ERRORS:
+            return ()
+
+    def read_target_order(self, document: Any) -> WriterOrder:
+        """Decode the order of a target's entries, empty when it can't be read.
+
+        An incarnation that has started to leave never returns to service.
+        """
+        try:
+            return (
+                _check_type(document.get('born', 0), int),
+                int(_TARGET_STATES[document['state']] == LEAVING),
+                _check_type(document.get('sequence', 0), int),
+            )
+        except DECODE_ERRORS:
+            return ()
+
 
 def read_configuration(document: Any) -> RouteTable:
     """Decode and check a configuration document.
--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -3,16 +3,22 @@
 An object has a kind, a name, a revision, and a JSON document in its ``spec``.
 Every write is conditional on the object's revision. In an answer,
 ``store-revision`` is the revision of the store that the answer reflects; a
-watch continues from there.
+watch continues from there. The header ``Store-Era`` of each answer is the era
+of its revisions.
 """
 
 import asyncio
-from typing import Any
+from collections.abc import Coroutine
+from typing import Any, NamedTuple
 from urllib.parse import quote, urlencode
 
 import orjson
 
-from galenaswitch.connections.heads import AnswerHead, RequestHead
+from galenaswitch.connections.heads import (
+    AnswerHead,
+    RequestHead,
+    find_header_text,
+)
 from galenaswitch.connections.outbound import ConnectionPool
 from galenaswitch.errors import (
     StoreConflictError,
@@ -21,9 +27,16 @@
     StoreUnavailableError,
     TargetError,
 )
+from galenaswitch.operations.logs import get_logger
 from galenaswitch.platform.headers import CONFLICT, MILLISECONDS
+from galenaswitch.store.cache import Change, Changes
 from galenaswitch.store.client import ABSENT, Listing, StoredObject
-from galenaswitch.store.registry import Change, Changes
+from galenaswitch.store.versions import (
+    Revision,
+    find_era,
+    join_version,
+    split_version,
+)
 
 # Timeout of a call other than a watch, hundreds of times the 4 ms that a
 # healthy store takes to answer.
@@ -38,11 +51,26 @@
 NOT_FOUND = 404
 GONE = 410
 _EXPECTED_STATUSES = frozenset((OK, CREATED, NOT_FOUND, CONFLICT))
+_ERA_HEADER = b'store-era'
 Document = dict[str, Any]
 
 
+class StoreAnswer(NamedTuple):
+    """Answer of the store to one call.
+
+    :param era: era of the revisions in the document.
+    """
+
+    status: int
+    document: Document
+    era: int
+
+
 class PlatformStore:
-    """Client of the platform's object store; it never retries a call."""
+    """Client of the platform's object store; it never retries a call.
+
+    :ivar era: highest era that an answer has named, 0 for none.
+    """
 
     def __init__(self, pool: ConnectionPool, address: str) -> None:
         """Build a client of the store at ``address``.
@@ -51,47 +79,66 @@
         """
         self._pool = pool
         self._address = address
+        self.era = 0
+        self._watches: set[asyncio.Task[StoreAnswer]] = set()
 
     async def list_kind(self, kind: str, *, stale: bool = False) -> Listing:
         """Return all objects of a kind.
 
         :param stale: whether the store may return data that is seconds old.
             Such a call costs a tenth of a consistent read.
+        :raises StoreHistoryLostError: when the pages are of different eras.
         :raises StoreUnavailableError: when the store doesn't answer.
         """
         stored: list[StoredObject] = []
         query: dict[str, str] = {'allow-stale': '1'} if stale else {}
         while True:
-            _, page = await self._call('GET', kind, query=query)
+            answer = await self._call('GET', kind, query=query)
+            page, era = answer.document, answer.era
+            if stored and find_era(stored[0].version) != era:
+                raise StoreHistoryLostError('the store was restored meanwhile')
             stored.extend(
-                _decode_object(kind, entry) for entry in page['items']
+                _decode_object(kind, entry, era) for entry in page['items']
             )
             if not page.get('has-more') or not page['items']:
-                return Listing(page['store-revision'], tuple(stored))
+                return Listing(_decode_store_version(answer), tuple(stored))
             query = {**query, 'after': stored[-1].name}
 
     async def watch(self, kind: str, revision: int, seconds: float) -> Changes:
         """Wait for changes of a kind after a revision.
 
+        A watch never continues in another era, also when the store has given
+        out the watched revision again.
+
+        :param revision: version of the store to continue from.
         :param seconds: longest wait for the first change.
         :raises StoreHistoryLostError: when the store no longer has the
-            changes after ``revision``.
+            changes after ``revision``, or another era has begun.
         :raises StoreUnavailableError: when the store doesn't answer.
         """
+        era, number = split_version(revision)
+        if era != self.era:
+            raise StoreHistoryLostError(
+                'the watched revision is of another era'
+            )
         query = {
-            'watch': str(revision),
+            'watch': str(number),
             'wait-ms': str(int(seconds * MILLISECONDS)),
         }
         timeout = seconds + WATCH_MARGIN_SECONDS
-        _, answer = await self._call('GET', kind, query=query, seconds=timeout)
+        answer = await self._wait_within_era(
+            self._call('GET', kind, query=query, seconds=timeout)
+        )
+        if answer.era != era:
+            raise StoreHistoryLostError('the store was restored meanwhile')
         return Changes(
-            answer['store-revision'],
+            _decode_store_version(answer),
             tuple(
                 Change(
-                    _decode_object(kind, event['object']),
+                    _decode_object(kind, event['object'], era),
                     bool(event['deleted']),
                 )
-                for event in answer['events']
+                for event in answer.document['events']
             ),
         )
 
@@ -104,43 +151,89 @@
     ) -> int:
         """Write an object if its current revision is the expected one.
 
-        :param replaces: expected current revision, ``ABSENT`` to create.
-        :returns: the new revision.
-        :raises StoreConflictError: when the object is at another revision.
+        :param replaces: expected current version, ``ABSENT`` to create.
+        :returns: the new version.
+        :raises StoreConflictError: when the object is at another version; a
+            version of another era isn't sent.
         :raises StoreUnavailableError: when the store doesn't answer; the write
             may have taken effect or may do so later.
         """
         metadata: Document = {'name': name}
         if replaces != ABSENT:
-            metadata['revision'] = replaces
-        status, answer = await self._call(
+            metadata['revision'] = self._find_revision(replaces)
+        answer = await self._call(
             'POST' if replaces == ABSENT else 'PUT',
             kind,
             '' if replaces == ABSENT else name,
             document={'metadata': metadata, 'spec': body},
         )
-        if status == CONFLICT:
-            raise StoreConflictError(_decode_revision(answer))
-        if status == NOT_FOUND:
+        if answer.status == CONFLICT:
+            raise StoreConflictError(_decode_version(answer))
+        if answer.status == NOT_FOUND:
             raise StoreConflictError(ABSENT)
-        return _decode_revision(answer)
+        return _decode_version(answer)
 
     async def remove(self, kind: str, name: str, revision: int) -> None:
         """Remove an object if its current revision is the expected one.
 
-        :param revision: expected current revision.
-        :raises StoreConflictError: when the object is at another revision.
+        :param revision: expected current version.
+        :raises StoreConflictError: when the object is at another version; a
+            version of another era isn't sent.
         :raises StoreUnavailableError: when the store doesn't answer; the
             removal may have taken effect or may do so later.
         """
-        status, answer = await self._call(
+        number = self._find_revision(revision)
+        answer = await self._call(
             'DELETE',
             kind,
             name,
-            query={'revision': str(revision)},
+            query={'revision': str(number)},
         )
-        if status == CONFLICT:
-            raise StoreConflictError(_decode_revision(answer))
+        if answer.status == CONFLICT:
+            raise StoreConflictError(_decode_version(answer))
+
+    def _find_revision(self, version: int) -> int:
+        """Return the revision of a version for the condition of a write.
+
+        :raises StoreConflictError: when the version is of another era, in
+            which the same revision may be that of other content.
+        """
+        era, number = split_version(version)
+        if era != self.era:
+            raise StoreConflictError(ABSENT)
+        return number
+
+    async def _wait_within_era(
+        self, call: Coroutine[Any, Any, StoreAnswer]
+    ) -> StoreAnswer:
+        """Wait for the answer to a call until another era begins.
+
+        :raises StoreHistoryLostError: when another era has begun.
+        """
+        task = asyncio.ensure_future(call)
+        self._watches.add(task)
+        try:
+            await asyncio.wait({task})
+        finally:
+            self._watches.discard(task)
+            task.cancel()
+        if task.cancelled():
+            raise StoreHistoryLostError('another era began during the watch')
+        return task.result()
+
+    def _observe_era(self, answer: AnswerHead) -> int:
+        """Return the era of an answer and end all watches if it is new.
+
+        An answer without a readable era is taken to be of the current one.
+        """
+        field = find_header_text(answer.headers, _ERA_HEADER)
+        era = int(field) if field.isdecimal() else self.era
+        if era > self.era:
+            get_logger().warning('store_era_began', era=era, before=self.era)
+            self.era = era
+            for watch in self._watches - {asyncio.current_task()}:
+                watch.cancel()
+        return era
 
     async def _call(
         self,
@@ -151,7 +244,7 @@
         query: dict[str, str] | None = None,
         document: Document | None = None,
         seconds: float = CALL_TIMEOUT_SECONDS,
-    ) -> tuple[int, Document]:
+    ) -> StoreAnswer:
         path = f'/api/objects/{quote(kind)}'
         if name:
             path = f'{path}/{quote(name)}'
@@ -173,7 +266,8 @@
             raise StoreUnavailableError(
                 f'the store does not answer: {type(error).__name__}',
             ) from error
-        return answer.status, _decode_answer(answer, content)
+        era = self._observe_era(answer)
+        return StoreAnswer(answer.status, _decode_answer(answer, content), era)
 
     async def _exchange(
         self,
@@ -215,16 +309,24 @@
     return document
 
 
-def _decode_object(kind: str, document: Document) -> StoredObject:
+def _decode_object(kind: str, document: Document, era: int) -> StoredObject:
     metadata = document['metadata']
     return StoredObject(
         kind,
         metadata['name'],
-        metadata['revision'],
+        join_version(Revision(era, metadata['revision'])),
         document.get('spec'),  # type: ignore[arg-type]
     )
 
 
-def _decode_revision(document: Document) -> int:
-    metadata = document.get('metadata') or {}
-    return int(metadata.get('revision', ABSENT))
+def _decode_store_version(answer: StoreAnswer) -> int:
+    number = answer.document['store-revision']
+    return join_version(Revision(answer.era, number))
+
+
+def _decode_version(answer: StoreAnswer) -> int:
+    """Return the version of the object in an answer, ``ABSENT`` for none."""
+    metadata = answer.document.get('metadata') or {}
+    if 'revision' not in metadata:
+        return ABSENT
+    return join_version(Revision(answer.era, int(metadata['revision'])))
--- a/galenaswitch/platform/soak/configuration.py
+++ b/galenaswitch/platform/soak/configuration.py
@@ -21,6 +21,9 @@
 # store, ended more than this time before the change.
 FAULT_FREE_SECONDS = 3.0
 NOT_FOUND = 404
+# Longest time after a restore of the store until the operator has written the
+# configuration again.
+REPEAT_SECONDS = 0.5
 
 
 def make_configuration(version: int, added: Sequence[str]) -> Document:
@@ -116,6 +119,7 @@
     async def run(self) -> None:
         """Add a route at each interval until cancelled."""
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._repeat_after_restores())
             while True:
                 await asyncio.sleep(CHANGE_INTERVAL_SECONDS)
                 self._added_routes.append(f'added{len(self._added_routes)}')
@@ -123,6 +127,14 @@
                 route_number = len(self._added_routes) - 1
                 group.create_task(self._check_route(route_number, self._now()))
 
+    async def _repeat_after_restores(self) -> None:
+        """Write the newest configuration again whenever the store lost it."""
+        while True:
+            era = self._store.era
+            await asyncio.sleep(REPEAT_SECONDS)
+            if self._store.era != era:
+                self._write_configuration()
+
     def _write_configuration(self) -> None:
         document = make_configuration(
             3 * len(self._added_routes) + 1, self._added_routes
--- a/galenaswitch/platform/soak/faults.py
+++ b/galenaswitch/platform/soak/faults.py
@@ -20,6 +20,11 @@
 # leaving target.
 LEAVING_SECONDS = 3.0
 STORE_MODES = ('busy', 'silent', 'slow', 'mute')
+# Modes of the store while it is being restored; ``well`` hides the restore.
+RESTORE_MODES = ('well', 'busy', 'silent')
+MAX_RESTORES = 3
+# Time for which the store is away before it comes back from a copy.
+RESTORE_SECONDS = 0.3
 TARGET_MODES = ('slow', 'errors', 'hang', 'cut')
 
 
@@ -108,9 +113,23 @@
         duration_seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
         at = rng.uniform(0, seconds - duration_seconds)
         faults.append(Fault(at, kind, subject, duration_seconds, variant))
+    faults.extend(_draw_restores(seed, seconds))
     return sorted(faults)
 
 
+def _draw_restores(seed: int, seconds: float) -> list[Fault]:
+    """Return restores of the store, drawn apart from all other faults."""
+    rng = random.Random(f'restores/{seed}')
+    restores = []
+    for _ in range(rng.randint(0, MAX_RESTORES)):
+        age = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        at = rng.uniform(0, seconds - age)
+        restores.append(
+            Fault(at, 'restore', -1, age, rng.choice(RESTORE_MODES))
+        )
+    return restores
+
+
 class FaultInjector:
     """Injector that starts each fault at its time and records it."""
 
@@ -135,6 +154,7 @@
             'store_link': self._degrade_store_link,
             'store': self._degrade_store,
             'compact': self._compact,
+            'restore': self._restore,
             'runner': self._degrade_target,
             'runner_link': self._degrade_target_link,
             'crash': self._crash,
@@ -191,6 +211,16 @@
     async def _compact(self, fault: Fault) -> None:
         self._subjects.store.compact_history()
 
+    async def _restore(self, fault: Fault) -> None:
+        """Restore the store to its state at the start of the fault."""
+        store = self._subjects.store
+        copy = store.copy()
+        await asyncio.sleep(fault.seconds)
+        store.mode = fault.variant
+        await asyncio.sleep(RESTORE_SECONDS)
+        store.restore(copy)
+        store.mode = 'well'
+
     async def _degrade_target(self, fault: Fault) -> None:
         target = self._subjects.runners[fault.subject]
         target.mode = fault.variant
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -87,12 +87,14 @@
         self._request_count = 0
         self.name = ''
         self.born = 0
+        self._sequence = 0
         self.restart()
 
     def restart(self) -> None:
         """Restart the target under a new name and without stored results."""
         self.name = f'i-{self.number}-{secrets.token_hex(3)}'
         self.born = int(time.time() * 1000)
+        self._sequence = 0
         self.state = 'ready'
         for handle in self._own_handles:
             self._handles.pop(handle, None)
@@ -127,13 +129,15 @@
             if registered_name not in {'', self.name}:
                 store.remove('servers', registered_name)
             registered_name = self.name
+            self._sequence += 1
             store.put('servers', self.name, self._make_entry())
-            state = (self.name, self.state)
+            state = (self.name, self.state, store.era)
             next_write_at = (
                 self._now() + HEARTBEAT_SECONDS * HEARTBEATS_PER_WRITE
             )
             while (
-                self._now() < next_write_at and (self.name, self.state) == state
+                self._now() < next_write_at
+                and (self.name, self.state, store.era) == state
             ):
                 await asyncio.sleep(HEARTBEAT_SECONDS / 4)
 
@@ -146,7 +150,7 @@
             'slots': 8,
             'state': self.state,
             'cold-left-ms': 0,
-            'sequence': 1,
+            'sequence': self._sequence,
             'born': self.born,
         }
 
--- a/galenaswitch/quarantine/containment.py
+++ b/galenaswitch/quarantine/containment.py
@@ -37,7 +37,8 @@
     QuarantineRecords,
 )
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
-from galenaswitch.store.registry import Follower, ObjectCache, WritableRegistry
+from galenaswitch.store.cache import ObjectCache
+from galenaswitch.store.registry import Follower, WritableRegistry
 
 # Longest wait of one watch for records. Records rarely change, and each watch
 # call is billed.
--- a/galenaswitch/quarantine/tests/conftest.py
+++ b/galenaswitch/quarantine/tests/conftest.py
@@ -13,8 +13,8 @@
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.quarantine.records import QUARANTINE_KIND
 from galenaswitch.refusals import RefusedError
+from galenaswitch.store.cache import ObjectCache
 from galenaswitch.store.client import ABSENT, Listing, StoredObject
-from galenaswitch.store.registry import ObjectCache
 
 
 class MemoryStore:
