quarantine: a record that a restored store lacks is written again, not lifted

Callers would have seen requests with a harmful prompt part end engines again: a restore of the store took the record of a quarantine away, which looked like an operator who had deleted it.

The record's revision was compared with the revision of another era, and what the system itself wrote is written again by nobody.

Change: a record that is missing in a later era is written again, at different times by the VMs that know it; the first write succeeds. Trials that the store has forgotten stay counted. A record of an ended quarantine that comes back is refuted by the evidence and removed, as before.

Evidence: two tests of the containment failed on the records before and pass now: the quarantine ended, 4 trials were made instead of 3. A third, on the record of an ended quarantine, passed before as well.

Why it works: a deletion is only what the same era shows as missing.

--- a/galenaswitch/quarantine/records.py
+++ b/galenaswitch/quarantine/records.py
@@ -7,13 +7,19 @@
 Operators see the records in the store; deleting one ends its quarantine.
 """
 
+import random
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from galenaswitch.errors import StoreConflictError, StoreError
+from galenaswitch.errors import (
+    StoreConflictError,
+    StoreError,
+)
 from galenaswitch.operations.logs import get_logger
+from galenaswitch.store.cache import ObjectCache
 from galenaswitch.store.client import ABSENT
-from galenaswitch.store.registry import ObjectCache, WritableRegistry
+from galenaswitch.store.registry import WritableRegistry
+from galenaswitch.store.versions import find_era
 
 QUARANTINE_KIND = 'galena-quarantines'
 # Seconds from the start of a quarantine, or from its last trial, to the next
@@ -123,14 +129,14 @@
             for name, entry in cache.objects.items()
             if _is_record(name, entry.body)
         }
-        ended = [
-            part
-            for part, quarantine in self.quarantines.items()
-            if ABSENT < quarantine.version <= cache.revision
-            and part not in stored
-        ]
-        for part in ended:
-            self.end(part)
+        ended = []
+        for part in set(self.quarantines) - set(stored):
+            version = self.quarantines[part].version
+            if find_era(version) < find_era(cache.revision):
+                self._expect_write(part)
+            elif ABSENT < version <= cache.revision:
+                self.end(part)
+                ended.append(part)
         begun = [part for part in stored if part not in self.quarantines]
         return [
             part
@@ -193,6 +199,18 @@
             return isinstance(error, StoreConflictError)
         return True
 
+    def _expect_write(self, part: str) -> None:
+        """Note that a store that was restored lost the record of a part.
+
+        The VMs write it again at different times; the first write succeeds.
+        """
+        quarantine = self.quarantines[part]
+        if quarantine.version != ABSENT:
+            self.quarantines[part] = quarantine._replace(
+                version=ABSENT,
+                checked_at=self._now() + random.uniform(0, WRITE_PAUSE_SECONDS),
+            )
+
     async def _write(
         self, part: str, body: dict[str, Any], replaces: int
     ) -> int:
@@ -231,6 +249,9 @@
             known = Quarantine(body, ABSENT, now, now)
         if version <= known.version:
             return False
+        if known.trials > body['trials']:
+            # A restored store has forgotten trials that VMs have made.
+            body = {**body, 'trials': known.trials}
         self.quarantines[part] = known._replace(
             body=body, version=version, checked_at=now
         )
