Logs: a target's software version and the stream that a caller takes up

Nothing in the project decoded the version of a target's software or the attempt that began a stream, so no log could show a joined stream.

Decoded are 'version' of a target's entry and 'Resumes' of a request; 'first_event', 'attempt_failed' and 'target_listed' name them. No decision depends on them yet.

--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -35,6 +35,8 @@
     :param work_item_key: key of the input of stages without earlier stages.
     :param last_event: id of the event after which the caller resumes a
         stream, empty for a new stream.
+    :param origin: id of the caller's attempt that brought the first event of
+        the stream that is resumed, empty when not sent.
     """
 
     ident: str
@@ -48,6 +50,7 @@
     work_items: tuple[int, ...] = ()
     work_item_key: str = ''
     last_event: str = ''
+    origin: str = ''
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -277,6 +277,12 @@
             return min(RESUME_TIMEOUT_SECONDS, job.left)
         return job.left
 
+    def _find_version(self, name: str) -> str:
+        for target in self._members.member_list.targets:
+            if target.name == name:
+                return target.version
+        return ''
+
     def _record_first_event(self, job: StreamJob) -> None:
         if job.has_first_event:
             return
@@ -287,6 +293,8 @@
             'first_event',
             request=job.request.ident,
             target=job.tried_targets[-1],
+            version=self._find_version(job.tried_targets[-1]),
+            origin=job.request.fields.origin,
             seconds=round(now - job.request.started, 3),
             objective_left=round(job.request.objective_deadline - now, 3),
         )
@@ -342,6 +350,7 @@
             'attempt_failed',
             request=job.request.ident,
             target=target.name,
+            version=target.version,
             failure=type(error).__name__,
             reason=str(error),
             last_event=job.events.last_id,
--- a/galenaswitch/membership/directory.py
+++ b/galenaswitch/membership/directory.py
@@ -92,4 +92,5 @@
         zone=target.zone,
         state=target.state,
         incarnation=target.incarnation,
+        version=target.version,
     )
--- a/galenaswitch/membership/lists.py
+++ b/galenaswitch/membership/lists.py
@@ -50,6 +50,8 @@
         outdated fencing token.
     :param state: ``live`` or ``leaving``.
     :param capacity: number of requests that the target processes in parallel.
+    :param version: version of the target's software, empty when unknown. Only
+        a target of the same version can continue a stream.
     """
 
     name: str
@@ -61,6 +63,7 @@
     checks_fencing: bool = True
     state: str = LIVE
     capacity: Annotated[int, Field(ge=1)] = 8
+    version: str = ''
 
 
 class MemberList(NamedTuple):
--- a/galenaswitch/platform/documents.py
+++ b/galenaswitch/platform/documents.py
@@ -120,6 +120,7 @@
         url=address,
         state=_TARGET_STATES[document['state']],
         capacity=_check_type(document['slots'], int),
+        version=_check_type(document['version'], str),
     )
 
 
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -8,6 +8,7 @@
   target with another name answers 421.
 - ``X-Server-Seal``: mark of an answer that a target itself produced.
 - ``X-Not-Executed``: statement of a target that it ran nothing.
+- ``Resumes``: id of the attempt that brought a stream's first event.
 - ``X-Pieces``: number of work items of each stage.
 - ``X-Piece-Key``: key of the input of stages without earlier stages.
 - ``piece``: number of a work item in its stage.
@@ -99,6 +100,7 @@
             work_items=_read_integers(find_header_text(headers, b'x-pieces')),
             work_item_key=find_header_text(headers, b'x-piece-key'),
             last_event=find_header_text(headers, b'last-event-id'),
+            origin=find_header_text(headers, b'resumes'),
         )
 
     def make_request(
