--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -385,3 +385,56 @@
     for soak, session in opened:
         await session.close()
         await soak.close()
+
+
+@pytest.fixture
+def make_stream_runner(sender, budgets, containment):
+    """Return a function that makes the stream runner of a VM.
+
+    It takes pairs of a target and the version of its software, prefers the
+    first, and lists others with ``list_targets``.
+    """
+
+    def make(*targets):
+        listed = Members()
+
+        def list_targets(*found):
+            numbers = range(len(found))
+            listed.accept(
+                MemberList(
+                    listed.member_list.revision + 1,
+                    (),
+                    tuple(
+                        Target(
+                            f't{number}',
+                            f't{number}/1',
+                            'z',
+                            'desk',
+                            found[number][0].address,
+                            version=found[number][1],
+                        )
+                        for number in numbers
+                    ),
+                ),
+            )
+
+        list_targets(*targets)
+        scheduler = PlacementScheduler(
+            'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
+        )
+        wire = PlatformWire()
+        router = LocalOwnerRouter()
+        runner = StreamRunner(
+            listed,
+            sender,
+            wire,
+            budgets,
+            router,
+            StageRunner('z', listed, wire, router, None),
+            lambda _: scheduler,
+            containment,
+        )
+        runner.list_targets = list_targets
+        return runner
+
+    return make
--- /dev/null
+++ b/galenaswitch/platform/tests/test_stream_versions.py
@@ -0,0 +1,96 @@
+"""Streams while targets of several software versions serve."""
+
+import pytest
+
+from galenaswitch.gateway.routes import CallKind
+from galenaswitch.platform.tests.fakes import AnswerRecorder
+from galenaswitch.platform.tests.test_streams import event, stream
+from galenaswitch.refusals import ExecutionState, RefusedError
+
+BROKEN = stream([event(1)], end=b'')
+REST = stream([event(2), event(3)])
+
+
+@pytest.fixture
+def send(make_stream_runner, make_caller_request, make_route, make_table):
+    """Return a function that sends a caller's attempt to a VM.
+
+    :returns: the recorded answer, and the refusal if there was one.
+    """
+
+    async def run(vm, ident='a1', **headers):
+        route = make_route(CallKind.stream, resumable=True)
+        writer = AnswerRecorder()
+        request = make_caller_request(route, ident, **headers)
+        try:
+            await vm.run(request, make_table(route), writer)
+        except RefusedError as error:
+            return writer, error
+        return writer, None
+
+    return run
+
+
+# Guards against an answer that is joined from two versions.
+async def test_answer_does_not_go_on_at_another_version(
+    send, make_stream_runner, scripted
+):
+    first, second = await scripted([BROKEN]), await scripted([REST])
+    vm = make_stream_runner((first, 'v1'), (second, 'v2'))
+    writer, refusal = await send(vm)
+    assert refusal
+    assert writer.body == event(1)
+    assert not writer.finished
+    assert not second.requests
+
+
+# Guards against a stream that is given up although its version serves.
+async def test_answer_goes_on_at_another_target_of_its_version(
+    send, make_stream_runner, scripted
+):
+    first, other = await scripted([BROKEN]), await scripted([REST])
+    same = await scripted([REST])
+    vm = make_stream_runner((first, 'v1'), (other, 'v2'), (same, 'v1'))
+    writer, refusal = await send(vm)
+    assert refusal is None
+    assert writer.body == event(1) + event(2) + event(3)
+    assert not other.requests
+
+
+# Guards against a take-up that joins the rest of another version.
+async def test_take_up_does_not_go_on_at_another_version(
+    send, make_stream_runner, scripted
+):
+    first = await scripted([BROKEN])
+    vm = make_stream_runner((first, 'v1'))
+    await send(vm)
+    second = await scripted([REST.replace(b'a1', b'a2')])
+    vm.list_targets((second, 'v2'))
+    writer, refusal = await send(
+        vm, 'a2', **{'Last-Event-Id': '1', 'Resumes': 'a1'}
+    )
+    assert refusal.run is ExecutionState.not_run
+    assert refusal.response.status == 503
+    assert not writer.started
+    assert not second.requests
+
+
+# Guards against a take-up that is guessed to go on at the version that serves.
+@pytest.mark.parametrize(
+    'headers',
+    [
+        {'Last-Event-Id': '1'},
+        {'Last-Event-Id': '1', 'Resumes': ''},
+        {'Last-Event-Id': '1', 'Resumes': 'a2'},
+        {'Last-Event-Id': '1', 'Resumes': 'unknown'},
+    ],
+)
+async def test_take_up_of_an_unknown_stream_is_refused(
+    send, make_stream_runner, scripted, headers
+):
+    target = await scripted([REST.replace(b'a1', b'a2')])
+    vm = make_stream_runner((target, 'v1'))
+    _, refusal = await send(vm, 'a2', **headers)
+    assert refusal.run is ExecutionState.not_run
+    assert refusal.response.status == 503
+    assert not target.requests
