streams: a stream goes on only at the software version that began it

Cause: a continuation was handed to a replica that isn't compatible with the one that began it. The placement of a continuation knew nothing of the beginning, and over a caller's attempts no VM did.

Ruled out: deciding by the version that the store shows now, since the old one may have just left; a message to all VMs for each stream, which 6,200 requests a second at 360 VMs don't allow; the stream's events carrying the version, since they go to the caller unchanged.

Change: - A VM notes attempt, workspace, service and version before the first event goes out: in memory, at one VM of its zone and one of another zone, which passes it on there. Rendezvous hashing picks them, so that another VM finds them with a few queries at once, within 0.25 s. - The version is a constraint in the query for a placement, at the owner and once more at the VM that sends. - A take-up whose beginning nobody knows, or of another workspace, is refused at once as not run, also after all VMs were killed. It goes to the service that began the stream, or is refused. - When no target of the version is left, the request is refused at once.

The product's own face resumes with a digest of the tokens so far, which its targets check, and names model and version, so it has no such case.

Why it works: what isn't known isn't guessed, and what is known outlives the VMs that are lost at once.

--- a/galenaswitch/gateway/answers.py
+++ b/galenaswitch/gateway/answers.py
@@ -66,6 +66,17 @@
     writer.finish()
 
 
+async def send_events(
+    writer: AnswerWriter,
+    head: AnswerHead,
+    events: bytes,
+) -> None:
+    """Send complete events of a stream, after the head if it is due."""
+    if not writer.started:
+        writer.start(make_caller_head(head), None)
+    await writer.write(events)
+
+
 def refuse(
     writer: AnswerWriter,
     wire: Wire,
--- /dev/null
+++ b/galenaswitch/gateway/continuation.py
@@ -0,0 +1,143 @@
+"""Decides where a stream may go on after it broke off.
+
+A stream goes on only at a target of the software version that began it, within
+one answer as over several attempts of its caller.
+"""
+
+from typing import NamedTuple
+
+from galenaswitch.gateway.calls import CallerRequest
+from galenaswitch.gateway.jobs import StreamJob
+from galenaswitch.gateway.origin_messages import StreamOrigin
+from galenaswitch.gateway.origins import StreamOrigins
+from galenaswitch.membership.lists import Members, Target
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.metrics import Metrics
+from galenaswitch.refusals import ExecutionState, Reason, RefusedError
+
+
+class Continuation(NamedTuple):
+    """A request, and where its answer may come from.
+
+    :param request: request to the service that began the stream.
+    :param version: software version that began the stream, ``None`` for a new
+        stream, which may begin at any version.
+    """
+
+    request: CallerRequest
+    version: str | None
+
+
+class ContinuationPolicy:
+    """Keeps each stream at the software version that began it.
+
+    :ivar members: targets that may begin or continue a stream.
+    """
+
+    def __init__(
+        self, members: Members, origins: StreamOrigins, metrics: Metrics
+    ) -> None:
+        """Build a policy over the targets in ``members``."""
+        self.members = members
+        self._origins = origins
+        self._metrics = metrics
+
+    async def admit(self, request: CallerRequest) -> Continuation:
+        """Find out where a request may run.
+
+        :raises RefusedError: when the request resumes a stream whose beginning
+            is unknown or is another caller's.
+        """
+        if not request.fields.last_event:
+            return Continuation(request, None)
+        origin = await self._origins.find(request.fields.origin)
+        if origin is None or not _may_resume(request, origin):
+            self._record(request, 'unknown', origin)
+            raise RefusedError(
+                Reason.origin_unknown,
+                ExecutionState.not_run,
+                'no VM knows where the stream began',
+            )
+        self._record(request, 'admitted', origin)
+        return Continuation(
+            request._replace(service=origin.service), origin.version
+        )
+
+    def check(self, job: StreamJob) -> None:
+        """Check that a target can begin or continue an answer.
+
+        :raises RefusedError: when no target of its version serves.
+        """
+        if job.version is None or self._find_targets(job):
+            return
+        get_logger().info(
+            'stream_version_gone',
+            request=job.request.ident,
+            version=job.version,
+            last_event=job.events.last_id,
+        )
+        self._metrics.count('stream_version_gone')
+        raise RefusedError(
+            Reason.stage_failed if job.sent else Reason.version_gone,
+            job.run,
+            'no target of the version that began the stream serves',
+        )
+
+    def fits(self, job: StreamJob, target: Target) -> bool:
+        """Tell whether a target can begin or continue an answer."""
+        return job.version in {None, target.version}
+
+    def has_other_target(self, job: StreamJob) -> bool:
+        """Tell whether a target that wasn't tried can continue an answer."""
+        tried = {target.name for target in job.tried_targets}
+        return any(
+            target.name not in tried for target in self._find_targets(job)
+        )
+
+    def record_first_event(self, job: StreamJob, target: Target) -> None:
+        """Note where a stream began or goes on, before its event goes out."""
+        job.version = target.version
+        request = job.request
+        if request.route.resumable:
+            self._origins.record(
+                StreamOrigin(
+                    job.origin_ident,
+                    request.workspace,
+                    request.service,
+                    target.version,
+                )
+            )
+
+    def _find_targets(self, job: StreamJob) -> tuple[Target, ...]:
+        return tuple(
+            target
+            for target in self.members.usable(job.request.service)
+            if self.fits(job, target)
+        )
+
+    def _record(
+        self, request: CallerRequest, outcome: str, origin: StreamOrigin | None
+    ) -> None:
+        self._metrics.count(f'stream_taken_up.{outcome}')
+        get_logger().info(
+            'stream_taken_up',
+            request=request.ident,
+            origin=request.fields.origin,
+            outcome=outcome,
+            version=origin.version if origin else '',
+            last_event=request.fields.last_event,
+        )
+
+
+def _may_resume(request: CallerRequest, origin: StreamOrigin) -> bool:
+    """Tell whether a request may go on with a stream.
+
+    The stream must be one of the caller's workspace, and of a service that the
+    route of the request leads to.
+    """
+    services = {split.service for split in request.route.splits if split.weight}
+    return (
+        request.route.resumable
+        and origin.workspace == request.workspace
+        and origin.service in services
+    )
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -8,12 +8,14 @@
 import contextlib
 import time
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.gateway.calls import CallerRequest
 from galenaswitch.gateway.events import EventBuffer
 from galenaswitch.gateway.routes import RouteTable
 from galenaswitch.gateway.stages import StageJob, StageResults
+from galenaswitch.membership.lists import Target
 from galenaswitch.refusals import ExecutionState
 
 # Seconds after which an engine has read the results of stages. An engine
@@ -21,16 +23,37 @@
 INPUT_READ_SECONDS = 0.1
 
 
+class PlacementRecord(NamedTuple):
+    """Placement query of one attempt.
+
+    :param owner: VM that answered the query.
+    :param requested_at: monotonic time of the query in seconds.
+    """
+
+    owner: str
+    requested_at: float
+
+
 class StreamJob:
-    """State of one request for a generated answer."""
+    """State of one request for a generated answer.
+
+    :ivar placement: placement query of the last attempt.
+    :ivar version: software version that began the stream, ``None`` before the
+        first event of a new stream.
+    """
 
     def __init__(
         self,
         request: CallerRequest,
         table: RouteTable,
         writer: AnswerWriter,
+        version: str | None,
     ) -> None:
-        """Build a job that answers ``request`` through ``writer``."""
+        """Build a job that answers ``request`` through ``writer``.
+
+        :param version: software version that began the stream, ``None`` for a
+            new stream.
+        """
         self.request = request
         self.table = table
         self.writer = writer
@@ -38,11 +61,11 @@
         self.stage_runs = 0
         self.inputs = StageResults((), {})
         self.events = EventBuffer(request.fields.last_event)
-        self.tried_targets: list[str] = []
+        self.tried_targets: list[Target] = []
         self.sent = 0
-        self.owner = ''
+        self.placement = PlacementRecord('', 0)
         self.has_first_event = False
-        self.placement_requested_at = 0.0
+        self.version = version
         self.trial_part = ''
 
     @property
@@ -50,6 +73,12 @@
         """Whether an engine may have run the request, for a refusal."""
         return ExecutionState.unknown if self.sent else ExecutionState.not_run
 
+    @property
+    def origin_ident(self) -> str:
+        """Id of the caller's attempt that brought the first event."""
+        fields = self.request.fields
+        return fields.origin if fields.last_event else fields.ident
+
     @property
     def parts(self) -> tuple[str, ...]:
         """Ids of the prompt parts that other requests may share."""
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -103,6 +103,8 @@
     :param start_in: seconds until the latest start that is still on time.
     :param left: seconds until the request must be answered.
     :param limits: limits of engines that the asking VM knows of.
+    :param version: software version that the engine must have, ``None`` for
+        any.
     """
 
     service: str
@@ -117,6 +119,7 @@
     start_in: float
     left: float
     limits: tuple[TargetLimit, ...] = ()
+    version: str | None = None
 
 
 class PlaceReply(NamedTuple):
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -17,7 +17,7 @@
 )
 from galenaswitch.gateway.routes import EngineLimits
 from galenaswitch.limits.pacing import Pacer
-from galenaswitch.membership.lists import Members
+from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.routing.ejection import Ejector
 from galenaswitch.routing.engine_states import Placement
@@ -144,7 +144,7 @@
         if limits is None or self._waiting[query.ident] > first:
             return None
         now = time.monotonic()
-        targets = self._members.usable(self._service)
+        targets = self._find_targets(query)
         without_turn = frozenset(
             target.name
             for target in targets
@@ -157,6 +157,15 @@
             self._pacer.take(placement.target.incarnation, now)
         return placement
 
+    def _find_targets(self, query: PlaceQuestion) -> tuple[Target, ...]:
+        """Return the targets that may run a request."""
+        targets = self._members.usable(self._service)
+        if query.version is None:
+            return targets
+        return tuple(
+            target for target in targets if target.version == query.version
+        )
+
     def _find_excess_wait(
         self, query: PlaceQuestion, asked_at: float, now: float
     ) -> float:
@@ -179,7 +188,7 @@
         """
         incarnations = [
             target.incarnation
-            for target in self._members.usable(self._service)
+            for target in self._find_targets(query)
             if target.name not in query.avoided
         ]
         rates = [self._pacer.rates.get(one) for one in incarnations]
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -22,10 +22,16 @@
     is_success,
     make_caller_head,
     send_complete,
+    send_events,
 )
 from galenaswitch.gateway.batcher import LOST
 from galenaswitch.gateway.calls import CallerRequest, Wire
-from galenaswitch.gateway.jobs import StreamJob, release_early
+from galenaswitch.gateway.continuation import ContinuationPolicy
+from galenaswitch.gateway.jobs import (
+    PlacementRecord,
+    StreamJob,
+    release_early,
+)
 from galenaswitch.gateway.messages import (
     PlaceEnd,
     PlaceFirst,
@@ -39,7 +45,7 @@
 from galenaswitch.gateway.stages import StageRunner
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.links import Link
-from galenaswitch.membership.lists import Members, Target
+from galenaswitch.membership.lists import Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.refusals import Reason, RefusedError, find_timeout_reason
@@ -64,7 +70,6 @@
 
     def __init__(
         self,
-        members: Members,
         sender: Sender,
         wire: Wire,
         budgets: RetryBudgets,
@@ -72,14 +77,17 @@
         stages: StageRunner,
         find_scheduler: Callable[[str], PlacementScheduler],
         containment: Containment,
+        continuations: ContinuationPolicy,
     ) -> None:
         """Build a runner that requests placements through ``owner_router``.
 
         :param find_scheduler: returns this VM's scheduler of a service.
         :param containment: refuses requests with harmful prompt parts.
+        :param continuations: keeps streams at the version that began them.
         """
+        self._continuations = continuations
         self._containment = containment
-        self._members = members
+        self._members = continuations.members
         self._sender = sender
         self._wire = wire
         self._budgets = budgets
@@ -97,8 +105,9 @@
 
         :raises RefusedError: when no engine completes the answer in time.
         """
-        self._budgets.of(request.service).record_request(time.monotonic())
-        job = StreamJob(request, table, writer)
+        admitted, version = await self._continuations.admit(request)
+        self._budgets.of(admitted.service).record_request(time.monotonic())
+        job = StreamJob(admitted, table, writer, version)
         try:
             await self._generate(job)
         finally:
@@ -140,7 +149,7 @@
             else:
                 return
             finally:
-                self._end_placement(job, target, failed)
+                self._end_placement(job, target, failed=failed)
 
     async def _run_stages(self, job: StreamJob) -> None:
         """Run the stages, and run them again when their results are lost."""
@@ -163,12 +172,12 @@
                 return
 
     async def _request_placement(self, job: StreamJob) -> Target:
+        self._continuations.check(job)
         request = job.request
         now = time.monotonic()
         seconds_left = job.event_deadline - now
         if seconds_left <= 0:
             raise RefusedError(find_timeout_reason(job.run), job.run)
-        job.placement_requested_at = now
         query = PlaceQuestion(
             request.service,
             request.ident,
@@ -177,13 +186,14 @@
             request.fields.answer_tokens,
             self._stages.zone,
             job.inputs.zone_bytes,
-            tuple(job.tried_targets),
+            tuple(target.name for target in job.tried_targets),
             request.priority,
             request.objective_deadline - now,
             seconds_left,
             self._sender.turns.find_limits(
                 self._members.usable(request.service)
             ),
+            job.version,
         )
         owner, reply = await self._owner_router.query(
             request.service,
@@ -191,10 +201,14 @@
             seconds_left + REPLY_SLACK_SECONDS,
             self.place_locally,
         )
-        job.owner = owner
+        job.placement = PlacementRecord(owner, now)
         for target in self._members.usable(request.service):
-            if target.name == reply.target:
+            if target.name != reply.target:
+                continue
+            if self._continuations.fits(job, target):
                 return target
+            # The owner knows another version of the target, or none.
+            self._end_placement(job, target, failed=False)
         raise RefusedError(
             Reason.stage_failed if job.sent else Reason.capacity,
             job.run,
@@ -204,7 +218,7 @@
 
     async def _attempt(self, job: StreamJob, target: Target) -> None:
         self._containment.check(job.parts, job.trial_part, job.run)
-        job.tried_targets.append(target.name)
+        job.tried_targets.append(target)
         head = self._wire.make_request(
             job.request,
             target,
@@ -258,7 +272,7 @@
                 raise TargetBrokenError('an event is larger than the limit')
             if complete_events:
                 self._record_first_event(job)
-                await _send_events(job.writer, answer, complete_events)
+                await send_events(job.writer, answer, complete_events)
         if job.events.has_partial_event:
             raise TargetBrokenError('the stream ended within an event')
         if not job.writer.started:
@@ -273,45 +287,46 @@
         if (
             job.request.route.resumable
             and job.sent < job.request.route.attempts
+            and self._continuations.has_other_target(job)
         ):
             return min(RESUME_TIMEOUT_SECONDS, job.left)
         return job.left
 
-    def _find_version(self, name: str) -> str:
-        for target in self._members.member_list.targets:
-            if target.name == name:
-                return target.version
-        return ''
-
     def _record_first_event(self, job: StreamJob) -> None:
         if job.has_first_event:
             return
         job.has_first_event = True
+        target = job.tried_targets[-1]
+        self._continuations.record_first_event(job, target)
         self._containment.record_answer(job.parts)
         now = time.monotonic()
         get_logger().info(
             'first_event',
             request=job.request.ident,
-            target=job.tried_targets[-1],
-            version=self._find_version(job.tried_targets[-1]),
+            target=target.name,
+            version=target.version,
             origin=job.request.fields.origin,
             seconds=round(now - job.request.started, 3),
             objective_left=round(job.request.objective_deadline - now, 3),
         )
         self._stages.engine_times.observe(
             job.request.route.name,
-            now - job.placement_requested_at,
+            now - job.placement.requested_at,
         )
         job.release()
         message = PlaceFirst(job.request.service, job.request.ident)
-        self._owner_router.notify(job.owner, message, self.receive_first_event)
+        self._owner_router.notify(
+            job.placement.owner, message, self.receive_first_event
+        )
 
     def _end_placement(
-        self, job: StreamJob, target: Target, failed: bool
+        self, job: StreamJob, target: Target, *, failed: bool
     ) -> None:
         request = job.request
         message = PlaceEnd(request.service, request.ident, target.name, failed)
-        self._owner_router.notify(job.owner, message, self.receive_end)
+        self._owner_router.notify(
+            job.placement.owner, message, self.receive_end
+        )
 
     async def _examine_failure(
         self,
@@ -383,13 +398,3 @@
         if not known_not_run and not self._containment.may_repeat(job.parts):
             return False
         return self._budgets.of(job.request.service).acquire(time.monotonic())
-
-
-async def _send_events(
-    writer: AnswerWriter,
-    answer: AnswerHead,
-    events: bytes,
-) -> None:
-    if not writer.started:
-        writer.start(make_caller_head(answer), None)
-    await writer.write(events)
--- a/galenaswitch/gateway/vocabulary.py
+++ b/galenaswitch/gateway/vocabulary.py
@@ -16,6 +16,11 @@
     TurnQuery,
     TurnReply,
 )
+from galenaswitch.gateway.origin_messages import (
+    OriginQuery,
+    OriginReply,
+    StreamOrigin,
+)
 from galenaswitch.membership.frames import Vocabulary
 from galenaswitch.membership.lists import MemberList
 from galenaswitch.membership.mesh import Leaving, Ping, Pong
@@ -38,6 +43,8 @@
     LimitsReply,
     ListQuestion,
     MemberList,
+    OriginQuery,
+    OriginReply,
     PartAnswered,
     PiecesCancel,
     PiecesQuestion,
@@ -49,6 +56,7 @@
     PlaceReply,
     Pong,
     ReleaseNote,
+    StreamOrigin,
     TargetLimit,
     TurnQuery,
     TurnReply,
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -13,6 +13,8 @@
 from galenaswitch.connections.outbound import ConnectionPool
 from galenaswitch.connections.requests import InboundLimits, InboundRequest
 from galenaswitch.gateway.checks import check_request
+from galenaswitch.gateway.continuation import ContinuationPolicy
+from galenaswitch.gateway.origins import StreamOrigins
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.plain import PlainRunner
 from galenaswitch.gateway.routes import (
@@ -304,8 +306,22 @@
     await tasks.stop()
 
 
+@pytest.fixture
+def continuations():
+    """Return a function that makes the continuation policy of a single VM."""
+
+    def make(listed):
+        mesh = Mock(spec=Mesh, node='a', zone='z')
+        mesh.links.return_value = ()
+        mesh.cross_zone_links.return_value = ()
+        return ContinuationPolicy(listed, StreamOrigins(mesh), LocalMetrics())
+
+    return make
+
+
 @pytest.fixture
 def run_stream(
+    continuations,
     members,
     sender,
     budgets,
@@ -327,7 +343,6 @@
         wire = PlatformWire()
         stages = StageRunner('z', listed, wire, LocalOwnerRouter(), None)
         runner = StreamRunner(
-            listed,
             sender,
             wire,
             budgets,
@@ -335,6 +350,7 @@
             stages,
             lambda _: scheduler,
             containment,
+            continuations(listed),
         )
         try:
             await runner.run(
@@ -388,7 +404,7 @@
 
 
 @pytest.fixture
-def make_stream_runner(sender, budgets, containment):
+def make_stream_runner(sender, budgets, containment, continuations):
     """Return a function that makes the stream runner of a VM.
 
     It takes pairs of a target and the version of its software, prefers the
@@ -425,7 +441,6 @@
         wire = PlatformWire()
         router = LocalOwnerRouter()
         runner = StreamRunner(
-            listed,
             sender,
             wire,
             budgets,
@@ -433,6 +448,7 @@
             StageRunner('z', listed, wire, router, None),
             lambda _: scheduler,
             containment,
+            continuations(listed),
         )
         runner.list_targets = list_targets
         return runner
--- a/galenaswitch/platform/tests/test_stages.py
+++ b/galenaswitch/platform/tests/test_stages.py
@@ -90,6 +90,7 @@
     writer,
     producer,
     containment,
+    continuations,
 ):
     """Return a function that runs a stage and then a stream on engines."""
     tasks = TaskGroup()
@@ -120,7 +121,6 @@
             'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
         )
         runner = StreamRunner(
-            listed,
             sender,
             wire,
             budgets,
@@ -128,6 +128,7 @@
             stages,
             lambda _: scheduler,
             containment,
+            continuations(listed),
         )
         table = make_table(route)
         table.services['intake'] = Service('intake', 10, None, BATCHES)
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -23,6 +23,7 @@
 from galenaswitch.connections.requests import InboundLimits
 from galenaswitch.errors import SettingsError
 from galenaswitch.gateway.batcher import Batcher
+from galenaswitch.gateway.continuation import ContinuationPolicy
 from galenaswitch.gateway.handling import Gateway
 from galenaswitch.gateway.messages import (
     PiecesCancel,
@@ -32,6 +33,7 @@
     PlaceQuestion,
     ReleaseNote,
 )
+from galenaswitch.gateway.origins import StreamOrigins
 from galenaswitch.gateway.owners import OwnerRouter
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.plain import PlainRunner
@@ -131,6 +133,7 @@
         self.containment = Containment(
             store, self.mesh, tasks, self.metrics, self.pool.is_listening
         )
+        self.origins = StreamOrigins(self.mesh)
         self._batchers: dict[str, Batcher] = {}
         self._schedulers: dict[str, PlacementScheduler] = {}
         self._wire = PlatformWire()
@@ -143,7 +146,6 @@
             self.find_batcher,
         )
         self.streams = StreamRunner(
-            self.members,
             self._sender,
             self._wire,
             self.budgets,
@@ -151,6 +153,7 @@
             self.stages,
             self.find_scheduler,
             self.containment,
+            ContinuationPolicy(self.members, self.origins, self.metrics),
         )
         self.gateway = self._make_gateway()
         self.callers = Listener(self.gateway, self.find_inbound_limits)
@@ -331,6 +334,7 @@
         }
         handlers |= self.containment.exchange.handlers()
         handlers |= self.turns.handlers()
+        handlers |= self.origins.handlers()
         self.service.handlers.update(handlers)  # type: ignore[attr-defined]
 
     def _make_gateway(self) -> Gateway:
--- a/galenaswitch/refusals.py
+++ b/galenaswitch/refusals.py
@@ -54,6 +54,8 @@
     no_target = 'no-target'
     not_ready = 'not-ready'
     quarantined = 'prompt-part-quarantined'
+    origin_unknown = 'stream-origin-unknown'
+    version_gone = 'stream-version-gone'
     claims_unreachable = 'claims-unreachable'
     claims_full = 'claims-full'
     key_required = 'idempotency-key-invalid'
@@ -89,6 +91,8 @@
     Reason.no_target: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 2),
     Reason.not_ready: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 2),
     Reason.quarantined: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 60),
+    Reason.origin_unknown: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE),
+    Reason.version_gone: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 1),
     Reason.claims_unreachable: RefusalResponse(
         HTTPStatus.SERVICE_UNAVAILABLE, 5
     ),
