soak: targets of two software versions, callers that take streams up

A restart gives a target the other version; events name it. Callers take up resumable streams that broke off, at any machine. New checks: the events of a stream are of one version over all its attempts, numbers go on.

--- a/galenaswitch/platform/soak/callers.py
+++ b/galenaswitch/platform/soak/callers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import re
 import secrets
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
@@ -28,7 +29,12 @@
 MAX_FAILED_PROBES = 2
 MAX_EVENTS = 30
 OK = 200
+_EVENT_PATTERN = re.compile(r'id: (\d+)\ndata: [\w.]+\n\n')
 REQUEST_KINDS = ('plain', 'once', 'chat', 'notes')
+# Kinds of streams that callers take up, and the most attempts at it.
+RESUMABLE_KINDS = frozenset(('notes',))
+MAX_TAKE_UPS = 4
+MAX_TAKE_UP_PAUSE_SECONDS = 1.0
 # Value of the header X-Pieces: number of work items of each stage.
 WORK_ITEM_COUNTS_FIELD = '2,3'
 
@@ -83,6 +89,28 @@
         return failed + 1
 
 
+class Stream(NamedTuple):
+    """A request, and how much of its stream the caller has.
+
+    :param origin: id of the attempt that brought the first event, empty before.
+    :param after: number of the last event, 0 for none.
+    """
+
+    kind: str
+    path: str
+    origin: str = ''
+    after: int = 0
+
+    def advance(self, sent: SentRequest) -> 'Stream':
+        """Return the stream after an attempt that brought some events."""
+        numbers = _EVENT_PATTERN.findall(sent.body)
+        if sent.status != OK or not numbers:
+            return self
+        return self._replace(
+            origin=self.origin or sent.ident, after=int(numbers[-1])
+        )
+
+
 class Caller:
     """Caller that sends random requests and records their outcomes."""
 
@@ -93,6 +121,7 @@
         records: Records,
         now: Callable[[], float],
         rng: random.Random,
+        kinds: Sequence[str] = REQUEST_KINDS,
     ) -> None:
         """Build a caller that has not sent a request yet.
 
@@ -100,7 +129,9 @@
             order of the machines.
         :param now: returns the seconds since the start of the soak.
         :param rng: source of the kinds, lengths and pauses of requests.
+        :param kinds: kinds of requests that it sends.
         """
+        self._kinds = kinds
         self._addresses = addresses
         self._balancer = balancer
         self._records = records
@@ -137,29 +168,67 @@
         first_on_connection: bool,
     ) -> bool:
         """Send and record a request; tell if its connection is reusable."""
-        kind = self._rng.choice(REQUEST_KINDS)
-        ident = secrets.token_hex(8)
+        kind = self._rng.choice(self._kinds)
         count = self._rng.randint(3, MAX_EVENTS)
         path = f'/{kind}/%20x/{count}?q=%2f'
+        sent = await self._send_attempt(
+            session, machine, Stream(kind, path), first=first_on_connection
+        )
+        if kind in RESUMABLE_KINDS:
+            await self._take_up(Stream(kind, path), sent)
+        return sent.reusable
+
+    async def _take_up(self, stream: Stream, sent: SentRequest) -> None:
+        """Take a stream up that broke off, at other machines if need be."""
+        for _ in range(MAX_TAKE_UPS):
+            stream = stream.advance(sent)
+            if sent.complete and sent.status == OK or not stream.after:
+                return
+            await asyncio.sleep(self._rng.uniform(0, MAX_TAKE_UP_PAUSE_SECONDS))
+            machine = self._balancer.pick(self._rng)
+            if machine is None:
+                continue
+            async with aiohttp.ClientSession() as session:
+                sent = await self._send_attempt(
+                    session, machine, stream, first=True
+                )
+
+    async def _send_attempt(
+        self,
+        session: aiohttp.ClientSession,
+        machine: int,
+        stream: Stream,
+        *,
+        first: bool,
+    ) -> SentRequest:
+        """Send one attempt and record it.
+
+        :param first: whether it is the first on its connection.
+        """
+        ident = secrets.token_hex(8)
         sent_at = self._now()
-        self._records.paths_by_ident[ident] = path
-        url = URL(f'http://{self._addresses[machine]}{path}', encoded=True)
-        answer = await _exchange(session, url, _make_headers(kind, ident))
-        self._records.sent.append(
-            SentRequest(
-                ident,
-                kind,
-                machine,
-                sent_at,
-                self._now(),
-                answer.status,
-                answer.from_target,
-                answer.body.decode('utf-8', 'replace'),
-                answer.complete,
-                first_on_connection,
-            ),
+        self._records.paths_by_ident[ident] = stream.path
+        url = URL(
+            f'http://{self._addresses[machine]}{stream.path}', encoded=True
+        )
+        answer = await _exchange(session, url, _make_headers(stream, ident))
+        sent = SentRequest(
+            ident,
+            stream.kind,
+            machine,
+            sent_at,
+            self._now(),
+            answer.status,
+            answer.from_target,
+            answer.body.decode('utf-8', 'replace'),
+            answer.complete,
+            first,
+            stream.origin,
+            stream.after,
+            answer.reusable,
         )
-        return answer.reusable
+        self._records.sent.append(sent)
+        return sent
 
 
 class Answer(NamedTuple):
@@ -178,7 +247,7 @@
     reusable: bool
 
 
-def _make_headers(kind: str, ident: str) -> dict[str, str]:
+def _make_headers(stream: Stream, ident: str) -> dict[str, str]:
     headers = {
         'Host': HOST,
         'X-Attempt-Id': ident,
@@ -188,7 +257,10 @@
         'X-Token-Usage': '300,40',
         'X-Prompt-Prefix': f'aa:200,{ident}:100',
     }
-    if kind == 'notes':
+    if stream.after:
+        headers['Last-Event-Id'] = str(stream.after)
+        headers['Resumes'] = stream.origin
+    if stream.kind in RESUMABLE_KINDS:
         headers['X-Pieces'] = WORK_ITEM_COUNTS_FIELD
         headers['X-Piece-Key'] = f'piece-{ident}'
     return headers
--- a/galenaswitch/platform/soak/promises.py
+++ b/galenaswitch/platform/soak/promises.py
@@ -33,7 +33,7 @@
 # Smallest share of requests that succeed after the recovery from all faults.
 MIN_SERVED_SHARE = 0.9
 WORK_ITEM_COUNTS = tuple(map(int, WORK_ITEM_COUNTS_FIELD.split(',')))
-_EVENT_PATTERN = re.compile(r'id: (\d+)\ndata: (\w+)\n\n')
+_EVENT_PATTERN = re.compile(r'id: (\d+)\ndata: (\w+)(?:\.(\w+))?\n\n')
 
 
 def check_all(records: Records, recovered_at: float) -> list[str]:
@@ -94,10 +94,10 @@
 
 def _check_events(request: SentRequest) -> Iterator[str]:
     events = _EVENT_PATTERN.findall(request.body)
-    numbers = [int(number) for number, _ in events]
+    numbers = [int(event[0]) - request.after for event in events]
     if numbers != list(range(1, len(numbers) + 1)):
         yield f'{request.ident}: event numbers {numbers}'
-    if any(ident != request.ident for _, ident in events):
+    if any(event[1] != request.ident for event in events):
         yield f'{request.ident}: events of another request'
 
 
@@ -111,13 +111,31 @@
         ):
             continue
         path = records.paths_by_ident[request.ident].partition('?')[0]
-        event_count = int(path.rpartition('/')[2])
+        event_count = int(path.rpartition('/')[2]) - request.after
         if len(_EVENT_PATTERN.findall(request.body)) != event_count:
             yield (
                 f'{request.ident}: ended as complete before event {event_count}'
             )
 
 
+def check_versions(records: Records) -> Iterator[str]:
+    """Check that the events of each stream are of one software version.
+
+    A stream has the events of all attempts at it.
+    """
+    versions: dict[str, set[str]] = {}
+    for request in records.sent:
+        if request.kind in STREAM_KINDS and request.status == OK:
+            stream = versions.setdefault(request.origin or request.ident, set())
+            stream.update(
+                version
+                for _, _, version in _EVENT_PATTERN.findall(request.body)
+            )
+    for ident, found in versions.items():
+        if len(found) > 1:
+            yield f'{ident}: joined from versions {sorted(found)}'
+
+
 def check_runs(records: Records) -> Iterator[str]:
     """Check that targets receive requests unchanged, with a valid time left."""
     for run in records.ran:
@@ -203,6 +221,7 @@
     check_refusals,
     check_answers,
     check_stream_ends,
+    check_versions,
     check_runs,
     check_inputs,
     check_planned_work,
--- a/galenaswitch/platform/soak/records.py
+++ b/galenaswitch/platform/soak/records.py
@@ -21,6 +21,10 @@
     :param complete: whether the answer was complete.
     :param first_on_connection: whether the request was the first on its
         connection.
+    :param origin: id of the attempt that brought the first event of the stream
+        that the request takes up, empty for a new one.
+    :param after: number of the event after which a stream is taken up.
+    :param reusable: whether the connection may be used again.
     """
 
     ident: str
@@ -33,6 +37,9 @@
     body: str
     complete: bool
     first_on_connection: bool
+    origin: str = ''
+    after: int = 0
+    reusable: bool = False
 
 
 class TargetRun(NamedTuple):
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -32,6 +32,8 @@
 SLOW_FACTOR = 6.0
 # Time for which a target is down after a request has ended it.
 CRASH_SECONDS = 0.6
+# Versions of the software of targets.
+VERSIONS = ('v1', 'v2')
 # One of this many requests of a target fails in the modes errors, hang and cut.
 FAILURE_INTERVAL = 3
 # Attempt id, stage and work item number of each stored result, by its handle.
@@ -46,6 +48,7 @@
         ``hang`` delays the answer, ``cut`` aborts the connection.
     :ivar state: state in the target's document, ``ready`` or ``draining``.
     :ivar name: name of the target, which changes with each restart.
+    :ivar version: version of the target's software.
     :ivar born: time of the last restart in milliseconds.
     :ivar harmful_part: id of the prompt part that ends the target when it
         begins to answer, empty for none.
@@ -88,12 +91,20 @@
         self.name = ''
         self.born = 0
         self._sequence = 0
+        self._start_count = 0
+        self.version = ''
         self.restart()
 
     def restart(self) -> None:
-        """Restart the target under a new name and without stored results."""
+        """Restart the target under a new name and without stored results.
+
+        Its software has another version after each restart.
+        """
         self.name = f'i-{self.number}-{secrets.token_hex(3)}'
         self.born = int(time.time() * 1000)
+        self._start_count += 1
+        version_index = (self.number + self._start_count) % len(VERSIONS)
+        self.version = VERSIONS[version_index]
         self._sequence = 0
         self.state = 'ready'
         for handle in self._own_handles:
@@ -146,7 +157,7 @@
             'service': self.service,
             'address': self.proxy.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': 8,
             'state': self.state,
             'cold-left-ms': 0,
@@ -236,12 +247,13 @@
             # The crash cancels this handler, so it runs in a task of its own.
             self._crash = asyncio.create_task(self.crash(CRASH_SECONDS))
             await asyncio.shield(self._crash)
+        version = self.version
         answer = web.StreamResponse(headers=headers)
         answer.content_type = 'text/event-stream'
         await answer.prepare(request)
         for number in range(after + 1, count + 1):
             await asyncio.sleep(self._scale_seconds(EVENT_GAP_SECONDS))
-            event = f'id: {number}\ndata: {ident}\n\n'.encode()
+            event = f'id: {number}\ndata: {ident}.{version}\n\n'.encode()
             if should_fail and self.mode == 'cut' and number == count:
                 await answer.write(event[:PARTIAL_EVENT_BYTES])
                 if request.transport:
