--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -13,6 +13,8 @@
 from galenaswitch.connections.outbound import ConnectionPool
 from galenaswitch.connections.requests import InboundLimits, InboundRequest
 from galenaswitch.gateway.checks import check_request
+from galenaswitch.gateway.continuation import ContinuationPolicy
+from galenaswitch.gateway.origins import StreamOrigins
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.plain import PlainRunner
 from galenaswitch.gateway.routes import (
@@ -304,8 +306,22 @@
     await tasks.stop()
 
 
+@pytest.fixture
+def continuations():
+    """Return a function that makes the continuation policy of a single VM."""
+
+    def make(listed):
+        mesh = Mock(spec=Mesh, node='a', zone='z')
+        mesh.links.return_value = ()
+        mesh.cross_zone_links.return_value = ()
+        return ContinuationPolicy(listed, StreamOrigins(mesh), LocalMetrics())
+
+    return make
+
+
 @pytest.fixture
 def run_stream(
+    continuations,
     members,
     sender,
     budgets,
@@ -327,7 +343,6 @@
         wire = PlatformWire()
         stages = StageRunner('z', listed, wire, LocalOwnerRouter(), None)
         runner = StreamRunner(
-            listed,
             sender,
             wire,
             budgets,
@@ -335,6 +350,7 @@
             stages,
             lambda _: scheduler,
             containment,
+            continuations(listed),
         )
         try:
             await runner.run(
@@ -385,3 +401,56 @@
     for soak, session in opened:
         await session.close()
         await soak.close()
+
+
+@pytest.fixture
+def make_stream_runner(sender, budgets, containment, continuations):
+    """Return a function that makes the stream runner of a VM.
+
+    It takes pairs of a target and the version of its software, prefers the
+    first, and lists others with ``list_targets``.
+    """
+
+    def make(*targets):
+        listed = Members()
+
+        def list_targets(*found):
+            numbers = range(len(found))
+            listed.accept(
+                MemberList(
+                    listed.member_list.revision + 1,
+                    (),
+                    tuple(
+                        Target(
+                            f't{number}',
+                            f't{number}/1',
+                            'z',
+                            'desk',
+                            found[number][0].address,
+                            version=found[number][1],
+                        )
+                        for number in numbers
+                    ),
+                ),
+            )
+
+        list_targets(*targets)
+        scheduler = PlacementScheduler(
+            'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
+        )
+        wire = PlatformWire()
+        router = LocalOwnerRouter()
+        runner = StreamRunner(
+            sender,
+            wire,
+            budgets,
+            router,
+            StageRunner('z', listed, wire, router, None),
+            lambda _: scheduler,
+            containment,
+            continuations(listed),
+        )
+        runner.list_targets = list_targets
+        return runner
+
+    return make
