answers: a refusal counts only for the request that it names

Cause: an answer 421 was taken as a refusal of the request that was waiting although it named another request or none. The header X-Not-Executed was believed only with the request's id already, the status was not.

Change: the id is checked before anything else that the answer says. The constant of the tests' 421 names the request now, as targets do; refusals without its id have a test of their own, which demands 502 and one send.

Looked for elsewhere: the product's own client checks the echo first. Batches of stages name no request; a refusal that is written again makes work items be made again, which their rules allow.

Why it works: an id that belongs to one attempt can't be in the answer to an earlier one.

--- a/galenaswitch/gateway/answers.py
+++ b/galenaswitch/gateway/answers.py
@@ -24,20 +24,23 @@
 ) -> AnswerFields:
     """Check that the answer of a target may be forwarded to the caller.
 
+    An answer that doesn't name the request says nothing about it: a target may
+    write the answer to an earlier request again on the same connection.
+
+    :raises MismatchedAnswerError: when the answer is for another request.
     :raises InputsLostError: when stage results that the request reads are
         lost.
     :raises TargetBusyError: when the target has not run the request.
-    :raises MismatchedAnswerError: when the answer is for another request.
     :raises TargetBrokenError: when the target itself did not produce the
         answer, or its status promises that the request has not run.
     """
     fields = wire.read_answer(request, head)
-    if fields.inputs_lost and fields.echoes_attempt_id:
-        raise InputsLostError(f'the target answered {fields.status}')
-    if fields.misdirected or (fields.not_run and fields.echoes_attempt_id):
-        raise TargetBusyError(f'the target answered {fields.status}')
     if not fields.echoes_attempt_id:
         raise MismatchedAnswerError('the answer is for another request')
+    if fields.inputs_lost:
+        raise InputsLostError(f'the target answered {fields.status}')
+    if fields.misdirected or fields.not_run:
+        raise TargetBusyError(f'the target answered {fields.status}')
     if not fields.genuine or fields.status in _NOT_RUN_STATUSES:
         raise TargetBrokenError(f'status {fields.status} may not be forwarded')
     return fields
--- a/galenaswitch/platform/tests/test_plain.py
+++ b/galenaswitch/platform/tests/test_plain.py
@@ -12,7 +12,9 @@
     b'HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: a1\r\n'
     b'X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
 )
-MISDIRECTED = b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n'
+MISDIRECTED = (
+    b'HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n'
+)
 
 
 async def test_answer_is_forwarded_unchanged(
@@ -104,6 +106,40 @@
     assert not writer.started
 
 
+# Guards against a refusal of an earlier request that a target writes again.
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        NOT_RUN.replace(b'a1', b'earlier'),
+        NOT_RUN.replace(b'X-Attempt-Id: a1\r\n', b''),
+        MISDIRECTED.replace(b'a1', b'earlier'),
+        MISDIRECTED.replace(b'X-Attempt-Id: a1\r\n', b''),
+    ],
+)
+async def test_refusal_that_names_another_request_promises_nothing(
+    make_plain_runner,
+    scripted,
+    make_route,
+    make_caller_request,
+    writer,
+    make_answer,
+    refusal,
+):
+    targets = [await scripted([refusal]), await scripted([make_answer()])]
+    runner = make_plain_runner(*targets)
+    outcomes = []
+    for _ in range(4):
+        request = make_caller_request(make_route(CallKind.once))
+        try:
+            await runner.run(request, writer)
+        except RefusedError as error:
+            outcomes.append(error)
+    assert outcomes
+    assert all(one.run is ExecutionState.unknown for one in outcomes)
+    assert all(one.response.status == 502 for one in outcomes)
+    assert sum(len(target.requests) for target in targets) == 4
+
+
 async def test_repeatable_request_is_retried_up_to_its_attempts(
     make_plain_runner,
     scripted,
