streams: only events of the stream are forwarded, and only a stream continues

Cause: whatever ended with an empty line was taken for events, and an answer with any status of success continued a stream, so that 204 ended it as complete.

Change: bytes are forwarded only as far as they are events with one id that follows the last one, or comments; the rest breaks the attempt. A continuation needs the status of the answer that began it and, where it names a type, that of an event stream. The test of a large event in small parts gives its event an id and demands the same length and time.

Why it works: what the caller gets is checked event by event, whichever framing and whichever target it came from.

--- a/galenaswitch/gateway/answers.py
+++ b/galenaswitch/gateway/answers.py
@@ -1,6 +1,10 @@
 """Answers to callers: the checked answer of a target, or a refusal."""
 
-from galenaswitch.connections.heads import AnswerHead, filter_end_to_end_headers
+from galenaswitch.connections.heads import (
+    AnswerHead,
+    filter_end_to_end_headers,
+    find_header_text,
+)
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.errors import (
     InputsLostError,
@@ -14,6 +18,7 @@
 MIN_SUCCESS_STATUS = 200
 MIN_REDIRECT_STATUS = 300
 MIN_SERVER_ERROR_STATUS = 500
+EVENT_STREAM = 'text/event-stream'
 # Callers take these statuses as a promise that their request has not run, so a
 # target's answer with one of them is not forwarded.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -46,6 +51,20 @@
     return fields
 
 
+def check_continuation(head: AnswerHead) -> None:
+    """Check that an answer can continue a stream that has begun.
+
+    The caller has the status of the answer that began it.
+
+    :raises TargetBrokenError: when the answer is an error or no event stream.
+    """
+    if head.status != MIN_SUCCESS_STATUS:
+        raise TargetBrokenError(f'the target answered {head.status}')
+    content_type = find_header_text(head.headers, b'content-type')
+    if content_type and not content_type.startswith(EVENT_STREAM):
+        raise TargetBrokenError(f'the target answered {content_type}')
+
+
 def is_success(fields: AnswerFields) -> bool:
     """Tell whether the status of an answer is a success."""
     return MIN_SUCCESS_STATUS <= fields.status < MIN_REDIRECT_STATUS
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -19,6 +19,7 @@
 )
 from galenaswitch.gateway.answers import (
     check_answer,
+    check_continuation,
     is_success,
     make_caller_head,
     send_complete,
@@ -239,7 +240,9 @@
     async def _relay_answer(self, job: StreamJob, attempt: Attempt) -> None:
         answer = await attempt.read_head(self._find_read_timeout(job))
         fields = check_answer(job.request, answer, self._wire)
-        if not is_success(fields):
+        if job.writer.started:
+            check_continuation(answer)
+        elif not is_success(fields):
             await self._relay_failure(job, attempt, answer)
             return
         await self._relay_events(job, attempt, answer)
@@ -250,14 +253,8 @@
         attempt: Attempt,
         answer: AnswerHead,
     ) -> None:
-        """Forward the error response of an engine to the caller.
-
-        :raises TargetBrokenError: when the caller's answer has already
-            started, so that its status can't change any more.
-        """
+        """Forward the error response of an engine to the caller."""
         body = await attempt.read_complete(job.left)
-        if job.writer.started:
-            raise TargetBrokenError(f'the engine answered {answer.status}')
         await send_complete(job.writer, answer, body)
 
     async def _relay_events(
@@ -273,6 +270,8 @@
             if complete_events:
                 self._record_first_event(job)
                 await send_events(job.writer, answer, complete_events)
+            if job.events.is_broken:
+                raise TargetBrokenError('bytes that are no event of the stream')
         if job.events.has_partial_event:
             raise TargetBrokenError('the stream ended within an event')
         if not job.writer.started:
@@ -360,7 +359,7 @@
         )
         if isinstance(error, TargetBusyError):
             job.sent -= 1
-        job.events.drop_partial_event()
+        job.events.restart()
         get_logger().info(
             'attempt_failed',
             request=job.request.ident,
--- a/galenaswitch/platform/tests/test_endless.py
+++ b/galenaswitch/platform/tests/test_endless.py
@@ -63,13 +63,16 @@
 
 # Guards against a quadratic search in an event that comes in many small parts.
 def test_event_in_many_small_parts_takes_linear_time():
+    start = b'id: 1\ndata: '
     buffer = EventBuffer()
+    buffer.feed(start)
     started_at = time.process_time()
     for _ in range(MAX_EVENT_BYTES // 10):
         buffer.feed(b'x' * 10)
     assert time.process_time() - started_at < 2
     assert buffer.feed(b'\n') == b''
-    assert len(buffer.feed(b'\nid: 1')) == MAX_EVENT_BYTES // 10 * 10 + 2
+    event_bytes = len(start) + MAX_EVENT_BYTES // 10 * 10 + 2
+    assert len(buffer.feed(b'\nid: 2')) == event_bytes
 
 
 async def test_stream_without_a_length_is_complete_at_its_end(
