Tests: limits and quarantines while each machine is killed in turn

Two tests that were left uncommitted: the rate that a target names is kept while each machine, and with it each owner, is killed in turn; a quarantine outlives each machine that knows of it. No code changes with them.

--- a/galenaswitch/platform/tests/test_query_of_death.py
+++ b/galenaswitch/platform/tests/test_query_of_death.py
@@ -35,6 +35,15 @@
     ]
 
 
+def find_late_sends(driver, idents):
+    """Return the times at which harmful requests reached engines too late."""
+    sends = sorted(
+        run.started_at for run in driver.soak.records.ran if run.ident in idents
+    )
+    bound = sends[min(MAX_CRASHES, len(sends)) - 1] + CONTACT_SECONDS
+    return [at for at in sends if at > bound]
+
+
 # Guards against engines that end one after the other by one prompt part.
 @pytest.mark.timeout(90)
 async def test_harmful_prompt_part_stops_reaching_engines(open_driver):
@@ -51,3 +60,22 @@
     sound = [status for at, status in statuses if at > contained_at]
     assert len(sound) > 10
     assert sum(status == 200 for status in sound) > len(sound) * 0.8
+
+
+# Guards against a quarantine that ends with the machines that know of it.
+@pytest.mark.timeout(90)
+async def test_quarantine_outlives_each_machine_that_is_killed(open_driver):
+    driver = await open_driver(69)
+    for target in driver.soak._targets:
+        target.harmful_part = HARMFUL_PART
+
+    async def kill_in_turn():
+        for machine in driver.soak._machines:
+            await asyncio.sleep(CONTACT_SECONDS)
+            machine.kill()
+
+    async with asyncio.TaskGroup() as group:
+        group.create_task(kill_in_turn())
+        sending = group.create_task(send_both(driver, 20))
+    idents, _ = sending.result()
+    assert len(find_late_sends(driver, idents)) <= MAX_LATE_SENDS
--- a/galenaswitch/platform/tests/test_server_limit.py
+++ b/galenaswitch/platform/tests/test_server_limit.py
@@ -57,6 +57,25 @@
     assert set(statuses) <= {200, 503}
 
 
+# Guards against a limit that is kept anew by each owner of a service.
+@pytest.mark.timeout(90)
+@pytest.mark.parametrize(('route', 'network'), [('plain', 67), ('chat', 68)])
+async def test_limit_holds_while_each_machine_is_killed_in_turn(
+    open_driver, route, network
+):
+    driver = await open_driver(network)
+    for target in driver.soak._targets:
+        target.rate_limit = RATE_LIMIT
+    started_at = driver.soak._now()
+    async with asyncio.TaskGroup() as group:
+        group.create_task(send_at_rate(driver, route, 12, 24))
+        for machine in driver.soak._machines:
+            await asyncio.sleep(WINDOW_SECONDS + 1)
+            machine.kill()
+    since = started_at + CONTACT_SECONDS
+    assert find_largest_window(driver, since) <= MAX_IN_WINDOW
+
+
 # Guards against requests that wait for a place until their deadline passes.
 @pytest.mark.timeout(90)
 async def test_request_without_a_place_in_time_is_refused_at_once(open_driver):
