--- a/galenaswitch/gateway/events.py
+++ b/galenaswitch/gateway/events.py
@@ -11,6 +11,8 @@
 COMMENT = b':'
 # Largest size in bytes of an event that the buffer holds until it is complete.
 MAX_EVENT_BYTES = 1_048_576
+# Longest id that is compared as a number. Callers and targets choose the ids.
+MAX_NUMBER_DIGITS = 18
 
 
 class EventBuffer:
@@ -95,6 +97,7 @@
     >>> _follows('10', '9'), _follows('9', '9'), _follows('1', '')
     (True, False, True)
     """
-    if ident.isdecimal() and last_id.isdecimal():
+    is_number = ident.isdecimal() and last_id.isdecimal()
+    if is_number and max(len(ident), len(last_id)) <= MAX_NUMBER_DIGITS:
         return int(ident) > int(last_id)
     return ident != last_id
--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -51,6 +51,8 @@
 NOT_FOUND = 404
 GONE = 410
 _EXPECTED_STATUSES = frozenset((OK, CREATED, NOT_FOUND, CONFLICT))
+# Longest era that fits beside a revision in a version.
+MAX_ERA_DIGITS = 4
 _ERA_HEADER = b'store-era'
 Document = dict[str, Any]
 
@@ -233,7 +235,8 @@
         An answer without a readable era is taken to be of the current one.
         """
         field = find_header_text(answer.headers, _ERA_HEADER)
-        era = int(field) if field.isdecimal() else self.era
+        is_era = field.isdecimal() and len(field) <= MAX_ERA_DIGITS
+        era = int(field) if is_era else self.era
         if era > self.era:
             get_logger().warning('store_era_began', era=era, before=self.era)
             self.era = era
--- a/galenaswitch/platform/tests/test_stream_errors.py
+++ b/galenaswitch/platform/tests/test_stream_errors.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from galenaswitch.gateway.events import EventBuffer
 from galenaswitch.gateway.routes import CallKind
 from galenaswitch.platform.tests.test_streams import event, stream
 from galenaswitch.refusals import RefusedError
@@ -128,3 +129,12 @@
     assert writer.body.startswith(event(1))
     assert writer.body.endswith(event(3))
     assert writer.finished
+
+
+# Guards against an id that is too long to be read as a number.
+@pytest.mark.parametrize('last_id', ['9' * 5000, '', 'x', '-1'])
+def test_id_of_any_length_is_compared(last_id):
+    buffer = EventBuffer(last_id)
+    assert buffer.feed(event(1)) == event(1)
+    assert buffer.feed(b'id: %b\n\n' % (b'8' * 5000))
+    assert not buffer.is_broken
