--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -51,6 +51,8 @@
 NOT_FOUND = 404
 GONE = 410
 _EXPECTED_STATUSES = frozenset((OK, CREATED, NOT_FOUND, CONFLICT))
+# Longest era that fits beside a revision in a version.
+MAX_ERA_DIGITS = 4
 _ERA_HEADER = b'store-era'
 Document = dict[str, Any]
 
@@ -83,7 +85,10 @@
         self._watches: set[asyncio.Task[StoreAnswer]] = set()
 
     async def list_kind(self, kind: str, *, stale: bool = False) -> Listing:
-        """Return all objects of a kind.
+        """Return all objects of a kind, at the revision of the first page.
+
+        Later pages may show later changes, which a watch from that revision
+        shows once more.
 
         :param stale: whether the store may return data that is seconds old.
             Such a call costs a tenth of a consistent read.
@@ -91,6 +96,7 @@
         :raises StoreUnavailableError: when the store doesn't answer.
         """
         stored: list[StoredObject] = []
+        revision: int | None = None
         query: dict[str, str] = {'allow-stale': '1'} if stale else {}
         while True:
             answer = await self._call('GET', kind, query=query)
@@ -100,8 +106,10 @@
             stored.extend(
                 _decode_object(kind, entry, era) for entry in page['items']
             )
+            if revision is None:
+                revision = _decode_store_version(answer)
             if not page.get('has-more') or not page['items']:
-                return Listing(_decode_store_version(answer), tuple(stored))
+                return Listing(revision, tuple(stored))
             query = {**query, 'after': stored[-1].name}
 
     async def watch(self, kind: str, revision: int, seconds: float) -> Changes:
@@ -227,7 +235,8 @@
         An answer without a readable era is taken to be of the current one.
         """
         field = find_header_text(answer.headers, _ERA_HEADER)
-        era = int(field) if field.isdecimal() else self.era
+        is_era = field.isdecimal() and len(field) <= MAX_ERA_DIGITS
+        era = int(field) if is_era else self.era
         if era > self.era:
             get_logger().warning('store_era_began', era=era, before=self.era)
             self.era = era
