placements: a stream that waits for its version holds up no other

Callers of a service with two software versions could have waited behind a stream that must go on at the one version whose engines are full: only the first of the waiting requests was placed, whatever it waited for. The constraint on the version, new with the streams that keep to theirs, made the head of the queue block the rest. Found on reading the change.

Change: a request waits only for those before it that may take the same engine. The engines of a version for which one before it waits are left to that one.

Evidence: of three new tests the one of a waiting stream failed before (no placement within 0.5 s) and passes now; the other two pin the order.

Why it works: order by rank is kept for every engine; what can't use an engine doesn't hold it.

--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -8,6 +8,7 @@
 import contextlib
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 from galenaswitch.gateway.messages import (
     PlaceEnd,
@@ -33,6 +34,26 @@
 RETRY_AFTER_SECONDS = 0.5
 
 
+class Waiting(NamedTuple):
+    """A request that waits for an engine.
+
+    :param late: whether it can no longer be on time.
+    :param start_by: monotonic time of its latest start that is on time.
+    :param version: software version that the engine must have, ``None`` for
+        any.
+    """
+
+    late: bool
+    priority: int
+    start_by: float
+    version: str | None
+
+    @property
+    def rank(self) -> tuple[bool, int, float]:
+        """Order in which waiting requests are placed, the lowest first."""
+        return self.late, self.priority, self.start_by
+
+
 class PlacementScheduler:
     """Assigns the requests for one service to its engines."""
 
@@ -55,7 +76,7 @@
         self._members = members
         self._ejector = Ejector()
         self._placements = EnginePlacements(self._ejector)
-        self._waiting: dict[str, tuple[bool, int, float]] = {}
+        self._waiting: dict[str, Waiting] = {}
         self._changed = asyncio.Event()
         self._expires_at: dict[str, float] = {}
 
@@ -68,10 +89,11 @@
         self._drop_expired(now)
         for limit in query.limits:
             self._pacer.learn(*limit, now)
-        self._waiting[query.ident] = (
+        self._waiting[query.ident] = Waiting(
             query.start_in < 0,
             query.priority,
             now + query.start_in,
+            query.version,
         )
         try:
             placement, retry_after = await self._wait_for_engine(query, now)
@@ -140,11 +162,15 @@
 
     def _try_place(self, query: PlaceQuestion) -> Placement | None:
         limits = self._find_limits(self._service)
-        first = min(self._waiting.values())
-        if limits is None or self._waiting[query.ident] > first:
+        reserved = {one.version for one in self._find_ahead(query)}
+        if limits is None or reserved & {None, query.version}:
             return None
         now = time.monotonic()
-        targets = self._find_targets(query)
+        targets = tuple(
+            target
+            for target in self._find_targets(query)
+            if target.version not in reserved
+        )
         without_turn = frozenset(
             target.name
             for target in targets
@@ -157,6 +183,11 @@
             self._pacer.take(placement.target.incarnation, now)
         return placement
 
+    def _find_ahead(self, query: PlaceQuestion) -> list[Waiting]:
+        """Return the waiting requests that are placed before a request."""
+        own = self._waiting[query.ident]
+        return [one for one in self._waiting.values() if one.rank < own.rank]
+
     def _find_targets(self, query: PlaceQuestion) -> tuple[Target, ...]:
         """Return the targets that may run a request."""
         targets = self._members.usable(self._service)
@@ -197,8 +228,7 @@
         first_turn = min(
             self._pacer.find_wait(one, now) for one in incarnations
         )
-        own_rank = self._waiting[query.ident]
-        ahead = sum(rank < own_rank for rank in self._waiting.values())
+        ahead = len(self._find_ahead(query))
         return first_turn + ahead / sum(filter(None, rates))
 
     def _notify_waiting(self) -> None:
--- a/galenaswitch/gateway/tests/test_placements.py
+++ b/galenaswitch/gateway/tests/test_placements.py
@@ -171,3 +171,57 @@
         replies.append(await scheduler.place(query))
         scheduler.record_end(make_end(str(number)))
     assert [reply.target for reply in replies] == ['e', 'e', '', '']
+
+
+@pytest.fixture
+def two_versions():
+    """Return the scheduler of one engine of each version."""
+    members = Members()
+    engines = tuple(
+        Target(version, version, 'z', 'llm', '127.0.0.1:1', version=version)
+        for version in ('v1', 'v2')
+    )
+    members.accept(MemberList(1, (), engines))
+    return PlacementScheduler('llm', lambda _: ONE_SLOT, members, Pacer())
+
+
+async def test_continued_stream_is_placed_at_its_version_only(two_versions):
+    for version in ('v2', 'v1'):
+        query = make_query(version)._replace(version=version)
+        assert (await two_versions.place(query)).target == version
+    query = make_query('a', left=0.2)._replace(version='v1')
+    assert not (await two_versions.place(query)).target
+
+
+# Guards against all requests waiting behind a stream whose version is full.
+async def test_stream_that_waits_for_its_version_holds_up_no_other(
+    two_versions,
+):
+    running = make_query('a')._replace(version='v1')
+    await two_versions.place(running)
+    pinned = make_query('b', priority=0)._replace(version='v1')
+    waiting = asyncio.create_task(two_versions.place(pinned))
+    await asyncio.sleep(0.01)
+    async with asyncio.timeout(0.5):
+        assert (await two_versions.place(make_query('c'))).target == 'v2'
+    two_versions.record_end(PlaceEnd('llm', 'a', 'v1', failed=False))
+    assert (await waiting).target == 'v1'
+
+
+async def test_engine_of_a_version_is_left_to_the_stream_that_waits_for_it(
+    two_versions,
+):
+    for version in ('v1', 'v2'):
+        query = make_query(version)._replace(version=version)
+        await two_versions.place(query)
+    pinned = make_query('b', priority=0)._replace(version='v1')
+    tasks = [
+        asyncio.create_task(two_versions.place(query))
+        for query in (make_query('c'), pinned)
+    ]
+    await asyncio.sleep(0.01)
+    two_versions.record_end(PlaceEnd('llm', 'v1', 'v1', failed=False))
+    assert (await tasks[1]).target == 'v1'
+    assert not tasks[0].done()
+    two_versions.record_end(PlaceEnd('llm', 'v2', 'v2', failed=False))
+    assert (await tasks[0]).target == 'v2'
