Tests: the runner of streams of several versions stands with its tests

No behaviour changes. The fixture that makes a stream runner with versions is used by one file and moves there; the fixture 'kinds' was used by none and goes.

--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -18,7 +18,6 @@
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.plain import PlainRunner
 from galenaswitch.gateway.routes import (
-    CallKind,
     EngineLimits,
     Route,
     RouteTable,
@@ -309,11 +308,10 @@
 @pytest.fixture
 def continuations():
     """Return a function that makes the continuation policy of a single VM."""
+    no_links = {'links.return_value': (), 'cross_zone_links.return_value': ()}
 
     def make(listed):
-        mesh = Mock(spec=Mesh, node='a', zone='z')
-        mesh.links.return_value = ()
-        mesh.cross_zone_links.return_value = ()
+        mesh = Mock(spec=Mesh, node='a', zone='z', **no_links)
         return ContinuationPolicy(listed, StreamOrigins(mesh), LocalMetrics())
 
     return make
@@ -379,12 +377,6 @@
     return make
 
 
-@pytest.fixture
-def kinds():
-    """Return the kinds of requests that a route may have."""
-    return CallKind
-
-
 @pytest.fixture
 async def open_driver(tmp_path):
     """Return a function that starts the processes of a soak and a driver."""
@@ -401,56 +393,3 @@
     for soak, session in opened:
         await session.close()
         await soak.close()
-
-
-@pytest.fixture
-def make_stream_runner(sender, budgets, containment, continuations):
-    """Return a function that makes the stream runner of a VM.
-
-    It takes pairs of a target and the version of its software, prefers the
-    first, and lists others with ``list_targets``.
-    """
-
-    def make(*targets):
-        listed = Members()
-
-        def list_targets(*found):
-            numbers = range(len(found))
-            listed.accept(
-                MemberList(
-                    listed.member_list.revision + 1,
-                    (),
-                    tuple(
-                        Target(
-                            f't{number}',
-                            f't{number}/1',
-                            'z',
-                            'desk',
-                            found[number][0].address,
-                            version=found[number][1],
-                        )
-                        for number in numbers
-                    ),
-                ),
-            )
-
-        list_targets(*targets)
-        scheduler = PlacementScheduler(
-            'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
-        )
-        wire = PlatformWire()
-        router = LocalOwnerRouter()
-        runner = StreamRunner(
-            sender,
-            wire,
-            budgets,
-            router,
-            StageRunner('z', listed, wire, router, None),
-            lambda _: scheduler,
-            containment,
-            continuations(listed),
-        )
-        runner.list_targets = list_targets
-        return runner
-
-    return make
--- a/galenaswitch/platform/tests/test_stream_versions.py
+++ b/galenaswitch/platform/tests/test_stream_versions.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from galenaswitch.gateway.routes import CallKind
+from galenaswitch.gateway.placements import PlacementScheduler
+from galenaswitch.gateway.routes import CallKind, EngineLimits
+from galenaswitch.gateway.stages import StageRunner
+from galenaswitch.gateway.streams import StreamRunner
+from galenaswitch.gateway.tests.fakes import LocalOwnerRouter
+from galenaswitch.membership.lists import MemberList, Members, Target
+from galenaswitch.platform.headers import PlatformWire
 from galenaswitch.platform.tests.fakes import AnswerRecorder
 from galenaswitch.platform.tests.test_streams import event, stream
 from galenaswitch.refusals import ExecutionState, RefusedError
@@ -11,6 +17,59 @@
 REST = stream([event(2), event(3)])
 
 
+@pytest.fixture
+def make_stream_runner(sender, budgets, containment, continuations):
+    """Return a function that makes the stream runner of a VM.
+
+    It takes pairs of a target and the version of its software, prefers the
+    first, and lists others with ``list_targets``.
+    """
+
+    def make(*targets):
+        listed = Members()
+
+        def list_targets(*found):
+            numbers = range(len(found))
+            listed.accept(
+                MemberList(
+                    listed.member_list.revision + 1,
+                    (),
+                    tuple(
+                        Target(
+                            f't{number}',
+                            f't{number}/1',
+                            'z',
+                            'desk',
+                            found[number][0].address,
+                            version=found[number][1],
+                        )
+                        for number in numbers
+                    ),
+                ),
+            )
+
+        list_targets(*targets)
+        scheduler = PlacementScheduler(
+            'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
+        )
+        wire = PlatformWire()
+        router = LocalOwnerRouter()
+        runner = StreamRunner(
+            sender,
+            wire,
+            budgets,
+            router,
+            StageRunner('z', listed, wire, router, None),
+            lambda _: scheduler,
+            containment,
+            continuations(listed),
+        )
+        runner.list_targets = list_targets
+        return runner
+
+    return make
+
+
 @pytest.fixture
 def send(make_stream_runner, make_caller_request, make_route, make_table):
     """Return a function that sends a caller's attempt to a VM.
