streams: a stream that goes on is served before new ones

What callers saw: under load, streams that broke off were hardly ever finished.

Cause: a rerun of the stages counts as late, so it ranks behind all requests that can be on time. A stream that callers take up ranked as a new request that came last, with less time left than all others.

Change: the rest of a stream has the deadline as its objective and a priority ahead of new streams, in the stages and at the engines, within one answer and over attempts of its caller. Lateness is compared with what is left, so the rest of a stream isn't late.

Evidence: both tests fail on the code before (the stream that goes on is served as the last of 13, or refused) and pass now.

--- a/galenaswitch/gateway/continuation.py
+++ b/galenaswitch/gateway/continuation.py
@@ -1,7 +1,8 @@
-"""Decides where a stream may go on after it broke off.
+"""Decides where and when a stream may go on after it broke off.
 
 A stream goes on only at a target of the software version that began it, within
-one answer as over several attempts of its caller.
+one answer as over several attempts of its caller. It is urgent, since its
+caller has part of the answer and less time left than those of new streams.
 """
 
 from typing import NamedTuple
@@ -15,6 +16,9 @@
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 
+# Priority of a stream that goes on, ahead of all new streams.
+CONTINUATION_PRIORITY = -4
+
 
 class Continuation(NamedTuple):
     """A request, and where its answer may come from.
@@ -60,7 +64,7 @@
             )
         self._record(request, 'admitted', origin)
         return Continuation(
-            request._replace(service=origin.service), origin.version
+            _expedite(request._replace(service=origin.service)), origin.version
         )
 
     def check(self, job: StreamJob) -> None:
@@ -108,6 +112,12 @@
                 )
             )
 
+    def restart(self, job: StreamJob) -> None:
+        """Prepare a job for another target, which may send the rest."""
+        job.events.restart()
+        if job.has_first_event:
+            job.request = _expedite(job.request)
+
     def _find_targets(self, job: StreamJob) -> tuple[Target, ...]:
         return tuple(
             target
@@ -129,6 +139,17 @@
         )
 
 
+def _expedite(request: CallerRequest) -> CallerRequest:
+    """Return the request for the rest of a stream, ahead of new streams.
+
+    Its objective is that it ends before the deadline: its first event has been
+    on time or late already.
+    """
+    return request._replace(
+        priority=CONTINUATION_PRIORITY, objective_deadline=request.deadline
+    )
+
+
 def _may_resume(request: CallerRequest, origin: StreamOrigin) -> bool:
     """Tell whether a request may go on with a stream.
 
--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -73,7 +73,8 @@
         self._deadline = deadline
         self._is_rerun = is_rerun
         self.released = False
-        self.late = is_rerun
+        # The rest of a stream has no objective before its deadline.
+        self.late = is_rerun and request.objective_deadline < deadline
         self._request = request
         self._runner = runner
         self._handles: dict[int, tuple[str, ...]] = {}
@@ -291,10 +292,8 @@
         for number in numbers:
             limits = self._stage_times.find_batch_limits(number)
             if self._handles[number] and limits:
-                finished_at = self._finished_at[number]
-                retention_seconds.append(
-                    finished_at + limits.retention_seconds - now
-                )
+                ends_at = self._finished_at[number] + limits.retention_seconds
+                retention_seconds.append(ends_at - now)
         return min(retention_seconds, default=float('inf'))
 
     def _sum_zone_bytes(self, numbers: Iterable[int]) -> dict[str, int]:
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -359,7 +359,7 @@
         )
         if isinstance(error, TargetBusyError):
             job.sent -= 1
-        job.events.restart()
+        self._continuations.restart(job)
         get_logger().info(
             'attempt_failed',
             request=job.request.ident,
--- a/galenaswitch/platform/tests/test_stages.py
+++ b/galenaswitch/platform/tests/test_stages.py
@@ -1,6 +1,7 @@
 """Generated answers that read stage results, which may be lost."""
 
 import asyncio
+import contextlib
 import re
 
 import pytest
@@ -21,6 +22,7 @@
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.platform.headers import PlatformWire
+from galenaswitch.platform.tests.fakes import AnswerRecorder
 from galenaswitch.platform.tests.test_streams import event, stream
 from galenaswitch.refusals import RefusedError
 from standins.scripted import ScriptedTarget, find_header
@@ -30,14 +32,24 @@
     b'X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
 )
 BATCHES = BatchLimits(1, 4, 0.05, 0.01, 9e6, 4)
+SINGLE_ITEMS = BATCHES._replace(batch_size=1)
+STAGED = {'X-Pieces': '1', 'X-Piece-Key': 'k'}
+# Streams that wait for a stage and can all be on time.
+WAITING = tuple(f'new-{number}' for number in range(12))
+# Streams that may be served before one that goes on: those under way.
+MAX_AHEAD = 3
 
 
 class Producer(ScriptedTarget):
     """Target that makes the results of a stage, one per batch."""
 
     def __init__(self):
-        """Build a producer that has made no results."""
+        """Build a producer that has made no results.
+
+        :ivar call_seconds: duration of one batch.
+        """
         super().__init__(self.serve)
+        self.call_seconds = 0.0
         self.made_count = 0
         self.released = asyncio.Event()
 
@@ -45,6 +57,8 @@
         """Answer all requests of a connection."""
         while True:
             head = await self.read_request(reader)
+            if head.split()[1] == '/api/stage-run':
+                await asyncio.sleep(self.call_seconds)
             writer.write(self.answer(head.split()[1]))
 
     def answer(self, path):
@@ -62,6 +76,47 @@
         )
 
 
+class Engine(ScriptedTarget):
+    """Engine whose answers end before their second event if they are cut.
+
+    :ivar cut: ids of the requests whose next answer is cut.
+    :ivar sent: ids of the requests in order of arrival.
+    """
+
+    def __init__(self, cut, sent):
+        """Build an engine that shares its lists with others."""
+        super().__init__(self.serve)
+        self.cut = cut
+        self.sent = sent
+
+    async def serve(self, reader, writer):
+        """Answer all requests of a connection."""
+        while True:
+            head = await self.read_request(reader)
+            ident = find_header(head, 'X-Attempt-Id')
+            self.sent.append(ident)
+            number = int(find_header(head, 'Last-Event-Id') or 0)
+            answer = stream([event(number + 1)])
+            if ident in self.cut:
+                self.cut.remove(ident)
+                answer = stream([event(number + 1)], end=b'')
+            writer.write(answer.replace(b'a1', ident.encode()))
+            if not answer.endswith(b'0\r\n\r\n'):
+                return
+
+
+@pytest.fixture
+async def engines():
+    """Two started engines that share their lists."""
+    cut, sent = [], []
+    started = [Engine(cut, sent), Engine(cut, sent)]
+    for engine in started:
+        await engine.start()
+    yield started
+    for engine in started:
+        await engine.stop()
+
+
 @pytest.fixture
 async def producer():
     """Started producer of a stage's results."""
@@ -77,25 +132,22 @@
     return make_route(
         CallKind.stream,
         resumable=True,
+        objective_seconds=1.2,
         stages=(StageSpec('intake', (), 1000),),
     )
 
 
 @pytest.fixture
-async def run_staged(
-    sender,
-    budgets,
-    make_caller_request,
-    make_table,
-    writer,
-    producer,
-    containment,
-    continuations,
+async def open_staged(
+    sender, budgets, make_table, producer, containment, continuations
 ):
-    """Return a function that runs a stage and then a stream on engines."""
+    """Return a function that makes a VM which runs a stage before a stream.
+
+    :returns: the runner of streams, and the table with the given route.
+    """
     tasks = TaskGroup()
 
-    async def run(route, *engines):
+    def start(route, *engines, limits=BATCHES):
         listed = Members()
         targets = [Target('m', 'm/1', 'z', 'intake', producer.address)]
         targets.extend(
@@ -106,7 +158,7 @@
         wire = PlatformWire()
         batcher = Batcher(
             'intake',
-            lambda _: BATCHES,
+            lambda _: limits,
             listed,
             sender,
             wire,
@@ -131,16 +183,24 @@
             continuations(listed),
         )
         table = make_table(route)
-        table.services['intake'] = Service('intake', 10, None, BATCHES)
-        call = make_caller_request(
-            route, **{'X-Pieces': '1', 'X-Piece-Key': 'k'}
-        )
-        await runner.run(call, table, writer)
+        table.services['intake'] = Service('intake', 10, None, limits)
+        return runner, table
 
-    yield run
+    yield start
     await tasks.stop()
 
 
+@pytest.fixture
+def run_staged(open_staged, make_caller_request, writer):
+    """Return a function that runs a stage and then a stream on engines."""
+
+    async def run(route, *engines):
+        runner, table = open_staged(route, *engines)
+        await runner.run(make_caller_request(route, **STAGED), table, writer)
+
+    return run
+
+
 def find_sent_inputs(engine):
     """Return the final parts of the input handles sent to an engine."""
     sent = [find_header(head, 'X-Inputs') for head in engine.requests]
@@ -239,3 +299,51 @@
     assert writer.finished
     assert not any(released)
     assert producer.made_count == 1
+
+
+@pytest.fixture
+def send_streams(open_staged, route, engines, producer, make_caller_request):
+    """Return a function that sends streams to a VM with a slow stage.
+
+    The streams come one after the other; it waits for all their answers.
+    """
+    runner, table = open_staged(route, *engines, limits=SINGLE_ITEMS)
+    producer.call_seconds = SINGLE_ITEMS.call_overhead_seconds
+
+    async def send(*idents, **headers):
+        async with asyncio.TaskGroup() as tasks:
+            for ident in idents:
+                tasks.create_task(answer(ident, **headers))
+                await asyncio.sleep(0)
+
+    async def answer(ident, **headers):
+        request = make_caller_request(route, ident, **STAGED, **headers)
+        with contextlib.suppress(RefusedError):
+            await runner.run(request, table, AnswerRecorder())
+
+    return send
+
+
+# Guards against streams that callers take up in vain while others wait.
+async def test_taken_up_stream_is_served_before_new_ones_that_wait(
+    send_streams, engines
+):
+    engines[0].cut.extend(['a1', 'a1'])
+    await send_streams('a1')
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(send_streams(*WAITING))
+        await asyncio.sleep(SINGLE_ITEMS.call_overhead_seconds / 2)
+        await send_streams('a2', **{'Last-Event-Id': '2', 'Resumes': 'a1'})
+    later = [ident for ident in engines[0].sent if ident != 'a1']
+    assert later.index('a2') <= MAX_AHEAD
+    assert set(later) & set(WAITING)
+
+
+# Guards against answers that end midway while other streams wait.
+async def test_answer_goes_on_before_new_streams_that_wait(
+    send_streams, engines
+):
+    engines[0].cut.append('a1')
+    await send_streams('a1', *WAITING)
+    assert engines[0].sent[:MAX_AHEAD].count('a1') == 2
+    assert set(engines[0].sent) & set(WAITING)
