batches: an answer counts only if it names new results; else its connection closes

In the tests, a producer writes an earlier answer once more on a kept connection, and the requests after it read results that were made for another request.

Cause: an answer to a batch names no request, so any answer with as many outcomes counted for the batch in progress. Even where the earlier answer was rejected (a refusal, a report, failures only), the connection went back to the pool with the batch's own answer still to come, which then counted for the next batch. The same class as the repeated refusals: an answer is attributed by its place on the connection.

Ruled out: plain requests and streams, whose answers name the attempt; but a repeated refusal without a body left their connection in the pool as well, so that each later request on it met the answer to the one before and failed.

Change: an answer to a batch has to name a result that no answer named before. A connection with an answer that isn't known to be its request's is closed: refusals and failures of batches, reports that can't be read, other ids.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -15,6 +15,7 @@
     TargetError,
     TargetUnreachableError,
 )
+from galenaswitch.gateway.batch_answers import BatchAnswers
 from galenaswitch.gateway.calls import Load, Wire, WorkItem, WorkItemResult
 from galenaswitch.gateway.inputs import InputReleases
 from galenaswitch.gateway.messages import (
@@ -56,7 +57,6 @@
 # Failure of a work item whose inputs are lost at their producer.
 LOST = 'gone'
 _OUT_OF_CAPACITY = 'out-of-capacity'
-OK = 200
 
 
 class Batcher:
@@ -98,6 +98,7 @@
             tasks,
             self._stored_results.add_unknown,
         )
+        self._answers = BatchAnswers(wire)
         self._dispatch_timer: asyncio.TimerHandle | None = None
 
     async def make_results(self, query: PiecesQuestion) -> PiecesReply:
@@ -285,17 +286,8 @@
         ) as attempt:
             answer = await attempt.read_head(seconds)
             content = await attempt.read_complete(seconds)
-        self._record_load(batch, self._wire.read_load(answer))
-        if self._wire.is_not_run(answer):
-            raise TargetBusyError(
-                f'target did not run the batch: status {answer.status}'
-            )
-        if answer.status != OK:
-            raise InvalidInputError(f'batch failed: status {answer.status}')
-        outcomes = self._wire.read_batch(content)
-        if len(outcomes) != len(batch.work_items):
-            raise InvalidInputError('the answer has a wrong outcome count')
-        return outcomes
+            self._record_load(batch, self._wire.read_load(answer))
+            return self._answers.read(attempt, answer, content, batch)
 
     def _record_load(self, batch: Batch, load: Load | None) -> None:
         """Record whether other VMs send batches to the same target.
--- a/galenaswitch/gateway/result_memory.py
+++ b/galenaswitch/gateway/result_memory.py
@@ -85,7 +85,7 @@
             ) as attempt:
                 await attempt.read_head(REPLY_TIMEOUT_SECONDS)
                 content = await attempt.read_complete(REPLY_TIMEOUT_SECONDS)
-            free_bytes = self._wire.read_free_bytes(content)
+                free_bytes = self._wire.read_free_bytes(content)
         except (TargetError, InvalidInputError) as error:
             get_logger().info(
                 'room_unknown',
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -14,7 +14,12 @@
     Exchange,
     TargetConnection,
 )
-from galenaswitch.errors import TargetBrokenError, TargetLateError
+from galenaswitch.errors import (
+    InvalidInputError,
+    MismatchedAnswerError,
+    TargetBrokenError,
+    TargetLateError,
+)
 from galenaswitch.gateway.turns import Turns
 from galenaswitch.membership.lists import Target
 
@@ -84,6 +89,10 @@
                 raise TargetBrokenError('the answer is too large')
         return bytes(content)
 
+    def close(self) -> None:
+        """Close the connection, on which another answer may still come."""
+        self.connection.close()
+
 
 class Sender:
     """Sends requests to targets, each exactly once.
@@ -118,7 +127,7 @@
         """Send a request and yield its attempt.
 
         The connection is closed afterwards unless the answer was read
-        completely.
+        completely, and is that to this request.
 
         :param max_idle_seconds: longest idle time of a reused connection.
         :param names_limit: whether an answer without a limit means that the
@@ -130,6 +139,9 @@
             exchange = connection.send(head, body)
             on_head = partial(self._observe, target, names_limit)
             yield Attempt(connection, exchange, on_head)
+        except (MismatchedAnswerError, InvalidInputError):
+            connection.close()
+            raise
         finally:
             self._pool.release(connection)
 
--- a/galenaswitch/platform/tests/test_plain.py
+++ b/galenaswitch/platform/tests/test_plain.py
@@ -135,6 +135,20 @@
     assert not writer.started
 
 
+# Guards against an answer that still comes and is read as that to the next
+# request of its connection.
+async def test_connection_with_an_answer_to_another_request_is_closed(
+    make_plain_runner, scripted, make_route, make_caller_request, writer
+):
+    target = await scripted([NOT_RUN.replace(b'a1', b'earlier')])
+    runner = make_plain_runner(target)
+    for _ in range(2):
+        request = make_caller_request(make_route(CallKind.once))
+        with pytest.raises(RefusedError):
+            await runner.run(request, writer)
+    assert target.connections == 2
+
+
 async def test_repeatable_request_is_retried_up_to_its_attempts(
     make_plain_runner,
     scripted,
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -13,6 +13,7 @@
     """Fake target that runs a script on each connection.
 
     :ivar requests: heads of the received requests, in order of arrival.
+    :ivar bodies: bodies of the received requests, in order of arrival.
     :ivar connections: number of accepted connections.
     :ivar address: host and port of the listening socket.
     """
@@ -22,6 +23,7 @@
         self._script = script
         self._server: asyncio.Server | None = None
         self.requests: list[str] = []
+        self.bodies: list[bytes] = []
         self.connections = 0
         self.address = ''
 
@@ -37,13 +39,15 @@
             self._server.close()
 
     async def read_request(self, reader: asyncio.StreamReader) -> str:
-        """Read one HTTP request with its body; record and return its head."""
+        """Read one HTTP request with its body; record both, return the head."""
         head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+        body = b''
         for line in head.split('\r\n'):
             name, _, field = line.partition(':')
             if name.lower() == 'content-length':
-                await reader.readexactly(int(field))
+                body = await reader.readexactly(int(field))
         self.requests.append(head)
+        self.bodies.append(body)
         return head
 
     async def _run(
