targets: doubt about a restored entry lasts as long as the store keeps it

After a restore the store shows the older entry of a target that has started to leave or has left, until the target writes or the entry expires, which takes three of its heartbeats. A VM kept what it knew for six seconds, which is longer for the heartbeats of both sites (1.2 s) only: with heartbeats of 5 s it would use a target that has left for up to 9 s.

Cause: a time of the platform that depends on the settings was a constant.

Change: the doubt lasts three heartbeats of the settings and the grace period after them, six seconds at least, as before on both sites.

Evidence: both cases of the new test fail with the constant and pass now.

--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -26,7 +26,11 @@
 from galenaswitch.membership.messages import ListQuestion
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
-from galenaswitch.store.cache import ObjectCache, WriterOrder
+from galenaswitch.store.cache import (
+    GRACE_SECONDS,
+    ObjectCache,
+    WriterOrder,
+)
 from galenaswitch.store.registry import Follower, WritableRegistry
 from galenaswitch.store.versions import format_version
 
@@ -48,10 +52,12 @@
 # Seconds between two queries to the seeds while the store is unreachable.
 RETRY_PAUSE_SECONDS = 0.5
 REPLY_TIMEOUT_SECONDS = 1.0
-# Time in seconds for which the known state of a target outlives an older one
-# that a restored store shows: longer than the store keeps the entry of a target
-# that no longer writes.
-MAX_DOUBT_SECONDS = 6.0
+# Heartbeats after which the store removes the entry of a target that no longer
+# writes.
+EXPIRY_HEARTBEATS = 3
+# Shortest time in seconds for which the known state of a target outlives an
+# older one that a restored store shows.
+MIN_DOUBT_SECONDS = 6.0
 # Seconds between two comparisons of the clocks, and the smallest difference in
 # seconds that counts as a suspension of the VM.
 CLOCK_CHECK_SECONDS = 0.2
@@ -127,11 +133,13 @@
         directory: Directory,
         own: Machine,
         tasks: TaskGroup,
+        heartbeat_seconds: float,
     ) -> None:
         """Build a state sync that updates ``directory`` and a route table.
 
         :param own: entry of this VM in the store.
         :param tasks: runs the background tasks.
+        :param heartbeat_seconds: interval at which targets write their entries.
         """
         self.route_table = ActiveRouteTable(documents)
         self.catalog = Catalog({CONFIGURATION_ITEM_KIND})
@@ -160,7 +168,7 @@
                 COALESCE_SECONDS,
                 cache=ObjectCache(
                     lambda stored: documents.read_target_order(stored.body),
-                    MAX_DOUBT_SECONDS,
+                    find_doubt_seconds(heartbeat_seconds),
                 ),
             ),
         )
@@ -305,6 +313,21 @@
             before = now
 
 
+def find_doubt_seconds(heartbeat_seconds: float) -> float:
+    """Return how long a target's known state outlives an older one.
+
+    A restored store may show the entry of a target that has left, until the
+    entry expires.
+
+    >>> find_doubt_seconds(1.2), find_doubt_seconds(5)
+    (6.0, 17.0)
+    """
+    return max(
+        MIN_DOUBT_SECONDS,
+        EXPIRY_HEARTBEATS * heartbeat_seconds + GRACE_SECONDS,
+    )
+
+
 def _read_suspended_seconds() -> float:
     """Return the total time that the VM was suspended since it booted."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/galenaswitch/gateway/tests/test_state_sync.py
+++ b/galenaswitch/gateway/tests/test_state_sync.py
@@ -27,7 +27,7 @@
 def state_sync():
     """Return the state sync of a VM without a store."""
     own = Machine('a', 'z', '127.0.0.1', 1)
-    return StateSync(None, None, Directory(Members(), own), own, None)
+    return StateSync(None, None, Directory(Members(), own), own, None, 1.2)
 
 
 @pytest.fixture
--- a/galenaswitch/platform/tests/test_restored_store.py
+++ b/galenaswitch/platform/tests/test_restored_store.py
@@ -26,7 +26,7 @@
 class Vm:
     """State sync of one VM, and the versions that it has brought into force."""
 
-    def __init__(self, store_address, name='a'):
+    def __init__(self, store_address, name='a', heartbeat=1.2):
         """Build a state sync that follows the store at an address."""
         self.pool = ConnectionPool()
         self.tasks = TaskGroup()
@@ -38,6 +38,7 @@
             Directory(self.members, own),
             own,
             self.tasks,
+            heartbeat,
         )
         self.versions = []
 
@@ -88,8 +89,8 @@
     """Return a function that starts a VM."""
     vms = []
 
-    def start(name='a'):
-        vm = Vm(store.address, name)
+    def start(name='a', **changes):
+        vm = Vm(store.address, name, **changes)
         vm.state_sync.start()
         vms.append(vm)
         return vm
@@ -198,6 +199,29 @@
     assert not await vm.wait_until(lambda: 'a' in vm.usable)
 
 
+# Guards against a target that has left and whose restored entry the store still
+# keeps, since targets seldom write.
+@pytest.mark.parametrize('leave', ['draining', 'gone'])
+async def test_doubt_lasts_as_long_as_a_restored_entry(store, start_vm, leave):
+    write_configuration(store, 1)
+    write_target(store, 'a')
+    vm = start_vm(heartbeat=5.0)
+    assert await vm.wait_until(lambda: vm.usable == {'a'})
+    copy = store.copy()
+    if leave == 'gone':
+        store.remove('servers', 'a')
+    else:
+        write_target(store, 'a', state='draining', sequence=9)
+    assert await vm.wait_until(lambda: not vm.usable)
+    store.restore(copy)
+    store.put('other', 'x', {})
+    cache = vm.state_sync._followers[1].cache
+    assert await vm.wait_until(lambda: cache._withheld)
+    restored_at = time.monotonic()
+    assert not cache.drop_expired(restored_at + 14)
+    assert cache.drop_expired(restored_at + 18)
+
+
 # Guards against a target that is used again though it has left.
 async def test_target_that_had_left_is_not_used_after_a_restore(store, vm):
     copy = store.copy()
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -114,8 +114,9 @@
         self.service = self._make_service()
         self.mesh = Mesh(self.service, self.members, tasks)
         store = PlatformStore(self.pool, settings.store)
+        heartbeat = settings.heartbeat
         self.state_sync = StateSync(
-            store, PlatformDocuments(), self.directory, own, tasks
+            store, PlatformDocuments(), self.directory, own, tasks, heartbeat
         )
         self.relay = Relay(
             self.state_sync.catalog, self.mesh, self.state_sync.apply_items
