configurations: one that is not valid outranks none over eras of the store

What callers saw: nothing yet; found while asking in which case the operator's version doesn't order configurations over eras. If the store held a document that is not valid under a high version (written by another program, or torn) and was then restored, no valid configuration with a lower version came into force: the cache kept the invalid one as newer, without end.

Cause: the writer's counter was read from documents that name no configuration.

Change: the order of a configuration is its version only if it is valid; what is not valid comes before all that is.

Evidence: the new test fails on the code before (version 4 never in force) and passes now.

--- a/galenaswitch/platform/documents.py
+++ b/galenaswitch/platform/documents.py
@@ -58,10 +58,13 @@
         return read_target(name, document)
 
     def read_configuration_order(self, document: Any) -> WriterOrder:
-        """Decode the operator's version, empty when it can't be read."""
+        """Decode the operator's version, empty when it can't be read.
+
+        A configuration that is not valid comes before all valid ones.
+        """
         try:
-            return (_check_type(document['version'], int),)
-        except DECODE_ERRORS:
+            return (read_configuration(document).version,)
+        except InvalidInputError:
             return ()
 
     def read_target_order(self, document: Any) -> WriterOrder:
--- a/galenaswitch/platform/tests/test_restored_store.py
+++ b/galenaswitch/platform/tests/test_restored_store.py
@@ -189,6 +189,21 @@
     assert vm.versions == sorted(vm.versions)
 
 
+# Guards against an invalid configuration that holds up valid ones with lower
+# versions.
+async def test_invalid_version_does_not_outrank_valid_ones(store, vm):
+    copy = store.copy()
+    store.put('config', 'main', {'version': 99, 'routes': 'torn'})
+    cache = vm.state_sync._followers[0].cache
+    assert await vm.wait_until(
+        lambda: cache.objects['main'].body['version'] == 99
+    )
+    store.restore(copy)
+    write_configuration(store, 4)
+    assert await vm.wait_until(lambda: vm.version == 4)
+    assert set(vm.versions) == {0, 1, 4}
+
+
 # Guards against a leaving target that an older listing shows as ready.
 async def test_target_that_was_leaving_gets_nothing_after_a_restore(store, vm):
     copy = store.copy()
