--- /dev/null
+++ b/galenaswitch/programs/vm.py
@@ -0,0 +1,395 @@
+"""The process that serves callers on one VM of the platform.
+
+One process does all the work of its VM: it accepts callers' requests, runs
+pipelines on targets, and syncs configuration and members with other VMs.
+"""
+
+import asyncio
+import os
+import secrets
+import signal
+import time
+from collections import Counter
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import defopt
+
+from galenaswitch.configuration.messages import Digest, Items, Versions
+from galenaswitch.configuration.relay import Relay
+from galenaswitch.connections.inbound import Listener
+from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.requests import InboundLimits
+from galenaswitch.errors import SettingsError
+from galenaswitch.gateway.batcher import Batcher
+from galenaswitch.gateway.continuation import ContinuationPolicy
+from galenaswitch.gateway.handling import Gateway
+from galenaswitch.gateway.messages import (
+    PiecesCancel,
+    PiecesQuestion,
+    PlaceEnd,
+    PlaceFirst,
+    PlaceQuestion,
+    ReleaseNote,
+)
+from galenaswitch.gateway.origins import StreamOrigins
+from galenaswitch.gateway.owners import OwnerRouter
+from galenaswitch.gateway.placements import PlacementScheduler
+from galenaswitch.gateway.plain import PlainRunner
+from galenaswitch.gateway.readiness import Readiness
+from galenaswitch.gateway.routes import BatchLimits, EngineLimits, RouteTable
+from galenaswitch.gateway.sending import Sender
+from galenaswitch.gateway.stages import StageRunner
+from galenaswitch.gateway.state_sync import StateSync
+from galenaswitch.gateway.streams import StreamRunner
+from galenaswitch.gateway.turns import Turns
+from galenaswitch.gateway.vocabulary import VOCABULARY
+from galenaswitch.limits.retries import RetryBudgets
+from galenaswitch.membership.directory import Directory
+from galenaswitch.membership.links import Identity, Link, LinkService, listen
+from galenaswitch.membership.lists import Machine, MemberList, Members
+from galenaswitch.membership.mesh import Leaving, Mesh, Ping
+from galenaswitch.membership.messages import ListQuestion
+from galenaswitch.operations.exposition import serve_metrics
+from galenaswitch.operations.logs import configure_logs, get_logger
+from galenaswitch.operations.metrics import open_metrics
+from galenaswitch.operations.process import (
+    TaskGroup,
+    run_every,
+    run_loop,
+    wait_for_stop,
+)
+from galenaswitch.operations.settings import MetricSettings
+from galenaswitch.operations.sink import open_sink
+from galenaswitch.platform.documents import PlatformDocuments
+from galenaswitch.platform.headers import PlatformWire
+from galenaswitch.platform.objects import PlatformStore
+from galenaswitch.platform.settings import (
+    VmSettings,
+    find_settings_path,
+    load_vm_settings,
+)
+from galenaswitch.quarantine.containment import Containment
+from galenaswitch.routing.choice import LeastOutstanding
+from galenaswitch.routing.loads import LoadView
+
+SECRET_VARIABLE = 'GALENA_PEER_SECRET'
+# Seconds until the balancer notices that a VM is not ready. It probes once a
+# second and acts on two failed probes.
+UNREADY_DETECTION_SECONDS = 2.5
+# Requests still running this many seconds before the platform's SIGKILL are
+# cut off.
+KILL_MARGIN_SECONDS = 0.6
+STOP_POLL_SECONDS = 0.05
+MAINTENANCE_INTERVAL_SECONDS = 1.0
+# Port of the metrics endpoint; the deploy file names the same port.
+METRICS_PORT = 9464
+
+
+class Edge:
+    """Connects the components of the edge process of one VM."""
+
+    def __init__(
+        self,
+        settings: VmSettings,
+        path: Path,
+        tasks: TaskGroup,
+    ) -> None:
+        """Build all components without starting a task.
+
+        :param path: settings file, which :meth:`reload` reads again.
+        """
+        self._settings = settings
+        self._path = path
+        self._tasks = tasks
+        self.metrics = open_metrics()
+        self.stopping = False
+        self.pool = ConnectionPool(settings.address)
+        own = Machine(
+            settings.node, settings.zone, *settings.peers, cores=settings.cores
+        )
+        self.members = Members()
+        self.directory = Directory(self.members, own)
+        self.service = self._make_service()
+        self.mesh = Mesh(self.service, self.members, tasks)
+        store = PlatformStore(self.pool, settings.store)
+        heartbeat = settings.heartbeat
+        self.state_sync = StateSync(
+            store, PlatformDocuments(), self.directory, own, tasks, heartbeat
+        )
+        self.relay = Relay(
+            self.state_sync.catalog, self.mesh, self.state_sync.apply_items
+        )
+        self.state_sync.use_relay(self.relay)
+        self.budgets = RetryBudgets(
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_slack,
+            settings.bounds.retry_window,
+        )
+        self._owner_router = OwnerRouter(self.members, self.mesh)
+        self.turns = Turns(
+            self.members, self.mesh, self._owner_router, self.metrics
+        )
+        self.containment = Containment(
+            store, self.mesh, tasks, self.metrics, self.pool.is_listening
+        )
+        self.origins = StreamOrigins(self.mesh)
+        self._batchers: dict[str, Batcher] = {}
+        self._schedulers: dict[str, PlacementScheduler] = {}
+        self._wire = PlatformWire()
+        self._sender = Sender(self.pool, self.turns, self._wire.read_rate_limit)
+        self.stages = StageRunner(
+            settings.zone,
+            self.members,
+            self._wire,
+            self._owner_router,
+            self.find_batcher,
+        )
+        self.streams = StreamRunner(
+            self._sender,
+            self._wire,
+            self.budgets,
+            self._owner_router,
+            self.stages,
+            self.find_scheduler,
+            self.containment,
+            ContinuationPolicy(self.members, self.origins, self.metrics),
+        )
+        self.gateway = self._make_gateway()
+        self.callers = Listener(self.gateway, self.find_inbound_limits)
+        self._add_handlers()
+        self.mesh.on_link_open.append(self._on_link_open)
+
+    def find_inbound_limits(self) -> InboundLimits:
+        """Return the size and time limits of callers' requests."""
+        return self._find_route_table().limits
+
+    def find_batcher(self, service: str) -> Batcher:
+        """Return the batcher of a service on this VM; create it if needed."""
+        if service not in self._batchers:
+            self._batchers[service] = Batcher(
+                service,
+                self.find_batch_limits,
+                self.members,
+                self._sender,
+                self._wire,
+                self.budgets,
+                self._tasks,
+                self.stages.release,
+            )
+        return self._batchers[service]
+
+    def find_scheduler(self, service: str) -> PlacementScheduler:
+        """Return the placement scheduler of a service; create it if needed."""
+        if service not in self._schedulers:
+            self._schedulers[service] = PlacementScheduler(
+                service,
+                self.find_engine_limits,
+                self.members,
+                self.turns.pacer,
+            )
+        return self._schedulers[service]
+
+    def find_batch_limits(self, service: str) -> BatchLimits | None:
+        """Return a service's batch limits, None if it has none."""
+        return self._find_route_table().find_batch_limits(service)
+
+    def find_engine_limits(self, service: str) -> EngineLimits | None:
+        """Return a service's engine limits, None if it has none."""
+        return self._find_route_table().find_engine_limits(service)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should route callers to this VM."""
+        return self.state_sync.ready and not self.stopping
+
+    async def listen(self) -> None:
+        """Listen on the ports for readiness, callers, peers and metrics.
+
+        :raises OSError: when a port can't be opened.
+        """
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        readiness = Listener(Readiness(self.is_ready), InboundLimits)
+        for listener, endpoint in (
+            (readiness, settings.readiness),
+            (self.callers, settings.callers),
+        ):
+            await loop.create_server(listener.open_connection, *endpoint)
+        await listen(*settings.peers, self.service, self._tasks)
+        await serve_metrics(
+            self.metrics, MetricSettings(settings.address, METRICS_PORT)
+        )
+
+    def start(self) -> None:
+        """Start the background tasks that sync state with store and peers."""
+        self.state_sync.start()
+        self.containment.start()
+        self._tasks.start_critical(self.mesh.maintain_links())
+        self._tasks.start_critical(self.relay.repair())
+        self._tasks.start(
+            self.state_sync.sync_from_seeds(self._settings.seeds, self.service),
+        )
+        self._tasks.start_critical(
+            run_every(
+                MAINTENANCE_INTERVAL_SECONDS,
+                self.run_maintenance,
+                'look_failed',
+            ),
+        )
+
+    async def run_maintenance(self) -> None:
+        """Reload settings, close stale connections, update retry budgets."""
+        self.reload()
+        self.pool.close_expired()
+        self.budgets.update_machine_count(len(self.members.machines()))
+        self.turns.forget_ended()
+
+    def reload(self) -> None:
+        """Reload the settings file; invalid settings are logged and ignored."""
+        try:
+            settings = load_vm_settings(self._path)
+        except SettingsError as error:
+            get_logger().error('settings_rejected', reason=str(error))
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self.budgets.change(
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_slack,
+            settings.bounds.retry_window,
+        )
+        get_logger().info('settings_reloaded', bounds=str(settings.bounds))
+
+    async def stop(self) -> None:
+        """Shut down gracefully within the platform's grace period.
+
+        The VM reports itself as not ready until the balancer has noticed, then
+        drains: it closes each connection as soon as that is idle.
+        """
+        self.stopping = True
+        self._owner_router.leave()
+        end = (
+            time.monotonic() + self._settings.bounds.grace - KILL_MARGIN_SECONDS
+        )
+        self.gateway.drain_until(end)
+        await asyncio.sleep(UNREADY_DETECTION_SECONDS)
+        self.callers.draining = True
+        while time.monotonic() < end:
+            self.callers.close_idle()
+            if not self.callers.connections:
+                break
+            await asyncio.sleep(STOP_POLL_SECONDS)
+
+    async def answer_list_query(
+        self,
+        link: Link,
+        query: ListQuestion,
+    ) -> MemberList:
+        """Send the member list to a VM that can't reach the store."""
+        return self.members.member_list
+
+    def _on_link_open(self, link: Link) -> None:
+        self._tasks.start(self._owner_router.on_link_open(link))
+        self._tasks.start(self.relay.on_link_open(link))
+        self._tasks.start(self.containment.exchange.on_link_open(link))
+        self._tasks.start(self.turns.on_link_open(link))
+
+    def _find_route_table(self) -> RouteTable:
+        return self.state_sync.route_table.current
+
+    def _make_service(self) -> LinkService:
+        identity = Identity(
+            self._settings.node,
+            self._settings.zone,
+            'edge',
+            secrets.token_hex(4),
+        )
+        return LinkService(
+            identity,
+            os.environ.get(SECRET_VARIABLE, ''),
+            VOCABULARY,
+            {},
+            address=self._settings.address,
+            traffic=Counter(),
+            last_received_at={},
+        )
+
+    def _add_handlers(self) -> None:
+        handlers: dict[type[Any], Any] = {
+            Digest: self.relay.answer_digest,
+            Items: self.relay.receive_items,
+            ListQuestion: self.answer_list_query,
+            PiecesCancel: lambda link, note: self.stages.receive_cancel(note),
+            PiecesQuestion: self.stages.answer,
+            Leaving: self._owner_router.receive_leaving,
+            Ping: self._owner_router.answer_ping,
+            PlaceEnd: lambda link, note: self.streams.receive_end(note),
+            PlaceFirst: lambda link, note: self.streams.receive_first_event(
+                note
+            ),
+            PlaceQuestion: self.streams.answer_placement_query,
+            ReleaseNote: lambda link, note: self.stages.receive_release(note),
+            Versions: self.relay.answer_versions,
+        }
+        handlers |= self.containment.exchange.handlers()
+        handlers |= self.turns.handlers()
+        handlers |= self.origins.handlers()
+        self.service.handlers.update(handlers)  # type: ignore[attr-defined]
+
+    def _make_gateway(self) -> Gateway:
+        loads = LoadView()
+        plain = PlainRunner(
+            self._settings.zone,
+            self.members,
+            self._sender,
+            self._wire,
+            self.budgets,
+            LeastOutstanding(loads),
+            loads,
+        )
+        return Gateway(
+            self._find_route_table,
+            self._wire,
+            plain,
+            self.streams,
+            self.metrics,
+        )
+
+
+async def run_edge(path: Path, settings: VmSettings) -> None:
+    """Run the edge process until SIGTERM, then drain and stop it.
+
+    :param path: settings file, which SIGHUP and a timer reload.
+    """
+    sink = open_sink()
+    configure_logs('galena-edge', settings.node, sink)
+    tasks = TaskGroup()
+    tasks.start(sink.keep_flushing())
+    edge = Edge(settings, path, tasks)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, edge.reload)
+    await edge.listen()
+    edge.start()
+    get_logger().info('started', zone=settings.zone)
+    await wait_for_stop()
+    get_logger().info('stopping', connections=len(edge.callers.connections))
+    await edge.stop()
+    get_logger().info('stopped', connections=len(edge.callers.connections))
+    await tasks.stop()
+    sink.flush()
+
+
+def serve(*, settings: Path | None = None) -> None:
+    """Run the edge process of a VM on the platform.
+
+    :param settings: path of the platform's settings file
+    """
+    path = settings or find_settings_path()
+    run_loop(path, load_vm_settings, partial(run_edge, path))
+
+
+def run_command_line() -> None:
+    """Parse the command line of ``galena-edge`` and run the process."""
+    defopt.run(serve)
