--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -108,15 +108,6 @@
         if self.stages:
             self.stages.release()
 
-    def release_after_first_event(self) -> None:
-        """Release the results of the stages that no other target may need.
-
-        They are kept to the end of a resumable stream, so that it goes on
-        without a rerun of the stages, but for producers with memory pressure.
-        """
-        if self.inputs.memory_pressure or not self.request.route.resumable:
-            self.release()
-
     def close_stages(self) -> None:
         """Cancel unfinished stages and release results of finished stages."""
         if self.stages:
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -312,7 +312,7 @@
             job.request.route.name,
             now - job.placement.requested_at,
         )
-        job.release_after_first_event()
+        job.release()
         message = PlaceFirst(job.request.service, job.request.ident)
         self._owner_router.notify(
             job.placement.owner, message, self.receive_first_event
