Tests: a deployment is ready once its entries accept the contract

Cause looked for: test_failed_stream_never_ends_like_a_complete_one failed once with an answer that is no stream (KNOWN-RED.txt). A request that comes before its contract is in force at the entry is refused with 401 and gives the same; the fixture waited until the entries are ready, which doesn't include it.

Change: the fixture also waits until each entry accepts the contract's token.

Whether this was the cause is not shown, so the entry stays.

--- a/conftest.py
+++ b/conftest.py
@@ -15,12 +15,17 @@
 from minicheck import check_safety
 
 from standins.examples import LAB_TOKEN, PIPELINES, make_contract
-from standins.launcher import Deployment
+from standins.launcher import (
+    POLL_INTERVAL_SECONDS,
+    START_TIMEOUT_SECONDS,
+    Deployment,
+)
 from standins.plans import Plan, plan_workers
 from standins.scripted import ScriptedTarget
 
 KNOWN_FAILURES_FILE = Path(__file__).parent / 'KNOWN-RED.txt'
 MAX_MODEL_STATES = 500_000
+UNAUTHORIZED = 401
 ZONES = ('north', 'south')
 # A fake target keeps the connection open after an answer with such an ending.
 COMPLETE_ANSWER_ENDINGS = (b'ok', b'fine', b'oops', b'\r\n\r\n')
@@ -54,6 +59,22 @@
         session.exitstatus = 0
 
 
+async def wait_accepted(deployment, url):
+    """Wait until an entry VM accepts the token of the test's contract.
+
+    A VM is ready before it has received each contract.
+    """
+    headers = {'Authorization': f'Bearer {LAB_TOKEN}'}
+    async with asyncio.timeout(START_TIMEOUT_SECONDS):
+        while True:
+            async with deployment.http.post(
+                url, headers=headers, json={}
+            ) as answer:
+                if answer.status != UNAUTHORIZED:
+                    return
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+
+
 @pytest.fixture
 async def deploy(tmp_path):
     """Return a function that starts a deployment of local processes.
@@ -71,6 +92,8 @@
         lab = make_contract('lab', LAB_TOKEN, **contract)
         await deployment.create('contracts', lab)
         await deployment.wait_ready()
+        for node in deployment.nodes.values():
+            await wait_accepted(deployment, f'{node.url}/v1/pipelines/none')
         return deployment
 
     yield start
