origins: a VM that starts again gets the origins it should remember

Callers saw: after VMs were killed one after another, none of the streams that had broken off went on; each take-up was answered 503. Cause: an origin is noted once, at three or four VMs; nothing replaces the copies that kills take. Class: replication without repair. Ruled out: that the queries miss copies (with any copy left, all are found). Change: when a link opens to a VM that has started anew, the others send it the origins of the last 30 s for which it is among the first two of its zone, or the contact of another zone. A reopened link to a VM that kept its memory brings none. Why it works: as long as one copy outlives a kill, the copies of that zone are two again before the next; only kills within a link's 0.3 s lose more.

--- a/galenaswitch/gateway/origins.py
+++ b/galenaswitch/gateway/origins.py
@@ -7,8 +7,9 @@
 A VM notes the origin of a stream before its first event goes out: in its own
 memory, at one VM of its zone and at one or two of another zone. Rendezvous
 hashing of the attempt picks these VMs, so that another VM finds them with a
-few queries and without a message to all. An origin that nobody remembers stays
-unknown: the stream isn't resumed.
+few queries and without a message to all. A VM that starts again gets the
+origins that it should remember from those that still do. An origin that nobody
+remembers stays unknown: the stream isn't resumed.
 """
 
 import asyncio
@@ -38,6 +39,12 @@
 QUERY_TIMEOUT_SECONDS = 0.25
 # Time for the VM of another zone that passes a query on in its zone.
 FORWARD_TIMEOUT_SECONDS = 0.15
+# A VM that starts again gets origins up to this age in seconds for which it is
+# among so many first VMs of its zone.
+MAX_SYNC_AGE_SECONDS = 30.0
+SYNCED_HOLDERS = 2
+# Origins that are ranked before other work of the process gets its turn.
+SYNC_CHUNK = 64
 
 
 class StreamOrigins:
@@ -49,6 +56,7 @@
         self._origins: OrderedDict[str, tuple[StreamOrigin, float]] = (
             OrderedDict()
         )
+        self._incarnations: dict[str, str] = {}
 
     def handlers(self) -> dict[type[Any], Any]:
         """Return the handlers of the messages from other VMs."""
@@ -60,8 +68,7 @@
     def record(self, origin: StreamOrigin) -> None:
         """Note an origin here and at some other VMs."""
         self._remember(origin)
-        own_zone = self._rank_links(origin.ident, self._mesh.zone)
-        for link in own_zone[:1] + self._pick_contacts(origin.ident)[:1]:
+        for link in self._pick_holders(origin.ident, 1):
             push(link, origin)
 
     async def find(self, ident: str) -> StreamOrigin | None:
@@ -79,6 +86,25 @@
             QUERY_TIMEOUT_SECONDS,
         )
 
+    async def on_link_open(self, link: Link) -> None:
+        """Send a VM that has started again the origins it should remember."""
+        peer = link.peer
+        if self._incarnations.get(peer.node) == peer.incarnation:
+            return
+        self._incarnations[peer.node] = peer.incarnation
+        oldest = time.monotonic() - MAX_SYNC_AGE_SECONDS
+        recent = [
+            origin
+            for origin, noted_at in self._origins.values()
+            if noted_at >= oldest
+        ]
+        for number, origin in enumerate(recent, start=1):
+            holders = self._pick_holders(origin.ident, SYNCED_HOLDERS)
+            if peer.node in {holder.peer.node for holder in holders}:
+                push(link, origin)
+            if number % SYNC_CHUNK == 0:
+                await asyncio.sleep(0)
+
     def _receive_origin(self, link: Link, origin: StreamOrigin) -> None:
         """Remember an origin; pass it on within this zone if it is another's.
 
@@ -117,6 +143,14 @@
         known = self._origins.get(ident)
         return known[0] if known else None
 
+    def _pick_holders(self, ident: str, count: int) -> tuple[Link, ...]:
+        """Return links to the VMs that should remember an origin.
+
+        :param count: number of these VMs in this zone.
+        """
+        own_zone = self._rank_links(ident, self._mesh.zone)
+        return own_zone[:count] + self._pick_contacts(ident)[:1]
+
     def _rank_links(self, ident: str, zone: str) -> tuple[Link, ...]:
         """Return the open links into a zone by their peer's rank for an id."""
         links = {link.peer.node: link for link in self._mesh.links(zone)}
--- a/galenaswitch/gateway/tests/test_origins.py
+++ b/galenaswitch/gateway/tests/test_origins.py
@@ -28,12 +28,21 @@
         self.node = f'vm{number}'
         self.number = number
         self.is_away = False
+        self.starts = 0
         self.restart()
 
     def restart(self):
         """Lose all memory, as a killed process does."""
+        self.starts += 1
         self.origins = StreamOrigins(self)
 
+    async def reopen_links(self):
+        """Open the links between this VM and its peers again."""
+        for peer in self.cluster:
+            for link in peer.links():
+                if self in {link.sender, link.receiver}:
+                    await peer.origins.on_link_open(link)
+
     def links(self, zone=''):
         """Return the open links to VMs that aren't away."""
         return tuple(
@@ -65,7 +74,9 @@
         """Build a link between two VMs."""
         self.sender = sender
         self.receiver = receiver
-        self.peer = Identity(receiver.node, receiver.zone, 'edge', '1')
+        self.peer = Identity(
+            receiver.node, receiver.zone, 'edge', str(receiver.starts)
+        )
 
     def send(self, message):
         """Deliver a one-way message."""
@@ -127,6 +138,41 @@
     assert found >= MIN_FOUND_SHARE * STREAM_COUNT
 
 
+# Guards against take-ups that are all refused once each VM was killed.
+@pytest.mark.parametrize('seed', range(5))
+async def test_most_origins_outlive_kills_of_all_vms_in_turn(
+    make_cluster, seed
+):
+    rng = random.Random(seed)
+    cluster = make_cluster()
+    for vm in cluster:
+        await vm.reopen_links()
+    for number in range(STREAM_COUNT):
+        rng.choice(cluster).origins.record(make_origin(number))
+    for vm in rng.sample(cluster, len(cluster)):
+        vm.restart()
+        await vm.reopen_links()
+    found = 0
+    for number in range(STREAM_COUNT):
+        origin = await rng.choice(cluster).origins.find(f'a{number}')
+        assert origin in {None, make_origin(number)}
+        found += origin is not None
+    assert found >= MIN_FOUND_SHARE * STREAM_COUNT
+
+
+# Guards against origins that are sent again whenever a link reopens.
+async def test_vm_that_kept_its_memory_gets_no_origins(make_cluster):
+    cluster = make_cluster(6)
+    for vm in cluster:
+        await vm.reopen_links()
+    cluster[0].origins.record(make_origin(1))
+    neighbour = cluster[len(ZONES)]
+    assert neighbour.origins._recall('a1')
+    neighbour.origins._origins.clear()
+    await neighbour.reopen_links()
+    assert neighbour.origins._recall('a1') is None
+
+
 # Guards against an origin that is known of a VM but sent to all others.
 async def test_origin_is_noted_at_few_vms(make_cluster):
     cluster = make_cluster(24)
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -295,6 +295,7 @@
         self._tasks.start(self.relay.on_link_open(link))
         self._tasks.start(self.containment.exchange.on_link_open(link))
         self._tasks.start(self.turns.on_link_open(link))
+        self._tasks.start(self.origins.on_link_open(link))
 
     def _find_route_table(self) -> RouteTable:
         return self.state_sync.route_table.current
