origins: a VM that has just started asks again while its links open

Callers saw: a take-up that arrived in the first second of a VM was answered 503, though other VMs knew the origin. Cause: a VM serves callers before its links are open, so its query goes to nobody; it took no answer for no knowledge. Change: until the VMs are listed and each that it dials is linked or unreachable, a query without an answer is made again, for 0.8 s at most. With its links open a VM refuses at once as before. has_tried_zone became has_tried_peers, of one zone or of all. Evidence: test_origin_is_found_once_links_are_open failed before (the search ended at once with nothing), passes now. Why it works: ignorance is only concluded from peers that were asked.

--- a/galenaswitch/configuration/relay.py
+++ b/galenaswitch/configuration/relay.py
@@ -60,7 +60,7 @@
         return (
             bool(self._synced_peers)
             and all_queried
-            and self._mesh.has_tried_zone()
+            and self._mesh.has_tried_peers(self._mesh.zone)
         )
 
     @property
--- a/galenaswitch/configuration/tests/test_relay.py
+++ b/galenaswitch/configuration/tests/test_relay.py
@@ -37,7 +37,7 @@
     def reachable(self):
         return (self.node, *(one.peer.node for one in self.links(self.zone)))
 
-    def has_tried_zone(self):
+    def has_tried_peers(self, zone):
         return True
 
     def is_relay(self):
--- a/galenaswitch/gateway/origins.py
+++ b/galenaswitch/gateway/origins.py
@@ -15,7 +15,7 @@
 import asyncio
 import time
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from galenaswitch.errors import PeerError
@@ -45,14 +45,22 @@
 SYNCED_HOLDERS = 2
 # Origins that are ranked before other work of the process gets its turn.
 SYNC_CHUNK = 64
+# Longest time for which a VM that has just started queries again while it opens
+# its links, and the pause between two queries.
+LINK_WAIT_SECONDS = 0.8
+LINK_POLL_SECONDS = 0.1
 
 
 class StreamOrigins:
     """Origins of streams that one VM knows, and its queries for others."""
 
-    def __init__(self, mesh: Mesh) -> None:
-        """Build the memory of one VM, which is empty."""
+    def __init__(self, mesh: Mesh, is_listed: Callable[[], bool]) -> None:
+        """Build the memory of one VM, which is empty.
+
+        :param is_listed: tells whether the VMs of the deployment are known.
+        """
         self._mesh = mesh
+        self._is_listed = is_listed
         self._origins: OrderedDict[str, tuple[StreamOrigin, float]] = (
             OrderedDict()
         )
@@ -79,12 +87,13 @@
         known = self._recall(ident)
         if known or not ident:
             return known
-        own_zone = self._rank_links(ident, self._mesh.zone)[:MAX_QUERIED]
-        return await _query_all(
-            (*own_zone, *self._pick_contacts(ident)),
-            OriginQuery(ident),
-            QUERY_TIMEOUT_SECONDS,
-        )
+        latest_query_at = time.monotonic() + LINK_WAIT_SECONDS
+        while True:
+            found = await self._query_peers(ident)
+            is_last = time.monotonic() >= latest_query_at
+            if found or is_last or self._has_tried_peers():
+                return found
+            await asyncio.sleep(LINK_POLL_SECONDS)
 
     async def on_link_open(self, link: Link) -> None:
         """Send a VM that has started again the origins it should remember."""
@@ -105,6 +114,18 @@
             if number % SYNC_CHUNK == 0:
                 await asyncio.sleep(0)
 
+    def _has_tried_peers(self) -> bool:
+        """Tell whether this VM has tried to link to the VMs that may know."""
+        return self._is_listed() and self._mesh.has_tried_peers()
+
+    async def _query_peers(self, ident: str) -> StreamOrigin | None:
+        own_zone = self._rank_links(ident, self._mesh.zone)[:MAX_QUERIED]
+        return await _query_all(
+            (*own_zone, *self._pick_contacts(ident)),
+            OriginQuery(ident),
+            QUERY_TIMEOUT_SECONDS,
+        )
+
     def _receive_origin(self, link: Link, origin: StreamOrigin) -> None:
         """Remember an origin; pass it on within this zone if it is another's.
 
--- a/galenaswitch/gateway/tests/test_origins.py
+++ b/galenaswitch/gateway/tests/test_origins.py
@@ -1,5 +1,6 @@
 """Origins of streams among VMs that are killed and cut off."""
 
+import asyncio
 import random
 
 import pytest
@@ -29,12 +30,13 @@
         self.number = number
         self.is_away = False
         self.starts = 0
+        self.is_linked = True
         self.restart()
 
     def restart(self):
         """Lose all memory, as a killed process does."""
         self.starts += 1
-        self.origins = StreamOrigins(self)
+        self.origins = StreamOrigins(self, lambda: True)
 
     async def reopen_links(self):
         """Open the links between this VM and its peers again."""
@@ -43,12 +45,17 @@
                 if self in {link.sender, link.receiver}:
                     await peer.origins.on_link_open(link)
 
+    def has_tried_peers(self):
+        """Tell whether the links of this VM are open."""
+        return self.is_linked
+
     def links(self, zone=''):
         """Return the open links to VMs that aren't away."""
         return tuple(
             StubLink(self, peer)
             for peer in self.cluster
-            if peer is not self
+            if self.is_linked
+            and peer is not self
             and not peer.is_away
             and zone in {'', peer.zone}
             and (peer.zone == self.zone or self._is_contact(peer))
@@ -160,6 +167,27 @@
     assert found >= MIN_FOUND_SHARE * STREAM_COUNT
 
 
+# Guards against take-ups that are refused by a VM which opens its links yet.
+async def test_origin_is_found_once_links_are_open(make_cluster):
+    cluster = make_cluster()
+    cluster[0].origins.record(make_origin(1))
+    vm = cluster[1]
+    vm.restart()
+    vm.is_linked = False
+    finding = asyncio.create_task(vm.origins.find('a1'))
+    await asyncio.sleep(origins.LINK_POLL_SECONDS)
+    assert not finding.done()
+    vm.is_linked = True
+    assert await finding == make_origin(1)
+
+
+async def test_search_of_a_vm_without_links_ends(make_cluster, monkeypatch):
+    monkeypatch.setattr(origins, 'LINK_WAIT_SECONDS', 0.2)
+    vm = make_cluster()[0]
+    vm.is_linked = False
+    assert await vm.origins.find('a1') is None
+
+
 # Guards against origins that are sent again whenever a link reopens.
 async def test_vm_that_kept_its_memory_gets_no_origins(make_cluster):
     cluster = make_cluster(6)
--- a/galenaswitch/membership/mesh.py
+++ b/galenaswitch/membership/mesh.py
@@ -217,15 +217,17 @@
                 self._dialers.pop(machine).cancel()
             await asyncio.sleep(MAINTENANCE_SECONDS)
 
-    def has_tried_zone(self) -> bool:
-        """Tell whether each VM of the zone is linked or unreachable.
+    def has_tried_peers(self, zone: str = '') -> bool:
+        """Tell whether each VM to dial is linked or unreachable.
 
         A VM is unreachable when its last dial attempt or link failed.
+
+        :param zone: zone of these VMs, empty for all zones.
         """
         wanted = {
-            machine.name
-            for machine in self._members.machines(self.zone)
-            if machine.name != self.node
+            peer.name
+            for peer in self._find_wanted_peers()
+            if zone in {'', peer.zone}
         }
         return wanted <= set(self._links) | self._unreachable
 
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -312,7 +312,8 @@
 
     def make(listed):
         mesh = Mock(spec=Mesh, node='a', zone='z', **no_links)
-        return ContinuationPolicy(listed, StreamOrigins(mesh), LocalMetrics())
+        origins = StreamOrigins(mesh, lambda: True)
+        return ContinuationPolicy(listed, origins, LocalMetrics())
 
     return make
 
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -134,7 +134,9 @@
         self.containment = Containment(
             store, self.mesh, tasks, self.metrics, self.pool.is_listening
         )
-        self.origins = StreamOrigins(self.mesh)
+        self.origins = StreamOrigins(
+            self.mesh, lambda: self.directory.has_store_machines
+        )
         self._batchers: dict[str, Batcher] = {}
         self._schedulers: dict[str, PlacementScheduler] = {}
         self._wire = PlatformWire()
