--- a/galenaswitch/gateway/origins.py
+++ b/galenaswitch/gateway/origins.py
@@ -7,14 +7,15 @@
 A VM notes the origin of a stream before its first event goes out: in its own
 memory, at one VM of its zone and at one or two of another zone. Rendezvous
 hashing of the attempt picks these VMs, so that another VM finds them with a
-few queries and without a message to all. An origin that nobody remembers stays
-unknown: the stream isn't resumed.
+few queries and without a message to all. A VM that starts again gets the
+origins that it should remember from those that still do. An origin that nobody
+remembers stays unknown: the stream isn't resumed.
 """
 
 import asyncio
 import time
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from galenaswitch.errors import PeerError
@@ -38,17 +39,32 @@
 QUERY_TIMEOUT_SECONDS = 0.25
 # Time for the VM of another zone that passes a query on in its zone.
 FORWARD_TIMEOUT_SECONDS = 0.15
+# A VM that starts again gets origins up to this age in seconds for which it is
+# among so many first VMs of its zone.
+MAX_SYNC_AGE_SECONDS = 30.0
+SYNCED_HOLDERS = 2
+# Origins that are ranked before other work of the process gets its turn.
+SYNC_CHUNK = 64
+# Longest time for which a VM that has just started queries again while it opens
+# its links, and the pause between two queries.
+LINK_WAIT_SECONDS = 0.8
+LINK_POLL_SECONDS = 0.1
 
 
 class StreamOrigins:
     """Origins of streams that one VM knows, and its queries for others."""
 
-    def __init__(self, mesh: Mesh) -> None:
-        """Build the memory of one VM, which is empty."""
+    def __init__(self, mesh: Mesh, is_listed: Callable[[], bool]) -> None:
+        """Build the memory of one VM, which is empty.
+
+        :param is_listed: tells whether the VMs of the deployment are known.
+        """
         self._mesh = mesh
+        self._is_listed = is_listed
         self._origins: OrderedDict[str, tuple[StreamOrigin, float]] = (
             OrderedDict()
         )
+        self._incarnations: dict[str, str] = {}
 
     def handlers(self) -> dict[type[Any], Any]:
         """Return the handlers of the messages from other VMs."""
@@ -60,8 +76,7 @@
     def record(self, origin: StreamOrigin) -> None:
         """Note an origin here and at some other VMs."""
         self._remember(origin)
-        own_zone = self._rank_links(origin.ident, self._mesh.zone)
-        for link in own_zone[:1] + self._pick_contacts(origin.ident)[:1]:
+        for link in self._pick_holders(origin.ident, 1):
             push(link, origin)
 
     async def find(self, ident: str) -> StreamOrigin | None:
@@ -72,6 +87,38 @@
         known = self._recall(ident)
         if known or not ident:
             return known
+        latest_query_at = time.monotonic() + LINK_WAIT_SECONDS
+        while True:
+            found = await self._query_peers(ident)
+            is_last = time.monotonic() >= latest_query_at
+            if found or is_last or self._has_tried_peers():
+                return found
+            await asyncio.sleep(LINK_POLL_SECONDS)
+
+    async def on_link_open(self, link: Link) -> None:
+        """Send a VM that has started again the origins it should remember."""
+        peer = link.peer
+        if self._incarnations.get(peer.node) == peer.incarnation:
+            return
+        self._incarnations[peer.node] = peer.incarnation
+        oldest = time.monotonic() - MAX_SYNC_AGE_SECONDS
+        recent = [
+            origin
+            for origin, noted_at in self._origins.values()
+            if noted_at >= oldest
+        ]
+        for number, origin in enumerate(recent, start=1):
+            holders = self._pick_holders(origin.ident, SYNCED_HOLDERS)
+            if peer.node in {holder.peer.node for holder in holders}:
+                push(link, origin)
+            if number % SYNC_CHUNK == 0:
+                await asyncio.sleep(0)
+
+    def _has_tried_peers(self) -> bool:
+        """Tell whether this VM has tried to link to the VMs that may know."""
+        return self._is_listed() and self._mesh.has_tried_peers()
+
+    async def _query_peers(self, ident: str) -> StreamOrigin | None:
         own_zone = self._rank_links(ident, self._mesh.zone)[:MAX_QUERIED]
         return await _query_all(
             (*own_zone, *self._pick_contacts(ident)),
@@ -117,6 +164,14 @@
         known = self._origins.get(ident)
         return known[0] if known else None
 
+    def _pick_holders(self, ident: str, count: int) -> tuple[Link, ...]:
+        """Return links to the VMs that should remember an origin.
+
+        :param count: number of these VMs in this zone.
+        """
+        own_zone = self._rank_links(ident, self._mesh.zone)
+        return own_zone[:count] + self._pick_contacts(ident)[:1]
+
     def _rank_links(self, ident: str, zone: str) -> tuple[Link, ...]:
         """Return the open links into a zone by their peer's rank for an id."""
         links = {link.peer.node: link for link in self._mesh.links(zone)}
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -134,7 +134,9 @@
         self.containment = Containment(
             store, self.mesh, tasks, self.metrics, self.pool.is_listening
         )
-        self.origins = StreamOrigins(self.mesh)
+        self.origins = StreamOrigins(
+            self.mesh, lambda: self.directory.has_store_machines
+        )
         self._batchers: dict[str, Batcher] = {}
         self._schedulers: dict[str, PlacementScheduler] = {}
         self._wire = PlatformWire()
@@ -295,6 +297,7 @@
         self._tasks.start(self.relay.on_link_open(link))
         self._tasks.start(self.containment.exchange.on_link_open(link))
         self._tasks.start(self.turns.on_link_open(link))
+        self._tasks.start(self.origins.on_link_open(link))
 
     def _find_route_table(self) -> RouteTable:
         return self.state_sync.route_table.current
