streams: a stream that no VM remembers goes on at the only version there was

Callers saw: after all VMs were killed at once, every take-up was answered 503, also where one software version only had ever been in service. Cause: where a stream began was known to the VMs' memories alone. Ruled out: to take the version that the store lists now (the old one may have just left); to note each stream in the store (6,200 requests a second, 400 writes). Dropped versions need no new message between VMs. Change: the store's kind galena-versions names, a record a service, the versions at which streams may have begun. An engine is used once its version is recorded. A record counts only in the era of the store in which it was written, vouches for all streams if it was first written by a process of the deployment's first start or has stood for ten minutes, and is read anew for each take-up that nobody remembers. Versions without targets leave it in two steps after ten minutes. Two steps, since another VM may list a target of it just then. Why it works: a stream begins only after the store has acknowledged its version, so a later read that names one version, in the same era, names that one.

--- a/galenaswitch/gateway/continuation.py
+++ b/galenaswitch/gateway/continuation.py
@@ -1,7 +1,9 @@
 """Decides where and when a stream may go on after it broke off.
 
 A stream goes on only at a target of the software version that began it, within
-one answer as over several attempts of its caller. It is urgent, since its
+one answer as over several attempts of its caller. Where no VM remembers its
+beginning, it goes on only if all streams of its service began at one version.
+It is urgent, since its
 caller has part of the answer and less time left than those of new streams.
 """
 
@@ -11,6 +13,8 @@
 from galenaswitch.gateway.jobs import StreamJob
 from galenaswitch.gateway.origin_messages import StreamOrigin
 from galenaswitch.gateway.origins import StreamOrigins
+from galenaswitch.gateway.routes import Route
+from galenaswitch.gateway.version_records import VersionRecords
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
@@ -39,11 +43,16 @@
     """
 
     def __init__(
-        self, members: Members, origins: StreamOrigins, metrics: Metrics
+        self,
+        members: Members,
+        origins: StreamOrigins,
+        versions: VersionRecords,
+        metrics: Metrics,
     ) -> None:
         """Build a policy over the targets in ``members``."""
         self.members = members
         self._origins = origins
+        self._versions = versions
         self._metrics = metrics
 
     async def admit(self, request: CallerRequest) -> Continuation:
@@ -55,6 +64,8 @@
         if not request.fields.last_event:
             return Continuation(request, None)
         origin = await self._origins.find(request.fields.origin)
+        outcome = 'admitted' if origin else 'inferred'
+        origin = origin or await self._infer_origin(request)
         if origin is None or not _may_resume(request, origin):
             self._record(request, 'unknown', origin)
             raise RefusedError(
@@ -62,7 +73,7 @@
                 ExecutionState.not_run,
                 'no VM knows where the stream began',
             )
-        self._record(request, 'admitted', origin)
+        self._record(request, outcome, origin)
         return Continuation(
             _expedite(request._replace(service=origin.service)), origin.version
         )
@@ -102,7 +113,7 @@
         """Note where a stream began or goes on, before its event goes out."""
         job.version = target.version
         request = job.request
-        if request.route.resumable:
+        if request.route.resumable and job.origin_ident:
             self._origins.record(
                 StreamOrigin(
                     job.origin_ident,
@@ -118,6 +129,21 @@
         if job.has_first_event:
             job.request = _expedite(job.request)
 
+    async def _infer_origin(
+        self, request: CallerRequest
+    ) -> StreamOrigin | None:
+        """Return the origin that all streams on a route share, if they do."""
+        services = _find_services(request.route)
+        if not request.route.resumable or len(services) != 1:
+            return None
+        service = services.pop()
+        version = await self._versions.find_only_version(service)
+        if version is None:
+            return None
+        return StreamOrigin(
+            request.fields.origin, request.workspace, service, version
+        )
+
     def _find_targets(self, job: StreamJob) -> tuple[Target, ...]:
         return tuple(
             target
@@ -156,9 +182,13 @@
     The stream must be one of the caller's workspace, and of a service that the
     route of the request leads to.
     """
-    services = {split.service for split in request.route.splits if split.weight}
     return (
         request.route.resumable
         and origin.workspace == request.workspace
-        and origin.service in services
+        and origin.service in _find_services(request.route)
     )
+
+
+def _find_services(route: Route) -> set[str]:
+    """Return the services that get requests of a route."""
+    return {split.service for split in route.splits if split.weight}
--- a/galenaswitch/gateway/routes.py
+++ b/galenaswitch/gateway/routes.py
@@ -174,6 +174,11 @@
     checks_keys: bool
     limits: InboundLimits
 
+    @property
+    def engine_services(self) -> set[str]:
+        """Names of the services whose targets are engines."""
+        return {one.name for one in self.services.values() if one.engine}
+
     def find_batch_limits(self, service: str) -> BatchLimits | None:
         """Return the batch limits of a service, ``None`` if it has none."""
         found = self.services.get(service)
--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -20,6 +20,7 @@
 )
 from galenaswitch.gateway.machine_sync import MachineSync
 from galenaswitch.gateway.routes import EMPTY_TABLE, RouteTable
+from galenaswitch.gateway.version_records import VersionRecords
 from galenaswitch.membership.directory import Directory
 from galenaswitch.membership.links import LinkService, dial
 from galenaswitch.membership.lists import Machine, MemberList, Target
@@ -134,12 +135,15 @@
         own: Machine,
         tasks: TaskGroup,
         heartbeat_seconds: float,
+        *,
+        first_start: bool = False,
     ) -> None:
         """Build a state sync that updates ``directory`` and a route table.
 
         :param own: entry of this VM in the store.
         :param tasks: runs the background tasks.
         :param heartbeat_seconds: interval at which targets write their entries.
+        :param first_start: whether the deployment starts for the first time.
         """
         self.route_table = ActiveRouteTable(documents)
         self.catalog = Catalog({CONFIGURATION_ITEM_KIND})
@@ -173,6 +177,9 @@
             ),
         )
         self._machines = MachineSync(store, directory, own)
+        self.versions = VersionRecords(
+            store, tasks, self._publish_targets, first_start=first_start
+        )
         self._follow_tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -192,12 +199,13 @@
         for follower in self._followers:
             self._tasks.start_critical(follower.run_expiry())
         self._tasks.start_critical(self._machines.poll())
+        self._tasks.start_critical(self.versions.review())
         self._tasks.start_critical(self._detect_suspension())
 
     def apply_items(self, message: Any) -> None:
         """Bring configurations into force that the relay accepted."""
         for item in message.items:
-            self.route_table.apply(item)
+            self._bring_into_force(item)
 
     async def sync_from_seeds(
         self,
@@ -255,10 +263,23 @@
             self.relay.accept(items)
         else:
             for item in self.catalog.accept(items):
-                self.route_table.apply(item)
+                self._bring_into_force(item)
         for item in items:
             if self.catalog.correct(item):
-                self.route_table.apply(item)
+                self._bring_into_force(item)
+
+    def _bring_into_force(self, item: Item) -> None:
+        """Apply a configuration, and admit targets by its engine services."""
+        before = self.route_table.current.engine_services
+        self.route_table.apply(item)
+        if self.route_table.current.engine_services != before:
+            self._publish_targets()
+
+    def _publish_targets(self) -> None:
+        """Apply the store's targets once more, if they are known."""
+        follower = self._followers[1]
+        if follower.has_listing:
+            self._apply_targets(follower.cache)
 
     def _read_items(self, held: ObjectCache) -> tuple[Item, ...]:
         """Return the configuration in the store, if it is valid."""
@@ -293,7 +314,8 @@
                 )
                 continue
             targets.append(target)
-        self._directory.apply_targets(targets)
+        services = self.route_table.current.engine_services
+        self._directory.apply_targets(self.versions.admit(targets, services))
 
     async def _detect_suspension(self) -> None:
         """Restart the watches after a suspension of the VM.
--- /dev/null
+++ b/galenaswitch/gateway/tests/test_version_records.py
@@ -0,0 +1,383 @@
+"""Records of software versions while targets, VMs and the store change."""
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from galenaswitch.errors import StoreConflictError, StoreUnavailableError
+from galenaswitch.gateway import version_records
+from galenaswitch.gateway.version_records import VERSION_KIND, VersionRecords
+from galenaswitch.membership.lists import Target
+from galenaswitch.store.client import ABSENT, Listing, StoredObject
+from galenaswitch.store.versions import Revision, find_era, join_version
+
+SERVICE = 'llm'
+VERSIONS = ('v1', 'v2', 'v3')
+VM_COUNT = 3
+MAX_STEPS = 40
+# Turns of the event loop within which a version without conflicts is recorded.
+MANY_TURNS = 40
+
+
+class ModelStore:
+    """Store in memory that answers after a turn of the event loop."""
+
+    def __init__(self):
+        """Build a store without objects, in its first era."""
+        self.era = 1
+        self.number = 1
+        self.objects = {}
+        self.is_away = False
+        self.calls = []
+
+    async def list_kind(self, kind, *, stale=False):
+        """Return all records."""
+        self.calls.append('list')
+        await self._answer()
+        listing = Listing(self._revision, tuple(self.objects.values()))
+        await asyncio.sleep(0)
+        return listing
+
+    async def write(self, kind, name, body, replaces):
+        """Write a record if its revision is the expected one."""
+        self.calls.append('write')
+        await self._answer()
+        known = self.objects.get(name)
+        current = known.version if known else ABSENT
+        # The store compares revisions, and knows nothing of eras in a call.
+        if current % join_version(Revision(1, 0)) != replaces % join_version(
+            Revision(1, 0)
+        ):
+            raise StoreConflictError(current)
+        self.number += 1
+        stored = StoredObject(kind, name, self._revision, body)
+        self.objects[name] = stored
+        await asyncio.sleep(0)
+        return stored.version
+
+    def copy(self):
+        """Return a copy of the state."""
+        return self.number, dict(self.objects)
+
+    def restore(self, copy):
+        """Go back to a copy; the revisions since are given out again."""
+        self.number, objects = copy
+        self.era += 1
+        self.objects = {
+            name: one._replace(
+                version=join_version(
+                    Revision(
+                        self.era,
+                        one.version
+                        - join_version(Revision(find_era(one.version), 0)),
+                    )
+                )
+            )
+            for name, one in objects.items()
+        }
+
+    @property
+    def _revision(self):
+        return join_version(Revision(self.era, self.number))
+
+    async def _answer(self):
+        await asyncio.sleep(0)
+        if self.is_away:
+            raise StoreUnavailableError('away')
+
+
+class StubTasks:
+    """Task group that starts tasks in the running event loop."""
+
+    def __init__(self):
+        """Build a group without tasks."""
+        self._tasks = []
+
+    def start(self, job):
+        """Start a task."""
+        task = asyncio.create_task(job)
+        self._tasks.append(task)
+        return task
+
+    def stop(self):
+        """Cancel all tasks."""
+        for task in self._tasks:
+            task.cancel()
+
+
+class Vm:
+    """VM that lists targets and begins streams at those it may use."""
+
+    def __init__(self, store, *, first_start=False):
+        """Build a VM that lists no targets."""
+        self.tasks = StubTasks()
+        self.listed = ()
+        self.usable = set()
+        self.records = VersionRecords(
+            store, self.tasks, self.apply, first_start=first_start
+        )
+
+    def list_versions(self, *versions):
+        """List one target of each version."""
+        self.listed = tuple(
+            Target(one, f'{one}/1', 'z', SERVICE, '127.0.0.1:9', version=one)
+            for one in versions
+        )
+        self.apply()
+
+    def apply(self):
+        """Use the targets that are admitted."""
+        admitted = self.records.admit(self.listed, {SERVICE})
+        self.usable = {target.version for target in admitted}
+
+
+@pytest.fixture(autouse=True)
+def no_pauses(monkeypatch):
+    """Record versions without a pause."""
+    monkeypatch.setattr(version_records, 'MAX_WRITE_PAUSE_SECONDS', 0)
+    monkeypatch.setattr(version_records, 'FIRST_RETRY_SECONDS', 0)
+    monkeypatch.setattr(version_records, 'MAX_RETRY_SECONDS', 0)
+
+
+@pytest.fixture
+def store():
+    """Return a store without records."""
+    return ModelStore()
+
+
+@pytest.fixture
+async def start_vm(store):
+    """Return a function that starts a VM of the deployment."""
+    vms = []
+
+    def start(**changes):
+        vm = Vm(store, **changes)
+        vms.append(vm)
+        return vm
+
+    yield start
+    for vm in vms:
+        vm.tasks.stop()
+
+
+async def settle():
+    """Let all VMs record what they list."""
+    for _ in range(MANY_TURNS):
+        await asyncio.sleep(0)
+
+
+# Guards against take-ups that are all refused after all VMs were killed.
+async def test_only_version_is_known_to_a_vm_that_starts_again(start_vm):
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1')
+    await settle()
+    assert vm.usable == {'v1'}
+    restarted = start_vm()
+    assert await restarted.records.find_only_version(SERVICE) == 'v1'
+
+
+# Guards against a stream that goes on at the version that is left.
+async def test_version_that_has_just_left_is_remembered(start_vm):
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1')
+    await settle()
+    vm.list_versions('v2')
+    await settle()
+    restarted = start_vm()
+    restarted.list_versions('v2')
+    await settle()
+    assert await restarted.records.find_only_version(SERVICE) is None
+
+
+# Guards against a stream at a version that a killed VM can't have recorded.
+async def test_target_is_not_used_before_its_version_is_recorded(
+    store, start_vm
+):
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1')
+    await settle()
+    store.is_away = True
+    vm.list_versions('v1', 'v2')
+    await settle()
+    assert vm.usable == {'v1'}
+    store.is_away = False
+    await settle()
+    assert vm.usable == {'v1', 'v2'}
+
+
+async def test_targets_of_other_services_are_used_at_once(store, start_vm):
+    vm = start_vm()
+    store.is_away = True
+    target = Target('a', 'a/1', 'z', 'desk', '127.0.0.1:9', version='v1')
+    assert vm.records.admit([target], {SERVICE}) == [target]
+
+
+# Guards against a record of an earlier era that lacks a version added since.
+async def test_record_of_a_restored_store_is_not_trusted(store, start_vm):
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1')
+    await settle()
+    copy = store.copy()
+    vm.list_versions('v1', 'v2')
+    await settle()
+    store.restore(copy)
+    restarted = start_vm()
+    assert await restarted.records.find_only_version(SERVICE) is None
+    restarted.list_versions('v1')
+    await settle()
+    assert restarted.usable == {'v1'}
+    assert await restarted.records.find_only_version(SERVICE) is None
+
+
+# Guards against a VM that takes a record lost in a restore for one never made.
+async def test_lost_record_is_written_again_as_incomplete(store, start_vm):
+    copy = store.copy()
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1')
+    await settle()
+    store.restore(copy)
+    vm.list_versions('v2')
+    await settle()
+    assert vm.usable == {'v2'}
+    assert await vm.records.find_only_version(SERVICE) is None
+
+
+async def test_vm_that_did_not_see_the_first_start_claims_nothing(start_vm):
+    vm = start_vm()
+    vm.list_versions('v1')
+    await settle()
+    assert vm.usable == {'v1'}
+    assert await vm.records.find_only_version(SERVICE) is None
+
+
+async def test_nothing_is_known_while_the_store_is_away(store, start_vm):
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1')
+    await settle()
+    store.is_away = True
+    assert await vm.records.find_only_version(SERVICE) is None
+
+
+@pytest.mark.parametrize('body', [None, [], {}, {'versions': 3, 'era': 'x'}])
+async def test_unreadable_record_is_replaced(store, start_vm, body):
+    store.objects[SERVICE] = StoredObject(
+        VERSION_KIND, SERVICE, store._revision, body
+    )
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1')
+    await settle()
+    assert vm.usable == {'v1'}
+    assert await vm.records.find_only_version(SERVICE) is None
+
+
+# Guards against a version that stays in the record for good.
+async def test_version_out_of_service_is_dropped_in_two_steps(
+    store, start_vm, monkeypatch
+):
+    monkeypatch.setattr(version_records, 'SETTLE_SECONDS', 0.05)
+    monkeypatch.setattr(version_records, 'REVIEW_SECONDS', 0.05)
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1', 'v2')
+    await settle()
+    vm.list_versions('v2')
+    await vm.records.review_once()
+    assert store.objects[SERVICE].body['retiring'] == ()
+    await asyncio.sleep(0.06)
+    await vm.records.review_once()
+    assert store.objects[SERVICE].body['retiring'] == ('v1',)
+    assert await vm.records.find_only_version(SERVICE) is None
+    await vm.records.review_once()
+    await asyncio.sleep(0.06)
+    await vm.records.review_once()
+    assert await vm.records.find_only_version(SERVICE) == 'v2'
+
+
+# Guards against a version that is dropped while another VM lists it again.
+async def test_retiring_version_that_is_listed_again_stays(
+    store, start_vm, monkeypatch
+):
+    monkeypatch.setattr(version_records, 'SETTLE_SECONDS', 0.05)
+    vm, other = start_vm(first_start=True), start_vm()
+    vm.list_versions('v1', 'v2')
+    await settle()
+    vm.list_versions('v2')
+    await asyncio.sleep(0.06)
+    await vm.records.review_once()
+    assert store.objects[SERVICE].body['retiring'] == ('v1',)
+    other.list_versions('v1')
+    await settle()
+    assert store.objects[SERVICE].body['retiring'] == ()
+    assert set(store.objects[SERVICE].body['versions']) == {'v1', 'v2'}
+
+
+# Guards against calls without end by VMs that start together.
+async def test_vms_that_start_together_write_a_version_once(store, start_vm):
+    vms = [start_vm(first_start=True) for _ in range(8)]
+    for vm in vms:
+        vm.list_versions('v1')
+    await settle()
+    assert all(vm.usable == {'v1'} for vm in vms)
+    assert len(store.objects) == 1
+    assert store.calls.count('list') <= 2 * len(vms)
+
+
+STEPS = st.one_of(
+    st.tuples(
+        st.just('list'),
+        st.integers(0, VM_COUNT - 1),
+        st.sets(st.sampled_from(VERSIONS), min_size=1),
+    ),
+    st.tuples(st.just('restart'), st.integers(0, VM_COUNT - 1), st.none()),
+    st.tuples(
+        st.sampled_from(
+            ('begin', 'find', 'find', 'copy', 'restore', 'away', 'back')
+        ),
+        st.just(0),
+        st.none(),
+    ),
+    st.tuples(st.just('turns'), st.integers(1, MANY_TURNS), st.none()),
+)
+
+
+async def play(steps):
+    """Play steps, and check that what is inferred is where streams began."""
+    store = ModelStore()
+    copy = store.copy()
+    vms = [Vm(store, first_start=True) for _ in range(VM_COUNT)]
+    for vm in vms:
+        vm.list_versions('v1')
+        await settle()
+    begun = {'v1'}
+    for name, number, versions in steps:
+        if name == 'list':
+            vms[number].list_versions(*sorted(versions))
+        elif name == 'begin':
+            begun.update(*(vm.usable for vm in vms))
+        elif name == 'restart':
+            vms[number].tasks.stop()
+            vms[number] = Vm(store)
+        elif name == 'find':
+            for vm in vms:
+                found = await vm.records.find_only_version(SERVICE)
+                assert found is None or begun == {found}
+        elif name == 'copy':
+            copy = store.copy()
+        elif name == 'restore':
+            store.restore(copy)
+        elif name == 'turns':
+            for _ in range(number):
+                await asyncio.sleep(0)
+        else:
+            store.is_away = name == 'away'
+    for vm in vms:
+        vm.tasks.stop()
+
+
+# Guards against an inferred version at which not all streams began, in any
+# order of listings, restarts, restores and streams.
+@given(st.lists(STEPS, max_size=MAX_STEPS))
+@settings(deadline=None, max_examples=500)
+def test_inferred_version_is_that_of_all_streams(steps):
+    asyncio.run(play(steps))
--- /dev/null
+++ b/galenaswitch/gateway/version_records.py
@@ -0,0 +1,343 @@
+"""Software versions at which the streams of each service may have begun.
+
+VMs forget where streams began when all of them end at once. A record in the
+store outlives that: it names the versions at which streams of a service may
+have begun. While it names just one, every stream of the service began there,
+also one that no VM remembers.
+
+A target is used only once the record of its service names its version, so that
+no stream begins at a version that isn't recorded. A record counts only in the
+era of the store in which it was written: a store that was restored may have
+lost a version that was added since.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Collection, Iterable
+from typing import Any, NamedTuple
+
+from pydantic import TypeAdapter, ValidationError
+
+from galenaswitch.errors import StoreConflictError, StoreError
+from galenaswitch.membership.lists import Target
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.process import TaskGroup
+from galenaswitch.store.client import ABSENT, StoredObject
+from galenaswitch.store.registry import WritableRegistry
+from galenaswitch.store.versions import find_era
+
+VERSION_KIND = 'galena-versions'
+# Longest random pause in seconds before a version is recorded, so that one VM
+# writes it and the others read that.
+MAX_WRITE_PAUSE_SECONDS = 0.2
+FIRST_RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 2.0
+# Time in seconds for which a version without targets stays admitted.
+KEEP_SECONDS = 60.0
+# Time in seconds after which no caller takes up a stream that began at a
+# version whose targets are gone.
+SETTLE_SECONDS = 600.0
+# Seconds between two reviews of the records by one VM, and the time for which
+# a version stays marked as retiring before it is dropped.
+REVIEW_SECONDS = 120.0
+# Share by which the pauses between two reviews vary.
+PAUSE_SPREAD = 0.5
+# A service, and the version of its software.
+ServiceVersion = tuple[str, str]
+
+
+class VersionRecord(NamedTuple):
+    """Record of one service, as it stands in the store.
+
+    :param versions: versions at which streams of the service may have begun.
+    :param era: era of the store in which the record was written.
+    :param complete: whether no stream that a caller may take up began at
+        another version.
+    :param retiring: versions that are dropped unless a VM admits one again.
+    """
+
+    versions: tuple[str, ...]
+    era: int
+    complete: bool
+    retiring: tuple[str, ...] = ()
+
+
+_RECORD = TypeAdapter(VersionRecord)
+# Stands for a record that can't be read.
+UNREADABLE = VersionRecord((), -1, complete=False)
+
+
+class VersionRecords:
+    """Records of the versions of services, and the targets they admit."""
+
+    def __init__(
+        self,
+        store: WritableRegistry,
+        tasks: TaskGroup,
+        publish: Callable[[], None],
+        *,
+        first_start: bool,
+    ) -> None:
+        """Build records that haven't been read yet.
+
+        :param publish: called when targets of more versions are admitted.
+        :param first_start: whether the deployment starts for the first time,
+            so that no stream began before this process.
+        """
+        self._store = store
+        self._tasks = tasks
+        self._publish = publish
+        self._first_start = first_start
+        self._records: dict[str, tuple[VersionRecord, int]] = {}
+        self._admitted: set[ServiceVersion] = set()
+        self._missing: set[ServiceVersion] = set()
+        self._recording = False
+        self._listed: set[ServiceVersion] = set()
+        self._listed_at: dict[ServiceVersion, float] = {}
+        self._retiring_since: dict[ServiceVersion, float] = {}
+        self._era = -1
+        self._observed_since = time.monotonic()
+        self._read_lock = asyncio.Lock()
+        self._read_at = 0.0
+
+    def admit(
+        self, targets: Iterable[Target], services: Collection[str]
+    ) -> list[Target]:
+        """Return the targets at which streams may begin.
+
+        The versions of all others are recorded in the background.
+
+        :param services: services whose targets are engines.
+        """
+        listed = list(targets)
+        engines = {
+            (target.pool, target.version)
+            for target in listed
+            if target.pool in services
+        }
+        self._note_listed()
+        self._listed = engines
+        kept_since = time.monotonic() - KEEP_SECONDS
+        self._admitted &= {
+            one for one, at in self._listed_at.items() if at > kept_since
+        }
+        self._missing = engines - self._admitted
+        if self._missing and not self._recording:
+            self._recording = True
+            self._tasks.start(self._record_missing())
+        return [
+            target
+            for target in listed
+            if (target.pool, target.version) not in self._missing
+        ]
+
+    async def find_only_version(self, service: str) -> str | None:
+        """Return the version at which all streams of a service began.
+
+        :returns: ``None`` when there may be several, or none is known.
+        """
+        try:
+            await self._read()
+        except StoreError as error:
+            get_logger().info(
+                'versions_unknown', service=service, reason=str(error)
+            )
+            return None
+        record, _ = self._records.get(service, (None, ABSENT))
+        if record is None or record.era != self._era or not record.complete:
+            return None
+        return record.versions[0] if len(record.versions) == 1 else None
+
+    async def review(self) -> None:
+        """Drop versions that are no longer in service, until cancelled.
+
+        Nothing is dropped unless this VM has followed the store's targets for
+        all of :data:`SETTLE_SECONDS`.
+        """
+        while True:
+            await asyncio.sleep(
+                REVIEW_SECONDS
+                * random.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
+            )
+            try:
+                await self.review_once()
+            except StoreError as error:
+                self._observed_since = time.monotonic()
+                get_logger().info('versions_unknown', reason=str(error))
+
+    async def review_once(self) -> None:
+        """Write the records that have changed since they settled.
+
+        :raises StoreError: when the store doesn't answer.
+        """
+        await self._read()
+        self._note_listed()
+        self._note_retiring()
+        if self._observed_since > time.monotonic() - SETTLE_SECONDS:
+            return
+        for service, (record, _) in tuple(self._records.items()):
+            settled = self._settle(service, record)
+            if settled.versions and settled != record:
+                await self._write(service, settled)
+
+    def _settle(self, service: str, record: VersionRecord) -> VersionRecord:
+        """Return a record without versions that are out of service.
+
+        A version is marked as retiring first, so that a VM that lists one of
+        its targets again notices before it is dropped.
+        """
+        now = time.monotonic()
+        gone = {
+            version
+            for version in record.versions
+            if self._listed_at.get((service, version), 0) < now - SETTLE_SECONDS
+        }
+        dropped = {
+            version
+            for version in gone
+            if self._retiring_since.get((service, version), now)
+            <= now - REVIEW_SECONDS
+        }
+        return VersionRecord(
+            tuple(one for one in record.versions if one not in dropped),
+            self._era,
+            complete=True,
+            retiring=tuple(sorted(gone - dropped)),
+        )
+
+    def _note_listed(self) -> None:
+        """Note that the versions listed so far are in service until now."""
+        now = time.monotonic()
+        self._listed_at = {
+            one: at
+            for one, at in self._listed_at.items()
+            if at > now - SETTLE_SECONDS
+        } | dict.fromkeys(self._listed, now)
+
+    def _note_retiring(self) -> None:
+        """Note since when this VM has seen versions marked as retiring."""
+        now = time.monotonic()
+        retiring = {
+            (service, version)
+            for service, (record, _) in self._records.items()
+            for version in record.retiring
+        }
+        self._retiring_since = {
+            one: self._retiring_since.get(one, now) for one in retiring
+        }
+
+    async def _record_missing(self) -> None:
+        """Record the versions of listed targets until all are admitted."""
+        await asyncio.sleep(random.uniform(0, MAX_WRITE_PAUSE_SECONDS))
+        pause = FIRST_RETRY_SECONDS
+        try:
+            while not await self._try_record():
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, MAX_RETRY_SECONDS)
+        finally:
+            self._recording = False
+
+    async def _try_record(self) -> bool:
+        """Record the missing versions and return whether none is left."""
+        try:
+            await self._record_once()
+        except StoreError as error:
+            get_logger().info(
+                'versions_unrecorded',
+                versions=sorted(self._missing),
+                reason=str(error),
+            )
+        return not self._missing
+
+    async def _record_once(self) -> None:
+        """Record the missing versions, and admit their targets.
+
+        :raises StoreError: when the store doesn't answer, or another VM has
+            written a record meanwhile.
+        """
+        await self._read()
+        for service in sorted({service for service, _ in self._missing}):
+            missing = {one for one in self._missing if one[0] == service}
+            record, _ = self._records.get(service, (None, ABSENT))
+            needed = self._extend(record, {version for _, version in missing})
+            if needed != record:
+                await self._write(service, needed)
+            self._admitted |= missing
+            self._missing -= missing
+            self._publish()
+
+    def _extend(
+        self, record: VersionRecord | None, versions: set[str]
+    ) -> VersionRecord:
+        """Return the record that names more versions, in the current era."""
+        if record is None:
+            return VersionRecord(
+                tuple(sorted(versions)), self._era, self._first_start
+            )
+        return VersionRecord(
+            tuple(sorted(versions.union(record.versions))),
+            self._era,
+            record.complete and record.era == self._era,
+            tuple(one for one in record.retiring if one not in versions),
+        )
+
+    async def _read(self) -> None:
+        """Read all records, with a call that starts after this one.
+
+        :raises StoreError: when the store doesn't answer.
+        """
+        called_at = time.monotonic()
+        async with self._read_lock:
+            if self._read_at > called_at:
+                return
+            started_at = time.monotonic()
+            listing = await self._store.list_kind(VERSION_KIND)
+            self._observe_era(find_era(listing.revision))
+            self._records = {
+                stored.name: (_read_record(stored), stored.version)
+                for stored in listing.objects
+            }
+            self._read_at = started_at
+
+    async def _write(self, service: str, record: VersionRecord) -> None:
+        """Write the record of a service unless another VM has written it.
+
+        :raises StoreError: when the store doesn't answer, or the record isn't
+            the one that was read.
+        """
+        _, replaces = self._records.get(service, (None, ABSENT))
+        version = await self._store.write(
+            VERSION_KIND, service, record._asdict(), replaces
+        )
+        if find_era(version) != record.era:
+            raise StoreConflictError(version)
+        self._records[service] = (record, version)
+        get_logger().info(
+            'versions_recorded',
+            service=service,
+            versions=record.versions,
+            complete=record.complete,
+        )
+
+    def _observe_era(self, era: int) -> None:
+        """Note the era of the store; one that is new may lack records."""
+        if self._era not in {-1, era}:
+            self._first_start = False
+            self._observed_since = time.monotonic()
+        self._era = era
+
+
+def _read_record(stored: StoredObject) -> VersionRecord:
+    """Return the record of a store entry, whose new fields are ignored."""
+    body: Any = stored.body if isinstance(stored.body, dict) else {}
+    fields = {
+        name: body[name] for name in VersionRecord._fields if name in body
+    }
+    try:
+        return _RECORD.validate_python(fields)
+    except ValidationError as error:
+        get_logger().warning(
+            'record_unreadable', record=stored.name, reason=str(error)
+        )
+        return UNREADABLE
--- a/galenaswitch/platform/settings.py
+++ b/galenaswitch/platform/settings.py
@@ -54,6 +54,7 @@
     :param store: address and port of the platform's object store.
     :param heartbeat: seconds between two writes of a target's own document
         to the object store.
+    :param first_start: whether the whole deployment starts for the first time.
     """
 
     node: str
@@ -68,6 +69,7 @@
     store: str
     heartbeat: Positive
     bounds: Bounds
+    first_start: bool
 
 
 def find_settings_path() -> Path:
@@ -116,6 +118,7 @@
             'store': _require_entry(entries, 'platform.address'),
             'heartbeat': _read_number(entries, 'heartbeat-ms') / MILLISECONDS,
             'bounds': _read_bounds(entries),
+            'first_start': entries.get('bootstrap') == 'true',
         },
         VmSettings,
     )
--- a/galenaswitch/platform/soak/machines.py
+++ b/galenaswitch/platform/soak/machines.py
@@ -25,6 +25,7 @@
 limits.cpu-share=0.6
 limits.cores=1
 heartbeat-ms=600
+bootstrap={first_start}
 bounds.drain-ms=2000
 bounds.grace-s={grace}
 bounds.config-apply-ms=2000
@@ -92,7 +93,6 @@
 
     async def run(self) -> None:
         """Start the process, and restart it at each exit until cancelled."""
-        self._write_settings()
         environment = {
             **os.environ,
             'GALENASWITCH_CONFIG': str(self._settings),
@@ -101,6 +101,7 @@
         with self._log.open('ab') as log:
             while True:
                 self._exit_expected = False
+                self._write_settings()
                 self._process = await asyncio.create_subprocess_exec(
                     sys.executable,
                     '-m',
@@ -159,6 +160,7 @@
             store=self.store.address,
             grace=GRACE_SECONDS,
             slack=self._retry_slack,
+            first_start=str(not self.start_count).lower(),
         )
         new_file = self._settings.with_suffix('.new')
         new_file.write_text(text, encoding='utf-8')
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -30,6 +30,7 @@
 from galenaswitch.gateway.streams import StreamRunner
 from galenaswitch.gateway.tests.fakes import LocalOwnerRouter
 from galenaswitch.gateway.turns import Turns
+from galenaswitch.gateway.version_records import VersionRecords
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.membership.mesh import Mesh
@@ -306,14 +307,22 @@
 
 
 @pytest.fixture
-def continuations():
+def versions():
+    """Return records of versions of which none is known."""
+    return AsyncMock(
+        spec=VersionRecords, **{'find_only_version.return_value': None}
+    )
+
+
+@pytest.fixture
+def continuations(versions):
     """Return a function that makes the continuation policy of a single VM."""
     no_links = {'links.return_value': (), 'cross_zone_links.return_value': ()}
 
     def make(listed):
         mesh = Mock(spec=Mesh, node='a', zone='z', **no_links)
         origins = StreamOrigins(mesh, lambda: True)
-        return ContinuationPolicy(listed, origins, LocalMetrics())
+        return ContinuationPolicy(listed, origins, versions, LocalMetrics())
 
     return make
 
@@ -380,11 +389,16 @@
 
 @pytest.fixture
 async def open_driver(tmp_path):
-    """Return a function that starts the processes of a soak and a driver."""
+    """Return a function that starts the processes of a soak and a driver.
+
+    With ``version``, all targets are of one software version at first.
+    """
     opened = []
 
-    async def start(network):
+    async def start(network, version=''):
         soak = Soak(Plan(1, network=network), tmp_path)
+        for target in soak._targets:
+            target.version = version or target.version
         session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=4))
         opened.append((soak, session))
         await soak.open()
--- a/galenaswitch/platform/tests/test_stream_versions.py
+++ b/galenaswitch/platform/tests/test_stream_versions.py
@@ -153,3 +153,47 @@
     assert refusal.run is ExecutionState.not_run
     assert refusal.response.status == 503
     assert not target.requests
+
+
+# Guards against a take-up that is refused although its version is certain.
+@pytest.mark.parametrize('headers', [{}, {'Resumes': 'unknown'}])
+async def test_unknown_stream_goes_on_at_the_only_version(
+    send, make_stream_runner, scripted, versions, headers
+):
+    versions.find_only_version.return_value = 'v1'
+    other = await scripted([REST.replace(b'a1', b'a2')])
+    same = await scripted([REST.replace(b'a1', b'a2')])
+    vm = make_stream_runner((other, 'v2'), (same, 'v1'))
+    writer, refusal = await send(vm, 'a2', **{'Last-Event-Id': '1', **headers})
+    assert refusal is None
+    assert writer.body == event(2) + event(3)
+    assert not other.requests
+    versions.find_only_version.assert_awaited_once_with('desk')
+
+
+# Guards against an unknown stream that goes on at the version that came since.
+async def test_unknown_stream_is_refused_when_its_only_version_has_left(
+    send, make_stream_runner, scripted, versions
+):
+    versions.find_only_version.return_value = 'v1'
+    target = await scripted([REST.replace(b'a1', b'a2')])
+    vm = make_stream_runner((target, 'v2'))
+    _, refusal = await send(
+        vm, 'a2', **{'Last-Event-Id': '1', 'Resumes': 'unknown'}
+    )
+    assert refusal.run is ExecutionState.not_run
+    assert refusal.response.status == 503
+    assert not target.requests
+
+
+# Guards against an origin without an id that answers for all others.
+async def test_take_up_without_an_id_leaves_no_origin(
+    send, make_stream_runner, scripted, versions
+):
+    versions.find_only_version.return_value = 'v1'
+    target = await scripted([REST.replace(b'a1', b'a2')])
+    vm = make_stream_runner((target, 'v1'))
+    await send(vm, 'a2', **{'Last-Event-Id': '1'})
+    versions.find_only_version.return_value = None
+    _, refusal = await send(vm, 'a3', **{'Last-Event-Id': '1'})
+    assert refusal.run is ExecutionState.not_run
--- a/galenaswitch/platform/tests/test_take_ups.py
+++ b/galenaswitch/platform/tests/test_take_ups.py
@@ -82,3 +82,26 @@
     assert any(request.origin for request in soak.records.sent)
     assert not list(check_versions(soak.records))
     assert not list(check_answers(soak.records))
+
+
+# Guards against take-ups that are all refused after all machines were killed,
+# although one version only has ever been in service.
+@pytest.mark.timeout(90)
+async def test_take_ups_go_on_after_all_machines_are_killed(
+    open_driver, start_callers
+):
+    soak = (await open_driver(73, version='v1')).soak
+    start_callers(soak)
+    for _ in range(KILLS):
+        await asyncio.sleep(KILL_INTERVAL_SECONDS)
+        for machine in soak._machines:
+            machine.kill()
+    await asyncio.sleep(KILL_INTERVAL_SECONDS)
+    records = soak.records
+    answered = [request for request in records.sent if request.status]
+    taken_up = [request for request in answered if request.origin]
+    begun = [request for request in answered if not request.origin]
+    assert len(taken_up) >= MIN_TAKE_UPS
+    assert find_share(taken_up) >= find_share(begun) / 2
+    assert not list(check_versions(records))
+    assert not list(check_answers(records))
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -5,11 +5,8 @@
 """
 
 import asyncio
-import os
-import secrets
 import signal
 import time
-from collections import Counter
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -44,10 +41,9 @@
 from galenaswitch.gateway.state_sync import StateSync
 from galenaswitch.gateway.streams import StreamRunner
 from galenaswitch.gateway.turns import Turns
-from galenaswitch.gateway.vocabulary import VOCABULARY
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.directory import Directory
-from galenaswitch.membership.links import Identity, Link, LinkService, listen
+from galenaswitch.membership.links import Link, listen
 from galenaswitch.membership.lists import Machine, MemberList, Members
 from galenaswitch.membership.mesh import Leaving, Mesh, Ping
 from galenaswitch.membership.messages import ListQuestion
@@ -70,11 +66,11 @@
     find_settings_path,
     load_vm_settings,
 )
+from galenaswitch.programs.link_service import make_link_service
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.routing.choice import LeastOutstanding
 from galenaswitch.routing.loads import LoadView
 
-SECRET_VARIABLE = 'GALENA_PEER_SECRET'
 # Seconds until the balancer notices that a VM is not ready. It probes once a
 # second and acts on two failed probes.
 UNREADY_DETECTION_SECONDS = 2.5
@@ -111,12 +107,17 @@
         )
         self.members = Members()
         self.directory = Directory(self.members, own)
-        self.service = self._make_service()
+        self.service = make_link_service(settings)
         self.mesh = Mesh(self.service, self.members, tasks)
         store = PlatformStore(self.pool, settings.store)
-        heartbeat = settings.heartbeat
         self.state_sync = StateSync(
-            store, PlatformDocuments(), self.directory, own, tasks, heartbeat
+            store,
+            PlatformDocuments(),
+            self.directory,
+            own,
+            tasks,
+            settings.heartbeat,
+            first_start=settings.first_start,
         )
         self.relay = Relay(
             self.state_sync.catalog, self.mesh, self.state_sync.apply_items
@@ -156,7 +157,12 @@
             self.stages,
             self.find_scheduler,
             self.containment,
-            ContinuationPolicy(self.members, self.origins, self.metrics),
+            ContinuationPolicy(
+                self.members,
+                self.origins,
+                self.state_sync.versions,
+                self.metrics,
+            ),
         )
         self.gateway = self._make_gateway()
         self.callers = Listener(self.gateway, self.find_inbound_limits)
@@ -302,23 +308,6 @@
     def _find_route_table(self) -> RouteTable:
         return self.state_sync.route_table.current
 
-    def _make_service(self) -> LinkService:
-        identity = Identity(
-            self._settings.node,
-            self._settings.zone,
-            'edge',
-            secrets.token_hex(4),
-        )
-        return LinkService(
-            identity,
-            os.environ.get(SECRET_VARIABLE, ''),
-            VOCABULARY,
-            {},
-            address=self._settings.address,
-            traffic=Counter(),
-            last_received_at={},
-        )
-
     def _add_handlers(self) -> None:
         handlers: dict[type[Any], Any] = {
             Digest: self.relay.answer_digest,
