soak: in some soaks all machines are killed together

Cause: the soak killed machines one at a time only, so no seed showed what is left when nobody remembers. Change: three soaks of ten kill all machines once, drawn apart from all other faults, so that other seeds keep theirs.

--- a/galenaswitch/platform/soak/faults.py
+++ b/galenaswitch/platform/soak/faults.py
@@ -25,6 +25,8 @@
 MAX_RESTORES = 3
 # Time for which the store is away before it comes back from a copy.
 RESTORE_SECONDS = 0.3
+# Share of the soaks in which all machines are killed together once.
+HERD_KILL_SHARE = 0.3
 TARGET_MODES = ('slow', 'errors', 'hang', 'cut')
 
 
@@ -114,6 +116,7 @@
         at = rng.uniform(0, seconds - duration_seconds)
         faults.append(Fault(at, kind, subject, duration_seconds, variant))
     faults.extend(_draw_restores(seed, seconds))
+    faults.extend(_draw_herd_kill(seed, seconds))
     return sorted(faults)
 
 
@@ -130,6 +133,14 @@
     return restores
 
 
+def _draw_herd_kill(seed: int, seconds: float) -> list[Fault]:
+    """Return the kill of all machines, drawn apart from all other faults."""
+    rng = random.Random(f'herd_kill/{seed}')
+    if rng.random() >= HERD_KILL_SHARE:
+        return []
+    return [Fault(rng.uniform(0, seconds), 'herd_kill', -1, 0)]
+
+
 class FaultInjector:
     """Injector that starts each fault at its time and records it."""
 
@@ -148,6 +159,7 @@
         self._now = now
         self._actions: dict[str, Callable[[Fault], Awaitable[None]]] = {
             'kill': self._kill,
+            'herd_kill': self._kill_all,
             'term': self._stop_gracefully,
             'freeze': self._freeze,
             'hup': self._change_settings,
@@ -185,6 +197,10 @@
     async def _kill(self, fault: Fault) -> None:
         self._subjects.machines[fault.subject].signal(signal.SIGKILL)
 
+    async def _kill_all(self, fault: Fault) -> None:
+        for machine in self._subjects.machines:
+            machine.signal(signal.SIGKILL)
+
     async def _stop_gracefully(self, fault: Fault) -> None:
         await self._subjects.machines[fault.subject].stop_gracefully()
 
