streams: stages don't run for a stream whose version has left

Callers saw: a take-up that no target could continue was refused only after all its stages had run, up to a second later; the stages' targets worked for nothing. Cause: whether a target of the version serves was checked with the placement, behind the stages. Class: a request that is known to be hopeless is held. Change: it is checked before the stages as well; the check with the placement stays, since targets may leave meanwhile. Evidence: test_no_stage_runs_for_a_take_up_whose_version_has_left failed before (one batch made), passes now.

--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -137,6 +137,7 @@
     async def _generate(self, job: StreamJob) -> None:
         job.trial_part = await self._containment.admit(job.parts)
         while True:
+            self._continuations.check(job)
             if job.stages is None:
                 await self._run_stages(job)
             target = await self._request_placement(job)
--- a/galenaswitch/platform/tests/test_stages.py
+++ b/galenaswitch/platform/tests/test_stages.py
@@ -347,3 +347,17 @@
     await send_streams('a1', *WAITING)
     assert engines[0].sent[:MAX_AHEAD].count('a1') == 2
     assert set(engines[0].sent) & set(WAITING)
+
+
+# Guards against stages that run for a stream which can't go on.
+async def test_no_stage_runs_for_a_take_up_whose_version_has_left(
+    open_staged, route, engines, producer, make_caller_request, versions
+):
+    versions.find_only_version.return_value = 'v1'
+    runner, table = open_staged(route, *engines)
+    request = make_caller_request(
+        route, 'a2', **STAGED, **{'Last-Event-Id': '1', 'Resumes': 'a1'}
+    )
+    with pytest.raises(RefusedError, match='stream-version-gone'):
+        await runner.run(request, table, AnswerRecorder())
+    assert not producer.made_count
