soak: a soak doesn't start on addresses that another run has

The four processes of a run that had been killed by hand still answered the readiness probes and the callers in place of the test's own. Cause: whether an address is free was never asked. Change: a soak checks the ports of its machines before it starts and fails with the address. Evidence: the new test failed before (the soak waited for its own machines); passes now.

--- a/galenaswitch/platform/soak/machines.py
+++ b/galenaswitch/platform/soak/machines.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -35,6 +36,9 @@
 platform.address={store}
 """
 
+# Ports of the settings that start with ``listen``.
+PORTS = (8001, 8002, 8003)
+
 
 class Machine:
     """Machine with its settings file, its process and its proxy to the store.
@@ -83,6 +87,14 @@
         """Address and port that the balancer probes."""
         return f'{self.address}:8002'
 
+    def check_address(self) -> None:
+        """Check that no process of another run has this machine's address.
+
+        :raises OSError: when a port of the machine is in use.
+        """
+        for port in PORTS:
+            socket.create_server((self.address, port)).close()
+
     async def start_store_proxy(self, address: tuple[str, int]) -> None:
         """Start the machine's own proxy in front of the store.
 
--- a/galenaswitch/platform/soak/soak.py
+++ b/galenaswitch/platform/soak/soak.py
@@ -129,7 +129,10 @@
         """Start the fakes and the machines, and wait until all are ready.
 
         :raises TimeoutError: when a machine isn't ready in time.
+        :raises OSError: when a process of another run has an address.
         """
+        for machine in self._machines:
+            machine.check_address()
         host = f'127.{self._plan.network}.9.1'
         server = web.AppRunner(self._store.make_application())
         self._servers.append(server)
--- a/galenaswitch/platform/tests/test_soak.py
+++ b/galenaswitch/platform/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak's invariant checks, and short soaks of regression seeds."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -13,7 +14,7 @@
     WorkItemRun,
     open_records,
 )
-from galenaswitch.platform.soak.soak import Plan, run_soak
+from galenaswitch.platform.soak.soak import Plan, Soak, run_soak
 
 PATHS = {
     'a1': '/once/%20x/3?q=%2f',
@@ -182,6 +183,17 @@
     assert len(list(check_recovery(records, 99))) == 1
 
 
+# Guards against a soak whose callers reach the processes of another run.
+async def test_soak_does_not_start_on_addresses_in_use(tmp_path):
+    soak = Soak(Plan(1, network=77), tmp_path)
+    with (
+        socket.create_server(('127.77.1.1', 8002)),
+        pytest.raises(OSError, match='in use'),
+    ):
+        await soak.open()
+    await soak.close()
+
+
 # Guards against a soak that ends by two crashes of one target at a time.
 async def test_overlapping_crashes_of_a_target_leave_it_up():
     proxy = Proxy(lambda: ('127.0.0.1', 1))
