versions: a review changes only the record that it read

Seen: while a review wrote one record, another VM could add a version to the next one; if this VM read that meanwhile, the review's write replaced it by a record without the added version, and a stream that began there could have been inferred to be of the other version. Cause: the condition of the write was taken from the newest record read, its content from an earlier one. Class: a compare-and-swap whose two halves are of different reads. Change: a record and the version that it replaces travel together. Evidence: test_review_keeps_a_version_that_another_vm_adds_meanwhile failed before ('v2' not in ('v1',)), passes now.

--- a/galenaswitch/gateway/tests/test_version_records.py
+++ b/galenaswitch/gateway/tests/test_version_records.py
@@ -1,6 +1,7 @@
 """Records of software versions while targets, VMs and the store change."""
 
 import asyncio
+import contextlib
 
 import pytest
 from hypothesis import given, settings
@@ -312,6 +313,43 @@
     assert set(store.objects[SERVICE].body['versions']) == {'v1', 'v2'}
 
 
+# Guards against a version that is lost when a record changes during a review.
+async def test_review_keeps_a_version_that_another_vm_adds_meanwhile(
+    store, start_vm, monkeypatch
+):
+    monkeypatch.setattr(version_records, 'SETTLE_SECONDS', 0.05)
+    reviewer = start_vm()
+    for service in ('a', 'b'):
+        store.objects[service] = StoredObject(
+            VERSION_KIND,
+            service,
+            store._revision,
+            {'versions': ['v1'], 'era': 1, 'complete': False},
+        )
+    await asyncio.sleep(0.06)
+    targets = [
+        Target(one, f'{one}/1', 'z', one, '127.0.0.1:9', version='v1')
+        for one in ('a', 'b')
+    ]
+    reviewer.records.admit(targets, {'a', 'b'})
+    await settle()
+    write = store.write
+
+    async def add_version(kind, name, body, replaces):
+        version = await write(kind, name, body, replaces)
+        if name == 'a':
+            known = store.objects['b']
+            added = {**known.body, 'versions': ['v1', 'v2']}
+            await write(VERSION_KIND, 'b', added, known.version)
+            await reviewer.records.find_only_version('b')
+        return version
+
+    monkeypatch.setattr(store, 'write', add_version)
+    with contextlib.suppress(StoreConflictError):
+        await reviewer.records.review_once()
+    assert 'v2' in store.objects['b'].body['versions']
+
+
 # Guards against calls without end by VMs that start together.
 async def test_vms_that_start_together_write_a_version_once(store, start_vm):
     vms = [start_vm(first_start=True) for _ in range(8)]
--- a/galenaswitch/gateway/version_records.py
+++ b/galenaswitch/gateway/version_records.py
@@ -176,10 +176,10 @@
         self._note_retiring()
         if self._observed_since > time.monotonic() - SETTLE_SECONDS:
             return
-        for service, (record, _) in tuple(self._records.items()):
+        for service, (record, version) in tuple(self._records.items()):
             settled = self._settle(service, record)
             if settled.versions and settled != record:
-                await self._write(service, settled)
+                await self._write(service, settled, version)
 
     def _settle(self, service: str, record: VersionRecord) -> VersionRecord:
         """Return a record without versions that are out of service.
@@ -259,10 +259,10 @@
         await self._read()
         for service in sorted({service for service, _ in self._missing}):
             missing = {one for one in self._missing if one[0] == service}
-            record, _ = self._records.get(service, (None, ABSENT))
+            record, replaces = self._records.get(service, (None, ABSENT))
             needed = self._extend(record, {version for _, version in missing})
             if needed != record:
-                await self._write(service, needed)
+                await self._write(service, needed, replaces)
             self._admitted |= missing
             self._missing -= missing
             self._publish()
@@ -300,13 +300,15 @@
             }
             self._read_at = started_at
 
-    async def _write(self, service: str, record: VersionRecord) -> None:
+    async def _write(
+        self, service: str, record: VersionRecord, replaces: int
+    ) -> None:
         """Write the record of a service unless another VM has written it.
 
-        :raises StoreError: when the store doesn't answer, or the record isn't
-            the one that was read.
+        :param replaces: version of the record from which this one was made.
+        :raises StoreError: when the store doesn't answer, or has another
+            version of the record.
         """
-        _, replaces = self._records.get(service, (None, ABSENT))
         version = await self._store.write(
             VERSION_KIND, service, record._asdict(), replaces
         )
