--- a/galenaswitch/gateway/continuation.py
+++ b/galenaswitch/gateway/continuation.py
@@ -3,8 +3,9 @@
 A stream goes on only at a target of the software version that began it, within
 one answer as over several attempts of its caller. Where no VM remembers its
 beginning, it goes on only if all streams of its service began at one version.
-It is urgent, since its
-caller has part of the answer and less time left than those of new streams.
+
+It is urgent, since its caller has part of the answer and less time left than
+those of new streams.
 """
 
 from typing import NamedTuple
@@ -49,7 +50,10 @@
         versions: VersionRecords,
         metrics: Metrics,
     ) -> None:
-        """Build a policy over the targets in ``members``."""
+        """Build a policy over the targets in ``members``.
+
+        :param versions: versions at which streams that no VM remembers began.
+        """
         self.members = members
         self._origins = origins
         self._versions = versions
@@ -58,14 +62,16 @@
     async def admit(self, request: CallerRequest) -> Continuation:
         """Find out where a request may run.
 
-        :raises RefusedError: when the request resumes a stream whose beginning
-            is unknown or is another caller's.
+        :raises RefusedError: when the request resumes a stream that began
+            nobody knows where, or that is another caller's.
         """
         if not request.fields.last_event:
             return Continuation(request, None)
         origin = await self._origins.find(request.fields.origin)
-        outcome = 'admitted' if origin else 'inferred'
-        origin = origin or await self._infer_origin(request)
+        outcome = 'admitted'
+        if origin is None:
+            outcome = 'inferred'
+            origin = await self._infer_origin(request)
         if origin is None or not _may_resume(request, origin):
             self._record(request, 'unknown', origin)
             raise RefusedError(
@@ -132,7 +138,11 @@
     async def _infer_origin(
         self, request: CallerRequest
     ) -> StreamOrigin | None:
-        """Return the origin that all streams on a route share, if they do."""
+        """Return the origin of a stream that no VM remembers.
+
+        :returns: ``None`` unless all streams of its service began at one
+            version.
+        """
         services = _find_services(request.route)
         if not request.route.resumable or len(services) != 1:
             return None
--- a/galenaswitch/gateway/origins.py
+++ b/galenaswitch/gateway/origins.py
@@ -39,11 +39,11 @@
 QUERY_TIMEOUT_SECONDS = 0.25
 # Time for the VM of another zone that passes a query on in its zone.
 FORWARD_TIMEOUT_SECONDS = 0.15
-# A VM that starts again gets origins up to this age in seconds for which it is
-# among so many first VMs of its zone.
+# Largest age in seconds of an origin that is sent to a VM which starts again.
 MAX_SYNC_AGE_SECONDS = 30.0
+# VMs of a zone, by their rank for an origin, that get it when they start again.
 SYNCED_HOLDERS = 2
-# Origins that are ranked before other work of the process gets its turn.
+# Origins that are ranked before other tasks of the process run.
 SYNC_CHUNK = 64
 # Longest time for which a VM that has just started queries again while it opens
 # its links, and the pause between two queries.
