Tests: kills of all machines wait until the machines are ready again

A fixed pause measured the machine's load as well: at a load of 16 a process takes longer than the pause to start, and hardly a take-up is answered. All kills, bounds and checks are as they were.

--- a/galenaswitch/platform/tests/test_take_ups.py
+++ b/galenaswitch/platform/tests/test_take_ups.py
@@ -38,6 +38,14 @@
         task.cancel()
 
 
+async def wait_ready(soak):
+    """Wait until all machines have been ready for a while after a kill."""
+    await asyncio.sleep(KILL_INTERVAL_SECONDS / 2)
+    while not soak._balancer.all_ready():
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(KILL_INTERVAL_SECONDS / 2)
+
+
 def find_share(requests):
     """Return the share of requests that began to be answered."""
     return sum(one.status == OK for one in requests) / max(1, len(requests))
@@ -93,10 +101,10 @@
     soak = (await open_driver(73, version='v1')).soak
     start_callers(soak)
     for _ in range(KILLS):
-        await asyncio.sleep(KILL_INTERVAL_SECONDS)
+        await wait_ready(soak)
         for machine in soak._machines:
             machine.kill()
-    await asyncio.sleep(KILL_INTERVAL_SECONDS)
+    await wait_ready(soak)
     records = soak.records
     answered = [request for request in records.sent if request.status]
     taken_up = [request for request in answered if request.origin]
