--- a/galenaswitch/gateway/tests/test_version_records.py
+++ b/galenaswitch/gateway/tests/test_version_records.py
@@ -7,14 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from galenaswitch.errors import StoreConflictError, StoreUnavailableError
+from galenaswitch.errors import StoreConflictError
 from galenaswitch.gateway import version_records
-from galenaswitch.gateway.version_records import VERSION_KIND, VersionRecords
+from galenaswitch.gateway.tests.version_fakes import SERVICE, ModelStore, Vm
+from galenaswitch.gateway.version_records import VERSION_KIND
 from galenaswitch.membership.lists import Target
-from galenaswitch.store.client import ABSENT, Listing, StoredObject
-from galenaswitch.store.versions import Revision, find_era, join_version
+from galenaswitch.store.client import StoredObject
 
-SERVICE = 'llm'
 VERSIONS = ('v1', 'v2', 'v3')
 VM_COUNT = 3
 MAX_STEPS = 40
@@ -22,118 +21,6 @@
 MANY_TURNS = 40
 
 
-class ModelStore:
-    """Store in memory that answers after a turn of the event loop."""
-
-    def __init__(self):
-        """Build a store without objects, in its first era."""
-        self.era = 1
-        self.number = 1
-        self.objects = {}
-        self.is_away = False
-        self.calls = []
-
-    async def list_kind(self, kind, *, stale=False):
-        """Return all records."""
-        self.calls.append('list')
-        await self._answer()
-        listing = Listing(self._revision, tuple(self.objects.values()))
-        await asyncio.sleep(0)
-        return listing
-
-    async def write(self, kind, name, body, replaces):
-        """Write a record if its revision is the expected one."""
-        self.calls.append('write')
-        await self._answer()
-        known = self.objects.get(name)
-        current = known.version if known else ABSENT
-        # The store compares revisions, and knows nothing of eras in a call.
-        if current % join_version(Revision(1, 0)) != replaces % join_version(
-            Revision(1, 0)
-        ):
-            raise StoreConflictError(current)
-        self.number += 1
-        stored = StoredObject(kind, name, self._revision, body)
-        self.objects[name] = stored
-        await asyncio.sleep(0)
-        return stored.version
-
-    def copy(self):
-        """Return a copy of the state."""
-        return self.number, dict(self.objects)
-
-    def restore(self, copy):
-        """Go back to a copy; the revisions since are given out again."""
-        self.number, objects = copy
-        self.era += 1
-        self.objects = {
-            name: one._replace(
-                version=join_version(
-                    Revision(
-                        self.era,
-                        one.version
-                        - join_version(Revision(find_era(one.version), 0)),
-                    )
-                )
-            )
-            for name, one in objects.items()
-        }
-
-    @property
-    def _revision(self):
-        return join_version(Revision(self.era, self.number))
-
-    async def _answer(self):
-        await asyncio.sleep(0)
-        if self.is_away:
-            raise StoreUnavailableError('away')
-
-
-class StubTasks:
-    """Task group that starts tasks in the running event loop."""
-
-    def __init__(self):
-        """Build a group without tasks."""
-        self._tasks = []
-
-    def start(self, job):
-        """Start a task."""
-        task = asyncio.create_task(job)
-        self._tasks.append(task)
-        return task
-
-    def stop(self):
-        """Cancel all tasks."""
-        for task in self._tasks:
-            task.cancel()
-
-
-class Vm:
-    """VM that lists targets and begins streams at those it may use."""
-
-    def __init__(self, store, *, first_start=False):
-        """Build a VM that lists no targets."""
-        self.tasks = StubTasks()
-        self.listed = ()
-        self.usable = set()
-        self.records = VersionRecords(
-            store, self.tasks, self.apply, lambda: 0, first_start=first_start
-        )
-
-    def list_versions(self, *versions):
-        """List one target of each version."""
-        self.listed = tuple(
-            Target(one, f'{one}/1', 'z', SERVICE, '127.0.0.1:9', version=one)
-            for one in versions
-        )
-        self.apply()
-
-    def apply(self):
-        """Use the targets that are admitted."""
-        admitted = self.records.admit(self.listed, {SERVICE})
-        self.usable = {target.version for target in admitted}
-
-
 @pytest.fixture(autouse=True)
 def no_pauses(monkeypatch):
     """Record versions without a pause."""
