--- a/galenaswitch/gateway/tests/test_origins.py
+++ b/galenaswitch/gateway/tests/test_origins.py
@@ -118,6 +118,16 @@
     return StreamOrigin(f'a{number}', 'lab', 'llm', version)
 
 
+async def count_found(cluster, rng):
+    """Return how many streams a random VM finds the right origin of."""
+    found = 0
+    for number in range(STREAM_COUNT):
+        origin = await rng.choice(cluster).origins.find(f'a{number}')
+        assert origin in {None, make_origin(number)}
+        found += origin is not None
+    return found
+
+
 async def test_origin_is_found_at_every_vm(make_cluster):
     cluster = make_cluster()
     for number in range(STREAM_COUNT):
@@ -137,11 +147,7 @@
     killed = rng.sample(cluster, len(cluster) // 3)
     for vm in killed:
         vm.restart()
-    found = 0
-    for number in range(STREAM_COUNT):
-        origin = await rng.choice(cluster).origins.find(f'a{number}')
-        assert origin in {None, make_origin(number)}
-        found += origin is not None
+    found = await count_found(cluster, rng)
     assert found >= MIN_FOUND_SHARE * STREAM_COUNT
 
 
@@ -159,11 +165,7 @@
     for vm in rng.sample(cluster, len(cluster)):
         vm.restart()
         await vm.reopen_links()
-    found = 0
-    for number in range(STREAM_COUNT):
-        origin = await rng.choice(cluster).origins.find(f'a{number}')
-        assert origin in {None, make_origin(number)}
-        found += origin is not None
+    found = await count_found(cluster, rng)
     assert found >= MIN_FOUND_SHARE * STREAM_COUNT
 
 
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -6,7 +6,6 @@
 import time
 from unittest.mock import AsyncMock, Mock
 
-import aiohttp
 import pytest
 
 from galenaswitch.connections.heads import RequestHead
@@ -38,8 +37,6 @@
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.platform.headers import PlatformWire
 from galenaswitch.platform.objects import PlatformStore
-from galenaswitch.platform.soak.soak import Plan, Soak
-from galenaswitch.platform.tests.driver import SoakDriver
 from galenaswitch.platform.tests.fakes import AnswerRecorder
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.routing.choice import LeastOutstanding
@@ -385,26 +382,3 @@
         ) % (status, ident, extra, len(body), body)
 
     return make
-
-
-@pytest.fixture
-async def open_driver(tmp_path):
-    """Return a function that starts the processes of a soak and a driver.
-
-    With ``version``, all targets are of one software version at first.
-    """
-    opened = []
-
-    async def start(network, version=''):
-        soak = Soak(Plan(1, network=network), tmp_path)
-        for target in soak._targets:
-            target.version = version or target.version
-        session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=4))
-        opened.append((soak, session))
-        await soak.open()
-        return SoakDriver(soak, session)
-
-    yield start
-    for soak, session in opened:
-        await session.close()
-        await soak.close()
--- a/galenaswitch/platform/tests/driver.py
+++ b/galenaswitch/platform/tests/driver.py
@@ -1,12 +1,14 @@
-"""Sends the requests of a test to the machines of a soak."""
+"""Fixture with the processes of a soak, to which a test sends requests."""
 
 import secrets
 from typing import NamedTuple
 
 import aiohttp
+import pytest
 from yarl import URL
 
 from galenaswitch.platform.soak.callers import API_KEY, HOST
+from galenaswitch.platform.soak.soak import Plan, Soak
 
 
 class Sent(NamedTuple):
@@ -57,3 +59,26 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             status = 0
         return Sent(ident, sent_at, status, self.soak._now() - sent_at)
+
+
+@pytest.fixture
+async def open_driver(tmp_path):
+    """Return a function that starts the processes of a soak and a driver.
+
+    With ``version``, all targets are of one software version at first.
+    """
+    opened = []
+
+    async def start(network, version=''):
+        soak = Soak(Plan(1, network=network), tmp_path)
+        for target in soak._targets:
+            target.version = version or target.version
+        session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=4))
+        opened.append((soak, session))
+        await soak.open()
+        return SoakDriver(soak, session)
+
+    yield start
+    for soak, session in opened:
+        await session.close()
+        await soak.close()
