--- a/galenaswitch/platform/tests/test_restored_store.py
+++ b/galenaswitch/platform/tests/test_restored_store.py
@@ -1,4 +1,4 @@
-"""State of a VM after the store was restored from a copy."""
+"""State of a VM that follows a store, also one restored from a copy."""
 
 import asyncio
 import time
@@ -7,7 +7,10 @@
 from aiohttp import web
 
 from galenaswitch.connections.outbound import ConnectionPool
-from galenaswitch.gateway.state_sync import StateSync
+from galenaswitch.gateway.state_sync import (
+    CONFIGURATION_ITEM_KIND,
+    StateSync,
+)
 from galenaswitch.membership.directory import Directory
 from galenaswitch.membership.lists import Machine, Members
 from galenaswitch.operations.process import TaskGroup
@@ -26,7 +29,9 @@
 class Vm:
     """State sync of one VM, and the versions that it has brought into force."""
 
-    def __init__(self, store_address, name='a', heartbeat=1.2):
+    def __init__(
+        self, store_address, name='a', heartbeat=1.2, *, first_start=False
+    ):
         """Build a state sync that follows the store at an address."""
         self.pool = ConnectionPool()
         self.tasks = TaskGroup()
@@ -39,6 +44,7 @@
             own,
             self.tasks,
             heartbeat,
+            first_start=first_start,
         )
         self.versions = []
 
@@ -47,6 +53,11 @@
         """Version of the configuration in force."""
         return self.state_sync.route_table.current.version
 
+    @property
+    def engines(self):
+        """Names of the engines that may receive requests."""
+        return {target.name for target in self.members.usable('llm')}
+
     @property
     def usable(self):
         """Names of the targets that may receive requests."""
@@ -105,13 +116,15 @@
     store.put('config', 'main', make_configuration(version, ()))
 
 
-def write_target(store, name, state='ready', sequence=1, born=1):
+def write_target(
+    store, name, state='ready', sequence=1, born=1, service='desk', version='v1'
+):
     """Write a target's entry as the target does."""
     entry = {
-        'service': 'desk',
+        'service': service,
         'address': '127.0.0.1:9',
         'zone': 'z',
-        'version': 'v1',
+        'version': version,
         'slots': 8,
         'state': state,
         'cold-left-ms': 0,
@@ -269,3 +282,71 @@
     store.restore(copy)
     write_configuration(store, 1)
     assert await vm.wait_until(lambda: ('galena-vms', 'a') in store._objects, 5)
+
+
+def write_engine(store, version):
+    """Write the entry of an engine of a software version."""
+    write_target(store, f'engine-{version}', service='llm', version=version)
+
+
+# Guards against engines that are used before their version is recorded.
+async def test_engine_is_used_once_its_version_is_recorded(store, start_vm):
+    write_configuration(store, 1)
+    vm = start_vm(first_start=True)
+    for version in ('v1', 'v2'):
+        write_engine(store, version)
+        assert await vm.wait_until(
+            lambda name=f'engine-{version}': name in vm.engines
+        )
+        record = store._objects['galena-versions', 'llm']['spec']
+        assert version in record['versions']
+
+
+# Guards against engines without a record when targets are listed before the
+# configuration that tells which of them are engines.
+async def test_version_is_recorded_when_the_configuration_comes_later(
+    store, start_vm
+):
+    write_engine(store, 'v1')
+    vm = start_vm(first_start=True)
+    assert await vm.wait_until(lambda: vm.engines)
+    write_configuration(store, 1)
+    assert await vm.wait_until(lambda: vm.version == 1)
+    assert await vm.wait_until(
+        lambda: ('galena-versions', 'llm') in store._objects
+    )
+    assert await vm.wait_until(lambda: vm.engines)
+
+
+# Guards against a stream that goes on at a version which a restored store has
+# in a record that lacks a later one.
+async def test_record_of_versions_does_not_count_after_a_restore(
+    store, start_vm
+):
+    write_configuration(store, 1)
+    write_engine(store, 'v1')
+    vm = start_vm(first_start=True)
+    assert await vm.wait_until(lambda: vm.engines)
+    copy = store.copy()
+    versions = start_vm('b').state_sync.versions
+    assert await versions.find_only_version('llm') == 'v1'
+    store.restore(copy)
+    assert await versions.find_only_version('llm') is None
+
+
+# Guards against an older configuration that a VM of the new era passes on.
+async def test_peer_that_knows_only_the_copy_brings_nothing_back(
+    store, vm, start_vm
+):
+    copy = store.copy()
+    write_configuration(store, 4)
+    assert await vm.wait_until(lambda: vm.version == 4)
+    store.restore(copy)
+    started = start_vm('b')
+    assert await started.wait_until(lambda: started.version == 1)
+    known, stale = (
+        one.state_sync.catalog.find(CONFIGURATION_ITEM_KIND, 'main')
+        for one in (vm, started)
+    )
+    assert vm.state_sync.catalog.accept([stale]) == ()
+    assert started.state_sync.catalog.accept([known]) == (known,)
--- a/galenaswitch/platform/tests/test_stream_versions.py
+++ b/galenaswitch/platform/tests/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from galenaswitch.gateway.origin_messages import StreamOrigin
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.routes import CallKind, EngineLimits
 from galenaswitch.gateway.stages import StageRunner
@@ -11,7 +12,7 @@
 from galenaswitch.platform.headers import PlatformWire
 from galenaswitch.platform.tests.fakes import AnswerRecorder
 from galenaswitch.platform.tests.test_streams import event, stream
-from galenaswitch.refusals import ExecutionState, RefusedError
+from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 
 BROKEN = stream([event(1)], end=b'')
 REST = stream([event(2), event(3)])
@@ -52,6 +53,7 @@
         scheduler = PlacementScheduler(
             'desk', lambda _: EngineLimits(4, 9999), listed, sender.turns.pacer
         )
+        policy = continuations(listed)
         wire = PlatformWire()
         router = LocalOwnerRouter()
         runner = StreamRunner(
@@ -62,9 +64,10 @@
             StageRunner('z', listed, wire, router, None),
             lambda _: scheduler,
             containment,
-            continuations(listed),
+            policy,
         )
         runner.list_targets = list_targets
+        runner.record_origin = policy._origins.record
         return runner
 
     return make
@@ -155,6 +158,22 @@
     assert not target.requests
 
 
+# Guards against a caller that reaches the stream of another workspace, or one
+# of a service to which its route doesn't lead.
+@pytest.mark.parametrize(
+    ('workspace', 'service'), [('other', 'desk'), ('lab', 'elsewhere')]
+)
+async def test_take_up_of_a_stream_that_is_not_the_callers_is_refused(
+    send, make_stream_runner, scripted, workspace, service
+):
+    target = await scripted([REST.replace(b'a1', b'a2')])
+    vm = make_stream_runner((target, 'v1'))
+    vm.record_origin(StreamOrigin('a1', workspace, service, 'v1'))
+    _, refusal = await send(vm, 'a2', **{'Last-Event-Id': '1', 'Resumes': 'a1'})
+    assert refusal.reason is Reason.origin_unknown
+    assert not target.requests
+
+
 # Guards against a take-up that is refused although its version is certain.
 @pytest.mark.parametrize('headers', [{}, {'Resumes': 'unknown'}])
 async def test_unknown_stream_goes_on_at_the_only_version(
--- a/galenaswitch/store/tests/test_registry.py
+++ b/galenaswitch/store/tests/test_registry.py
@@ -12,7 +12,7 @@
     ObjectCache,
 )
 from galenaswitch.store.client import Listing, StoredObject
-from galenaswitch.store.registry import Follower
+from galenaswitch.store.registry import FIRST_RETRY_SECONDS, Follower
 
 
 def make_object(name, version=1):
@@ -155,3 +155,35 @@
         await store.exhausted.wait()
     task.cancel()
     assert asyncio.get_running_loop().time() - started_at >= 0.1
+
+
+class ForgetfulRegistry:
+    """Registry whose history is always lost."""
+
+    def __init__(self):
+        """Build a registry without objects.
+
+        :ivar call_count: number of calls received.
+        """
+        self.call_count = 0
+
+    async def list_kind(self, kind, *, stale=False):
+        """Return an empty listing."""
+        self.call_count += 1
+        return Listing(5, ())
+
+    async def watch(self, kind, revision, seconds):
+        """Fail at once."""
+        self.call_count += 1
+        raise StoreHistoryLostError('gone')
+
+
+# Guards against calls without a pause while a store keeps losing its history.
+async def test_follower_pauses_after_each_lost_history():
+    registry = ForgetfulRegistry()
+    following = asyncio.create_task(
+        Follower(registry, 'kind', lambda _: None).follow()
+    )
+    await asyncio.sleep(4 * FIRST_RETRY_SECONDS)
+    following.cancel()
+    assert 2 < registry.call_count <= 8
