streams: a rest without an event ends a stream only if it is an event stream

Callers saw: a stream had begun and broke off; the next target answered 200 with nothing in it, and the stream ended as if it were complete. Cause: only the bytes of a continuation were checked; an answer without any passed all checks, and an answer without a length ends like a connection that is closed. Class: an empty answer taken for the end of the data. Ruled out: to refuse every empty rest. A stream may break off behind its last event, and then the rest has none. Change: a rest without an event completes the stream only if the target calls it an event stream and frames it by a length or in chunks; else the attempt is broken. The same holds for the answer to a caller's take-up. Evidence: three new cases failed before (a success with no type, one without a length, one with comments only, all ended as complete), pass now, and an empty event stream in chunks still ends the stream.

--- a/galenaswitch/gateway/answers.py
+++ b/galenaswitch/gateway/answers.py
@@ -13,12 +13,14 @@
     TargetBusyError,
 )
 from galenaswitch.gateway.calls import AnswerFields, CallerRequest, Wire
+from galenaswitch.gateway.events import EventBuffer
 from galenaswitch.refusals import RefusedError
 
 MIN_SUCCESS_STATUS = 200
 MIN_REDIRECT_STATUS = 300
 MIN_SERVER_ERROR_STATUS = 500
 EVENT_STREAM = 'text/event-stream'
+FRAMING_HEADERS = (b'content-length', b'transfer-encoding')
 # Callers take these statuses as a promise that their request has not run, so a
 # target's answer with one of them is not forwarded.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -65,6 +67,26 @@
         raise TargetBrokenError(f'the target answered {content_type}')
 
 
+def check_end(events: EventBuffer, head: AnswerHead) -> None:
+    """Check that the end of an answer is the end of its stream.
+
+    The rest of a stream has no event if the stream broke off behind its last
+    one. Any other empty answer may be an error, or one that was cut off.
+
+    :raises TargetBrokenError: when the stream may not be complete.
+    """
+    if events.has_partial_event:
+        raise TargetBrokenError('the stream ended within an event')
+    if events.has_events or not events.last_id:
+        return
+    content_type = find_header_text(head.headers, b'content-type')
+    is_framed = any(
+        find_header_text(head.headers, name) for name in FRAMING_HEADERS
+    )
+    if not (is_framed and content_type.startswith(EVENT_STREAM)):
+        raise TargetBrokenError('the rest of the stream has no event')
+
+
 def is_success(fields: AnswerFields) -> bool:
     """Tell whether the status of an answer is a success."""
     return MIN_SUCCESS_STATUS <= fields.status < MIN_REDIRECT_STATUS
@@ -99,6 +121,13 @@
     await writer.write(events)
 
 
+def finish_events(writer: AnswerWriter, head: AnswerHead) -> None:
+    """End a stream as complete, after the head if it is due."""
+    if not writer.started:
+        writer.start(make_caller_head(head), None)
+    writer.finish()
+
+
 def refuse(
     writer: AnswerWriter,
     wire: Wire,
--- a/galenaswitch/gateway/events.py
+++ b/galenaswitch/gateway/events.py
@@ -18,6 +18,8 @@
 class EventBuffer:
     r"""Holds back the end of a stream until its last event is complete.
 
+    ``has_events`` tells whether the current target has sent an event.
+
     >>> buffer = EventBuffer()
     >>> buffer.feed(b'id: 1\ndata: a\n\nid: 2\nda')
     b'id: 1\ndata: a\n\n'
@@ -31,6 +33,7 @@
         """Build a buffer for a stream that starts after event ``last_id``."""
         self.last_id = last_id
         self.is_broken = False
+        self.has_events = False
         self._partial_event = bytearray()
 
     @property
@@ -64,6 +67,7 @@
         """Discard what a target that failed sent behind its last event."""
         self._partial_event.clear()
         self.is_broken = False
+        self.has_events = False
 
     def _take_events(self, complete: bytes) -> bytes:
         """Return the bytes up to the first that are no event of the stream."""
@@ -88,6 +92,7 @@
         if not _follows(ident, self.last_id):
             return False
         self.last_id = ident
+        self.has_events = True
         return True
 
 
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -20,8 +20,9 @@
 from galenaswitch.gateway.answers import (
     check_answer,
     check_continuation,
+    check_end,
+    finish_events,
     is_success,
-    make_caller_head,
     send_complete,
     send_events,
 )
@@ -273,11 +274,8 @@
                 await send_events(job.writer, answer, complete_events)
             if job.events.is_broken:
                 raise TargetBrokenError('bytes that are no event of the stream')
-        if job.events.has_partial_event:
-            raise TargetBrokenError('the stream ended within an event')
-        if not job.writer.started:
-            job.writer.start(make_caller_head(answer), None)
-        job.writer.finish()
+        check_end(job.events, answer)
+        finish_events(job.writer, answer)
 
     def _find_read_timeout(self, job: StreamJob) -> float:
         """Return the seconds after which a read from an engine times out.
--- a/galenaswitch/platform/tests/test_stream_errors.py
+++ b/galenaswitch/platform/tests/test_stream_errors.py
@@ -79,6 +79,9 @@
         b'HTTP/1.1 100 Continue\r\n\r\n' + plain(b'500 Oops', b'failed\n\n'),
         ERROR_TEXT,
         b'it failed\n\n',
+        plain(b'200 OK', b'', b'Content-Type: text/html\r\n'),
+        plain(b'200 OK', b''),
+        unframed(b''),
     ],
 )
 async def test_error_in_place_of_the_rest_does_not_reach_the_caller(
@@ -131,6 +134,24 @@
     assert writer.finished
 
 
+# Guards against comments that stand for the rest of a stream.
+async def test_comments_alone_do_not_end_a_stream(continue_with, writer):
+    assert await continue_with(unframed(b': alive\n\n'))
+    assert not writer.finished
+
+
+# Guards against a stream that is cut off although it broke behind its last
+# event.
+async def test_rest_without_an_event_ends_an_event_stream(
+    continue_with, writer
+):
+    head = b'HTTP/1.1 200 OK\r\n%bContent-Type: text/event-stream\r\n' % ECHO
+    rest = head + b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+    assert await continue_with(rest) is None
+    assert writer.body == event(1)
+    assert writer.finished
+
+
 # Guards against an id that is too long to be read as a number.
 @pytest.mark.parametrize('last_id', ['9' * 5000, '', 'x', '-1'])
 def test_id_of_any_length_is_compared(last_id):
