soak: a caller that takes a stream up waits until a machine is ready

Cause: at that load a machine needs longer to start than four attempts last. An attempt counted also while the balancer had no machine, so callers gave up before one was back; a caller's first request has always waited. Change: both wait in the same function; the bound stays.

--- a/galenaswitch/platform/soak/callers.py
+++ b/galenaswitch/platform/soak/callers.py
@@ -141,14 +141,19 @@
     async def run(self) -> None:
         """Send requests to ready machines until cancelled."""
         while True:
-            machine = self._balancer.pick(self._rng)
-            if machine is None:
-                await asyncio.sleep(MEAN_PAUSE_SECONDS)
-                continue
+            machine = await self._wait_for_machine()
             connector = aiohttp.TCPConnector(limit=1)
             async with aiohttp.ClientSession(connector=connector) as session:
                 await self._send_requests(session, machine)
 
+    async def _wait_for_machine(self) -> int:
+        """Return the number of a ready machine as soon as there is one."""
+        while True:
+            machine = self._balancer.pick(self._rng)
+            if machine is not None:
+                return machine
+            await asyncio.sleep(MEAN_PAUSE_SECONDS)
+
     async def _send_requests(
         self, session: aiohttp.ClientSession, machine: int
     ) -> None:
@@ -185,9 +190,7 @@
             if sent.complete and sent.status == OK or not stream.after:
                 return
             await asyncio.sleep(self._rng.uniform(0, MAX_TAKE_UP_PAUSE_SECONDS))
-            machine = self._balancer.pick(self._rng)
-            if machine is None:
-                continue
+            machine = await self._wait_for_machine()
             async with aiohttp.ClientSession() as session:
                 sent = await self._send_attempt(
                     session, machine, stream, first=True
