connections: a failed task of a connection leaves one log line

An error that nothing foresees in the answering of a request ended the task of the connection without a line: asyncio reports such an error only when the task is collected, on standard error, outside the structured log. So the logs couldn't tell a request whose task failed from one whose connection was closed. The line connection_failed names the type of the error, its message and the innermost calls, all three bounded. Shown: without the callback the new test fails, as capture_logs has no line of level error (ValueError: not enough values to unpack).

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -27,7 +27,7 @@
     RequestParser,
 )
 from galenaswitch.connections.sockets import enable_dead_peer_detection
-from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.logs import describe_error, get_logger
 
 # Pipelined requests that wait on one connection before reading from the
 # caller is paused.
@@ -144,6 +144,7 @@
         enable_dead_peer_detection(transport)
         self._listener.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
+        self._task.add_done_callback(_log_failure)
         self._arm_timer()
 
     def data_received(self, chunk: bytes) -> None:
@@ -373,3 +374,9 @@
         """Reset the connection, so that the response can't look complete."""
         self.keep = False
         self._connection.abort()
+
+
+def _log_failure(task: asyncio.Task[None]) -> None:
+    error = None if task.cancelled() else task.exception()
+    if error:
+        get_logger().error('connection_failed', **describe_error(error))
--- a/galenaswitch/connections/tests/test_inbound.py
+++ b/galenaswitch/connections/tests/test_inbound.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from structlog.testing import capture_logs
 
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import Listener
@@ -135,3 +136,19 @@
     writer.write(b'\x00\x01nonsense\r\n\r\n')
     response = await reader.read()
     assert response.startswith(b'HTTP/1.1 400')
+
+
+# Guards against requests whose failed task leaves no trace in the logs.
+async def test_error_in_a_connections_task_leaves_one_bounded_line(listen):
+    async def fail(writer):
+        raise KeyError('x' * 9999)
+
+    with capture_logs() as lines:
+        handler, _, _, writer = await listen(fail)
+        writer.write(GET)
+        await handler.begun.wait()
+        await asyncio.sleep(0.01)
+    (line,) = [line for line in lines if line['log_level'] == 'error']
+    assert line['failure'] == 'KeyError'
+    assert line['trace'].endswith(':fail')
+    assert len(str(line)) < 1000
--- a/galenaswitch/operations/logs.py
+++ b/galenaswitch/operations/logs.py
@@ -2,6 +2,8 @@
 
 import logging
 import sys
+import traceback
+from pathlib import PurePath
 from typing import Any
 
 import structlog
@@ -9,6 +11,10 @@
 from galenaswitch.operations.sink import LineSink
 
 _SECRET_KEYS = frozenset(('token', 'secret', 'authorization'))
+# Most characters of an error's message, and most calls of its traceback, in one
+# log line.
+MAX_REASON_LENGTH = 200
+MAX_TRACE_CALLS = 6
 
 
 def hide_secrets(
@@ -58,6 +64,25 @@
     structlog.contextvars.bind_contextvars(program=program, node=node)
 
 
+def describe_error(error: BaseException) -> dict[str, str]:
+    """Return the type, message and innermost calls of an unexpected error.
+
+    The result is bounded, so that it fits in one log line.
+
+    >>> describe_error(KeyError('a'))
+    {'failure': 'KeyError', 'reason': "'a'", 'trace': ''}
+    """
+    calls = traceback.extract_tb(error.__traceback__)[-MAX_TRACE_CALLS:]
+    return {
+        'failure': type(error).__name__,
+        'reason': str(error)[:MAX_REASON_LENGTH],
+        'trace': ' > '.join(
+            f'{PurePath(call.filename).name}:{call.lineno}:{call.name}'
+            for call in calls
+        ),
+    }
+
+
 def get_logger() -> Any:
     """Return the structured logger of the process."""
     return structlog.get_logger()
