gateway, connections: each whole request ends with an answer or a refusal

What callers see: a request that was read whole gets no byte of an answer, and its connection stays open until the caller gives up. Cause: only three kinds of errors ended a request (a refusal, its deadline, a caller who left). Any other one, as a KeyError or an error that is foreseen elsewhere (StoreError, PeerError, InvalidInputError), ended the task of the connection, while the connection stayed open without a task. A task that was cancelled elsewhere, while a request waited for it, had the same effect and was counted as a caller who left. Class: an invariant ("every request ends") that each case had to keep, instead of one place. Change: the connection keeps it, whatever a handler raises, and also if it returns without an answer: 500 if nothing was sent, else the connection ends within the answer. The gateway, which knows the id and the route, turns an unexpected error into the refusal internal-error before that; its execution state is unknown, as a call that may not run twice may have run. Both leave one bounded line (request_failed, request_unanswered) and a count. A cancellation of the connection's own task still ends the request at once; a caller who stopped reading is counted as one who left. Ruled out: 503, which promises that nothing ran; closing the connection, which leaves the caller without a reason. Evidence: on the code before, the tests of the gateway end with KeyError: 'a', StoreUnavailableError: away and a CancelledError, which nothing handles. The reported case itself was not repeated.

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -16,18 +16,17 @@
     CallerGoneError,
     RequestRejectedError,
 )
-from galenaswitch.connections.heads import (
-    AnswerHead,
-    Header,
-    encode_response_head,
-)
+from galenaswitch.connections.heads import AnswerHead, encode_response_head
 from galenaswitch.connections.requests import (
     InboundLimits,
     InboundRequest,
     RequestParser,
 )
+from galenaswitch.connections.responses import ConnectionWriter
 from galenaswitch.connections.sockets import enable_dead_peer_detection
 from galenaswitch.operations.logs import describe_error, get_logger
+from galenaswitch.operations.metrics import Metrics
+from galenaswitch.operations.process import is_cancelled
 
 # Pipelined requests that wait on one connection before reading from the
 # caller is paused.
@@ -37,6 +36,8 @@
 MAX_UNSENT_BYTES = 262_144
 # Longest time in seconds that a caller may stop reading its response.
 STALLED_READER_TIMEOUT_SECONDS = 20
+# Most bytes of a request's path in a log line.
+MAX_LOGGED_PATH = 100
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -68,7 +69,11 @@
         request: InboundRequest,
         writer: AnswerWriter,
     ) -> None:
-        """Send the response to a request through ``writer``."""
+        """Send the response to a request through ``writer``.
+
+        A request that a handler leaves without a response, or with an error,
+        gets a response with status 500.
+        """
 
 
 class Listener:
@@ -82,9 +87,11 @@
         self,
         handler: Handler,
         limits: Callable[[], InboundLimits],
+        metrics: Metrics,
     ) -> None:
         """Build a listener; ``limits`` returns the limits now in force."""
         self.handler = handler
+        self._metrics = metrics
         self.limits = limits
         self.draining = False
         self.connections: set[CallerConnection] = set()
@@ -99,6 +106,18 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def record_failure(
+        self, request: InboundRequest, error: BaseException
+    ) -> None:
+        """Log and count an error that left a request without a response."""
+        self._metrics.count('request_unanswered')
+        get_logger().error(
+            'request_unanswered',
+            method=request.head.method.decode('latin-1'),
+            path=request.head.path[:MAX_LOGGED_PATH].decode('latin-1'),
+            **describe_error(error),
+        )
+
 
 class Timer:
     """Schedules one callback, which can be replaced or cancelled."""
@@ -125,7 +144,7 @@
 
     def __init__(self, listener: Listener) -> None:
         """Build the protocol of a connection to ``listener``."""
-        self._listener = listener
+        self.listener = listener
         self._parser = RequestParser()
         self._transport: Any = None
         self._task: asyncio.Task[None] | None = None
@@ -142,14 +161,14 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         enable_dead_peer_detection(transport)
-        self._listener.connections.add(self)
+        self.listener.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
         self._task.add_done_callback(_log_failure)
         self._arm_timer()
 
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes from the caller and wake the connection's task."""
-        self._parser.limits = self._listener.limits()
+        self._parser.limits = self.listener.limits()
         try:
             self._parser.feed(chunk, time.monotonic())
         except RequestRejectedError as error:
@@ -221,11 +240,11 @@
             if request is None:
                 return
             self._serving = True
-            self._listener.busy += 1
+            self.listener.busy += 1
             try:
                 keep_alive = await self._handle_request(request)
             finally:
-                self._listener.busy -= 1
+                self.listener.busy -= 1
                 self._serving = False
             if not keep_alive:
                 self._close()
@@ -246,16 +265,19 @@
             await self._request_arrived.wait()
 
     async def _handle_request(self, request: InboundRequest) -> bool:
-        keep_alive = request.keep_alive and not self._listener.draining
-        writer = ConnectionWriter(self, keep_alive, self._listener)
+        keep_alive = request.keep_alive and not self.listener.draining
+        writer = ConnectionWriter(self, keep_alive)
         try:
-            await self._listener.handler.handle(request, writer)
+            await self.listener.handler.handle(request, writer)
         except CallerGoneError:
             self.abort()
             return False
+        except (Exception, asyncio.CancelledError) as error:
+            if is_cancelled():
+                raise
+            self.listener.record_failure(request, error)
         if not writer.finished:
-            writer.abort()
-            return False
+            writer.fail()
         return writer.keep
 
     def _reject(self, error: RequestRejectedError) -> None:
@@ -280,14 +302,14 @@
         self._closed = True
         self._timer.stop()
         self._writable.set()
-        self._listener.connections.discard(self)
+        self.listener.connections.discard(self)
         if self._task:
             self._task.cancel()
         self._transport.close()
 
     def _arm_timer(self) -> None:
         """Restart the header timeout or, between requests, the idle timeout."""
-        limits = self._listener.limits()
+        limits = self.listener.limits()
         request_begun = self._parser.begun_at is not None
         seconds = (
             limits.header_timeout_seconds
@@ -310,72 +332,6 @@
             self._disconnect()
 
 
-class ConnectionWriter:
-    """Writes the response to one request on a caller's connection.
-
-    ``keep`` tells whether the connection stays open after the response.
-    ``finished`` tells whether the response was sent completely.
-    """
-
-    def __init__(
-        self,
-        connection: CallerConnection,
-        keep_alive: bool,
-        listener: Listener,
-    ) -> None:
-        """Build a writer for ``connection``.
-
-        :param keep_alive: whether the request allows the connection to stay
-            open after the response.
-        """
-        self._connection = connection
-        self._listener = listener
-        self._chunked = False
-        self.keep = keep_alive
-        self.started = False
-        self.finished = False
-
-    def start(self, head: AnswerHead, length: int | None) -> None:
-        """Send the response head; a length of ``None`` means a chunked body."""
-        self.started = True
-        self._chunked = length is None
-        self.keep = self.keep and not self._listener.draining
-        framing: list[Header] = [
-            (b'Transfer-Encoding', b'chunked')
-            if length is None
-            else (b'Content-Length', b'%d' % length),
-        ]
-        if self.keep:
-            seconds = int(self._listener.limits().idle_timeout_seconds)
-            framing.append((b'Keep-Alive', b'timeout=%d' % seconds))
-        else:
-            framing.append((b'Connection', b'close'))
-        full_head = AnswerHead(head.status, (*head.headers, *framing))
-        self._connection.send(encode_response_head(full_head))
-
-    async def write(self, chunk: bytes) -> None:
-        """Send a part of the response body, waiting for a slow caller.
-
-        :raises CallerGoneError: when the caller closed the connection or
-            stopped reading.
-        """
-        if self._chunked:
-            chunk = b'%x\r\n%b\r\n' % (len(chunk), chunk)
-        self._connection.send(chunk)
-        await self._connection.drain()
-
-    def finish(self) -> None:
-        """End the response as complete."""
-        if self._chunked:
-            self._connection.send(b'0\r\n\r\n')
-        self.finished = True
-
-    def abort(self) -> None:
-        """Reset the connection, so that the response can't look complete."""
-        self.keep = False
-        self._connection.abort()
-
-
 def _log_failure(task: asyncio.Task[None]) -> None:
     error = None if task.cancelled() else task.exception()
     if error:
--- a/galenaswitch/connections/tests/test_inbound.py
+++ b/galenaswitch/connections/tests/test_inbound.py
@@ -8,6 +8,7 @@
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import Listener
 from galenaswitch.connections.requests import InboundLimits
+from galenaswitch.operations.metrics import LocalMetrics
 
 LIMITS = InboundLimits()
 GET = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
@@ -43,7 +44,7 @@
 
     async def start(respond, limits=LIMITS):
         handler = ScriptedHandler(respond)
-        listener = Listener(handler, lambda: limits)
+        listener = Listener(handler, lambda: limits, LocalMetrics())
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
             listener.open_connection,
@@ -138,17 +139,63 @@
     assert response.startswith(b'HTTP/1.1 400')
 
 
-# Guards against requests whose failed task leaves no trace in the logs.
-async def test_error_in_a_connections_task_leaves_one_bounded_line(listen):
-    async def fail(writer):
-        raise KeyError('x' * 9999)
+async def start_and_fail(writer):
+    """Fail in the middle of a response."""
+    writer.start(AnswerHead(200, ()), 9)
+    await writer.write(b'some')
+    raise KeyError('x' * 9999)
 
+
+async def fail(writer):
+    """Fail before a response."""
+    raise KeyError('x' * 9999)
+
+
+async def wait_for_a_cancelled_task(writer):
+    """Wait for a task of others that is cancelled."""
+    task = asyncio.ensure_future(asyncio.sleep(60))
+    asyncio.get_running_loop().call_soon(task.cancel)
+    await task
+
+
+async def leave_unanswered(writer):
+    """Return without a response."""
+
+
+# Guards against a whole request that gets neither an answer nor a refusal.
+@pytest.mark.parametrize(
+    'respond', [fail, wait_for_a_cancelled_task, leave_unanswered]
+)
+async def test_request_whose_handler_fails_is_answered_with_500(
+    listen, respond
+):
+    _, listener, reader, writer = await listen(respond)
+    writer.write(GET)
+    async with asyncio.timeout(1):
+        response = await reader.read()
+    assert response.startswith(b'HTTP/1.1 500')
+    assert response.endswith(b'Connection: close\r\n\r\n')
+    assert not listener.busy
+
+
+# Guards against a response that a failure leaves open or makes look complete.
+async def test_connection_ends_when_a_started_response_fails(listen):
+    _, _, reader, writer = await listen(start_and_fail)
+    writer.write(GET)
+    await reader.readuntil(b'\r\n\r\n')
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+        async with asyncio.timeout(1):
+            await reader.readexactly(9)
+
+
+# Guards against failures of requests that leave no trace in the logs.
+async def test_failure_leaves_one_bounded_line_and_a_count(listen):
     with capture_logs() as lines:
-        handler, _, _, writer = await listen(fail)
+        _, listener, reader, writer = await listen(fail)
         writer.write(GET)
-        await handler.begun.wait()
-        await asyncio.sleep(0.01)
+        await reader.read()
     (line,) = [line for line in lines if line['log_level'] == 'error']
     assert line['failure'] == 'KeyError'
     assert line['trace'].endswith(':fail')
     assert len(str(line)) < 1000
+    assert listener._metrics.dump()['request_unanswered'] == 1
--- a/galenaswitch/gateway/handling.py
+++ b/galenaswitch/gateway/handling.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 
+from galenaswitch.connections.errors import CallerGoneError
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.connections.requests import InboundRequest
 from galenaswitch.gateway.answers import refuse
@@ -16,8 +17,9 @@
 from galenaswitch.gateway.plain import PlainRunner
 from galenaswitch.gateway.routes import CallKind, Route, RouteTable
 from galenaswitch.gateway.streams import StreamRunner
-from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.metrics import Metrics
+from galenaswitch.operations.process import is_cancelled
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 
 MILLISECONDS = 1000
@@ -112,10 +114,12 @@
             outcome = error
         except TimeoutError:
             outcome = RefusedError(Reason.deadline, ExecutionState.unknown)
-        except asyncio.CancelledError:
-            self._metrics.count('caller_left')
-            get_logger().info('caller_left', request=caller_request.ident)
-            raise
+        except (Exception, asyncio.CancelledError) as error:
+            if isinstance(error, CallerGoneError) or is_cancelled():
+                self._metrics.count('caller_left')
+                get_logger().info('caller_left', request=caller_request.ident)
+                raise
+            outcome = _make_internal_refusal(caller_request, error)
         if outcome:
             refuse(writer, self._wire, caller_request.ident, outcome)
         self._record_outcome(
@@ -163,3 +167,19 @@
             configuration=table.version,
             seconds=round(seconds, 3),
         )
+
+
+def _make_internal_refusal(
+    caller_request: CallerRequest, error: BaseException
+) -> RefusedError:
+    """Log an unexpected error and return the refusal of its request.
+
+    A call that may not be repeated may have run.
+    """
+    get_logger().error(
+        'request_failed',
+        request=caller_request.ident,
+        route=caller_request.route.name,
+        **describe_error(error),
+    )
+    return RefusedError(Reason.internal, ExecutionState.unknown)
--- a/galenaswitch/operations/exposition.py
+++ b/galenaswitch/operations/exposition.py
@@ -47,7 +47,7 @@
     """
     if not settings.address:
         return
-    listener = Listener(MetricsPage(metrics), InboundLimits)
+    listener = Listener(MetricsPage(metrics), InboundLimits, metrics)
     await asyncio.get_running_loop().create_server(
         listener.open_connection,
         settings.address,
--- a/galenaswitch/operations/process.py
+++ b/galenaswitch/operations/process.py
@@ -29,6 +29,16 @@
     await stopped.wait()
 
 
+def is_cancelled() -> bool:
+    """Tell whether the current task itself was cancelled.
+
+    A task also gets a ``CancelledError`` when another one that it waits for
+    was cancelled.
+    """
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 class TaskGroup:
     """Background tasks of one process, which it cancels when it stops."""
 
--- a/galenaswitch/platform/tests/test_handling.py
+++ b/galenaswitch/platform/tests/test_handling.py
@@ -1,16 +1,22 @@
-"""Requests that arrive before and during the stop of a VM."""
+"""Requests of callers: before and during a stop of the VM, after a failure."""
 
+import asyncio
 import time
+from unittest.mock import AsyncMock, Mock
 
 import pytest
+from structlog.testing import capture_logs
 
+from galenaswitch.connections.errors import CallerGoneError
 from galenaswitch.connections.requests import InboundRequest
+from galenaswitch.errors import StoreUnavailableError
 from galenaswitch.gateway.handling import Gateway
 from galenaswitch.gateway.routes import CallKind
-from galenaswitch.operations.metrics import open_metrics
+from galenaswitch.operations.metrics import LocalMetrics, open_metrics
 from galenaswitch.platform.headers import PlatformWire
 
 REFUSED = 503
+FAILED = 500
 OK = 200
 
 
@@ -85,3 +91,60 @@
     route = make_route(CallKind.once, objective_seconds=0.4)
     head = await handle(route, target, stops_after=2)
     assert head.status == OK
+
+
+async def wait_for_a_cancelled_task(request, writer):
+    """Wait for a task of others that is cancelled."""
+    task = asyncio.ensure_future(asyncio.sleep(60))
+    asyncio.get_running_loop().call_soon(task.cancel)
+    await task
+
+
+# Guards against a whole request that gets neither an answer nor a refusal.
+@pytest.mark.parametrize(
+    'run',
+    [
+        AsyncMock(side_effect=KeyError('a')),
+        AsyncMock(side_effect=StoreUnavailableError('away')),
+        wait_for_a_cancelled_task,
+    ],
+    ids=['bug', 'foreseen-elsewhere', 'cancelled-elsewhere'],
+)
+async def test_request_that_fails_unexpectedly_is_refused(
+    make_route, make_caller_request, make_table, writer, run
+):
+    route = make_route(CallKind.once)
+    table = make_table(route)
+    metrics = LocalMetrics()
+    plain = Mock(run=run)
+    gateway = Gateway(lambda: table, PlatformWire(), plain, None, metrics)
+    head = make_caller_request(route).head
+    with capture_logs() as lines:
+        await gateway.handle(
+            InboundRequest(head, b'', time.monotonic(), True), writer
+        )
+    assert writer.head.status == FAILED
+    assert writer.finished
+    assert metrics.dump()['request.internal-error'] == 1
+    assert [line['event'] for line in lines] == [
+        'request_failed',
+        'request_ended',
+    ]
+
+
+# Guards against failures that look like callers who left.
+async def test_request_of_a_caller_who_left_is_not_refused(
+    make_route, make_caller_request, make_table, writer
+):
+    route = make_route(CallKind.once)
+    table = make_table(route)
+    metrics = LocalMetrics()
+    plain = Mock(run=AsyncMock(side_effect=CallerGoneError('gone')))
+    gateway = Gateway(lambda: table, PlatformWire(), plain, None, metrics)
+    head = make_caller_request(route).head
+    with pytest.raises(CallerGoneError):
+        await gateway.handle(
+            InboundRequest(head, b'', time.monotonic(), True), writer
+        )
+    assert not writer.started
+    assert metrics.dump() == {'caller_left': 1}
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -165,7 +165,9 @@
             ),
         )
         self.gateway = self._make_gateway()
-        self.callers = Listener(self.gateway, self.find_inbound_limits)
+        self.callers = Listener(
+            self.gateway, self.find_inbound_limits, self.metrics
+        )
         self._add_handlers()
         self.mesh.on_link_open.append(self._on_link_open)
 
@@ -218,7 +220,9 @@
         """
         settings = self._settings
         loop = asyncio.get_running_loop()
-        readiness = Listener(Readiness(self.is_ready), InboundLimits)
+        readiness = Listener(
+            Readiness(self.is_ready), InboundLimits, self.metrics
+        )
         for listener, endpoint in (
             (readiness, settings.readiness),
             (self.callers, settings.callers),
