headers: a number with too many digits counts as absent

What callers see: a request with X-Deadline-Ms of 400 digits, or with a count of 5000 digits in X-Pieces, X-Token-Usage or X-Prompt-Prefix, got no answer: its connection stayed open. Cause: a malformed header counts as absent, but the check of decimal digits bounded no length. int() takes at most 4300 digits, and an integer of over 308 digits has no float. The same holds for Server-Limit and X-Server-Load in the head of a target's answer, which could end the attempt with a ValueError. Class: the check of an input is weaker than what the decoding needs. Change: one function tells whether a field is a number, of at most 15 digits. Ruled out: a limit in each reader, which the next one would miss. Evidence: on the code before, the new test fails with "OverflowError: integer division result too large for a float" and "ValueError: Exceeds the limit (4300 digits) for integer string conversion".

--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -43,6 +43,8 @@
 DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 CONFLICT = 409
 MISDIRECTED = 421
+# Longest decimal number that is read. Every such number is an exact float.
+MAX_DIGITS = 15
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
 # The wire format gives the time left in whole milliseconds, at least one.
@@ -294,7 +296,11 @@
 
 
 def _read_seconds(field: str) -> float | None:
-    return int(field) / MILLISECONDS if field.isdecimal() else None
+    return int(field) / MILLISECONDS if _is_number(field) else None
+
+
+def _is_number(field: str) -> bool:
+    return field.isdecimal() and len(field) <= MAX_DIGITS
 
 
 def _read_decimal(field: str) -> float | None:
@@ -304,7 +310,7 @@
     (1.5, None, None)
     """
     whole, _, fraction = field.strip().partition('.')
-    is_decimal = whole.isdecimal() and (fraction or '0').isdecimal()
+    is_decimal = _is_number(whole) and (fraction or '0').isdecimal()
     return float(field) if is_decimal and field.isascii() else None
 
 
@@ -315,7 +321,7 @@
     ((2, 0, 1), ())
     """
     numbers = [number.strip() for number in field.split(',')]
-    if all(number.isdecimal() for number in numbers):
+    if all(map(_is_number, numbers)):
         return tuple(map(int, numbers))
     return ()
 
@@ -334,6 +340,6 @@
     parts = []
     for entry in filter(None, field.split(',')):
         ident, _, tokens = entry.strip().partition(':')
-        if tokens.isdecimal():
+        if _is_number(tokens):
             parts.append(PromptPart(ident, int(tokens)))
     return tuple(parts)
--- a/galenaswitch/platform/tests/test_headers.py
+++ b/galenaswitch/platform/tests/test_headers.py
@@ -122,3 +122,21 @@
         (b'Retry-After', b'0.25'),
     )
     assert not WIRE.make_refusal('', 404, 0).headers
+
+
+# Guards against a number in a header that ends the answering of its request.
+@pytest.mark.parametrize('number', ['9' * 400, '9' * 5000])
+def test_numbers_with_too_many_digits_count_as_absent(number):
+    fields = decode_request(
+        X_Deadline_Ms=number,
+        X_Token_Usage=f'{number},1',
+        X_Pieces=f'0,{number}',
+        X_Prompt_Prefix=f'5c:{number}',
+    )
+    assert fields.timeout is None
+    assert (fields.prompt_tokens, fields.answer_tokens) == (0, 0)
+    assert (fields.work_items, fields.prompt_parts) == ((), ())
+    limit = ((b'Server-Limit', number.encode()),)
+    assert WIRE.read_rate_limit(AnswerHead(200, limit)) is None
+    load = ((b'X-Server-Load', f'1,{number},1'.encode()),)
+    assert WIRE.read_load(AnswerHead(200, load)) is None
