containment: failed attempts name the fingerprint of their request

The logs could not tell our own resends, new attempts of callers and requests with a part in common apart: for plain calls nothing about a crash was logged, for streams only the shared parts.

`attempt_failed` now has the incarnation of the target and the fingerprint of the request: a hash of workspace, method, host, path and body, keyed with the secret that the VMs share, so a log line neither shows nor confirms content. No decision uses it yet.

--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -93,6 +93,17 @@
         """Id of the caller's attempt, empty when not sent."""
         return self.fields.ident
 
+    @property
+    def content(self) -> tuple[bytes, ...]:
+        """Fields that are the same in each attempt of the request."""
+        return (
+            self.workspace.encode(),
+            self.head.method,
+            self.fields.host.encode(),
+            self.head.path,
+            self.body,
+        )
+
 
 class Load(NamedTuple):
     """Load that a target reports in the head of an answer.
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -28,6 +28,7 @@
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.pipelines.requests import Progress
+from galenaswitch.quarantine.containment import Containment
 from galenaswitch.refusals import (
     ExecutionState,
     Reason,
@@ -63,6 +64,7 @@
         budgets: RetryBudgets,
         chooser: Chooser,
         loads: LoadView,
+        containment: Containment,
     ) -> None:
         """Build a runner that sends to ``members`` from a VM in ``zone``.
 
@@ -75,6 +77,7 @@
         self._budgets = budgets
         self._chooser = chooser
         self._loads = loads
+        self._containment = containment
         self._ejector = Ejector()
 
     async def run(self, request: CallerRequest, writer: AnswerWriter) -> None:
@@ -277,6 +280,8 @@
             failure=type(error).__name__,
             reason=str(error),
             left=round(request.deadline - now, 3),
+            incarnation=target.incarnation,
+            fingerprint=self._containment.fingerprint(request.content),
         )
         if now >= request.deadline:
             raise RefusedError(find_timeout_reason(progress.run), progress.run)
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -370,7 +370,8 @@
             left=round(job.left, 3),
             sent=job.sent,
             incarnation=target.incarnation,
-            parts=job.request.fields.shared_parts,
+            parts=job.parts,
+            fingerprint=self._containment.fingerprint(job.request.content),
         )
         if job.left <= 0:
             raise RefusedError(find_timeout_reason(job.run), job.run)
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -39,6 +39,7 @@
 from galenaswitch.platform.objects import PlatformStore
 from galenaswitch.platform.tests.fakes import AnswerRecorder
 from galenaswitch.quarantine.containment import Containment
+from galenaswitch.quarantine.fingerprints import Fingerprints
 from galenaswitch.routing.choice import LeastOutstanding
 from galenaswitch.routing.loads import LoadView
 
@@ -266,7 +267,7 @@
 
 
 @pytest.fixture
-def make_plain_runner(members, sender, budgets):
+def make_plain_runner(members, sender, budgets, containment):
     """Return a function that makes a plain runner for given targets."""
 
     def make(*targets):
@@ -279,6 +280,7 @@
             budgets,
             LeastOutstanding(loads),
             loads,
+            containment,
         )
 
     return make
@@ -298,7 +300,12 @@
     mesh = Mock(spec=Mesh, node='a', zone='z')
     store = AsyncMock(spec=PlatformStore)
     yield Containment(
-        store, mesh, tasks, LocalMetrics(), sender._pool.is_listening
+        store,
+        mesh,
+        tasks,
+        LocalMetrics(),
+        sender._pool.is_listening,
+        Fingerprints('secret'),
     )
     await tasks.stop()
 
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -68,6 +68,7 @@
 )
 from galenaswitch.programs.link_service import make_link_service
 from galenaswitch.quarantine.containment import Containment
+from galenaswitch.quarantine.fingerprints import Fingerprints
 from galenaswitch.routing.choice import LeastOutstanding
 from galenaswitch.routing.loads import LoadView
 
@@ -133,7 +134,12 @@
             self.members, self.mesh, self._owner_router, self.metrics
         )
         self.containment = Containment(
-            store, self.mesh, tasks, self.metrics, self.pool.is_listening
+            store,
+            self.mesh,
+            tasks,
+            self.metrics,
+            self.pool.is_listening,
+            Fingerprints(self.service.secret),
         )
         self.origins = StreamOrigins(
             self.mesh, lambda: self.directory.has_store_machines
@@ -340,6 +346,7 @@
             self.budgets,
             LeastOutstanding(loads),
             loads,
+            self.containment,
         )
         return Gateway(
             self._find_route_table,
--- a/galenaswitch/quarantine/containment.py
+++ b/galenaswitch/quarantine/containment.py
@@ -25,6 +25,7 @@
     EvidenceSinks,
     Source,
 )
+from galenaswitch.quarantine.fingerprints import Fingerprints
 from galenaswitch.quarantine.messages import (
     CrashReport,
     EvidenceReply,
@@ -67,12 +68,14 @@
         tasks: TaskGroup,
         metrics: Metrics,
         is_listening: Callable[[str], Awaitable[bool]],
+        fingerprints: Fingerprints,
     ) -> None:
         """Build a containment without evidence.
 
         :param is_listening: tells whether a target at an address accepts
             connections.
         """
+        self.fingerprint = fingerprints.make
         self._tasks = tasks
         self._metrics = metrics
         self._evidence = Evidence()
--- a/galenaswitch/quarantine/tests/conftest.py
+++ b/galenaswitch/quarantine/tests/conftest.py
@@ -11,6 +11,7 @@
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.quarantine import containment, detector
 from galenaswitch.quarantine.containment import Containment
+from galenaswitch.quarantine.fingerprints import Fingerprints
 from galenaswitch.quarantine.records import QUARANTINE_KIND
 from galenaswitch.refusals import RefusedError
 from galenaswitch.store.cache import ObjectCache
@@ -65,6 +66,7 @@
             self.tasks,
             LocalMetrics(),
             cluster.is_listening,
+            Fingerprints('secret'),
         )
 
     @property
