containment: a request that crashes targets is known by its fingerprint

Cause: a query of death. Harm is a property of the request, but only prompt parts and targets were tracked; plain calls had no containment at all, and for streams nothing tells one caller's request from others with the same shared parts.

Ruled out: our own resends alone (they double the crashes, but the attempts that break the bound begin seconds after the third crash), and a part in common (requests with the same parts were answered in between).

Change: each request has one more part, its fingerprint, so evidence, exchange between VMs, records, trials and refusals stay one copy. `Screening` is what a runner asks: admit, start_send right before each send, may_repeat, record_answer, record_broken. PlainRunner uses it as StreamRunner does. - A request takes three crashes without an answer.

Tests, real processes (old code: failure line; now passed): test_harmful_request_stops_reaching_targets[plain] "assert 23 <= 3" or 22, [once] likewise, [notes] "assert 0 > (36 * 0.8)" (sound requests), test_harmful_request_is_known_when_machines_are_killed "assert 36 <= 3". test_request_that_crashes_hit_is_answered_again passes on both: it guards sound requests. The driver's requests have bodies of their own now; all had the same, which made them one request. ImplicatedPart has a field more in two stream tests.

--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -16,6 +16,8 @@
 from galenaswitch.gateway.routes import RouteTable
 from galenaswitch.gateway.stages import StageJob, StageResults
 from galenaswitch.membership.lists import Target
+from galenaswitch.quarantine.containment import Containment
+from galenaswitch.quarantine.screening import Screening
 from galenaswitch.refusals import ExecutionState
 
 # Seconds after which an engine has read the results of stages. An engine
@@ -48,11 +50,13 @@
         table: RouteTable,
         writer: AnswerWriter,
         version: str | None,
+        containment: Containment,
     ) -> None:
         """Build a job that answers ``request`` through ``writer``.
 
         :param version: software version that began the stream, ``None`` for a
             new stream.
+        :param containment: refuses the request if it is harmful.
         """
         self.request = request
         self.table = table
@@ -66,7 +70,12 @@
         self.placement = PlacementRecord('', 0)
         self.has_first_event = False
         self.version = version
-        self.trial_part = ''
+        self.screening = Screening(
+            containment,
+            request.ident,
+            request.fields.shared_parts,
+            request.content,
+        )
 
     @property
     def run(self) -> ExecutionState:
@@ -79,11 +88,6 @@
         fields = self.request.fields
         return fields.origin if fields.last_event else fields.ident
 
-    @property
-    def parts(self) -> tuple[str, ...]:
-        """Ids of the prompt parts that other requests may share."""
-        return self.request.fields.shared_parts
-
     @property
     def left(self) -> float:
         """Seconds until the deadline of the request."""
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -12,6 +12,7 @@
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.errors import (
+    TargetBrokenError,
     TargetBusyError,
     TargetError,
     TargetUnreachableError,
@@ -29,6 +30,7 @@
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.pipelines.requests import Progress
 from galenaswitch.quarantine.containment import Containment
+from galenaswitch.quarantine.screening import Screening
 from galenaswitch.refusals import (
     ExecutionState,
     Reason,
@@ -69,6 +71,7 @@
         """Build a runner that sends to ``members`` from a VM in ``zone``.
 
         :param chooser: picks one of the usable targets.
+        :param containment: refuses harmful requests.
         """
         self._zone = zone
         self._members = members
@@ -85,17 +88,26 @@
 
         :raises RefusedError: when no target returns a complete answer.
         """
+        screening = Screening(
+            self._containment, request.ident, (), request.content
+        )
+        await screening.admit()
         self._budgets.of(request.service).record_request(time.monotonic())
         progress = Progress()
         tried: set[str] = set()
         while True:
             target = await self._choose(request, progress, tried)
             tried.add(target.name)
+            screening.start_send(progress.run)
             try:
                 head, body = await self._attempt(request, target, progress)
             except TargetError as error:
-                self._check_retry(request, target, progress, error, len(tried))
+                await self._examine_failure(request, target, error, screening)
+                self._check_retry(
+                    request, target, progress, error, len(tried), screening
+                )
                 continue
+            screening.record_answer()
             if self._should_retry(request, head, progress):
                 continue
             await send_complete(writer, head, body)
@@ -253,6 +265,22 @@
             return False
         return self._budgets.of(request.service).acquire(time.monotonic())
 
+    async def _examine_failure(
+        self,
+        request: CallerRequest,
+        target: Target,
+        error: TargetError,
+        screening: Screening,
+    ) -> None:
+        """Find out whether a request may have ended its target.
+
+        A target that is leaving ends by itself.
+        """
+        if isinstance(
+            error, TargetBrokenError
+        ) and target in self._members.usable(request.service):
+            await screening.record_broken(target)
+
     def _check_retry(
         self,
         request: CallerRequest,
@@ -260,11 +288,13 @@
         progress: Progress,
         error: TargetError,
         attempts: int,
+        screening: Screening,
     ) -> None:
         """Refuse the request unless it may be sent to another target.
 
         :raises RefusedError: when no time is left, when a non-idempotent
-            request may have run, or when no retries are left.
+            request may have run, when the request may be harmful, or when no
+            retries are left.
         """
         now = time.monotonic()
         self._record_failure(target, error, now)
@@ -281,12 +311,14 @@
             reason=str(error),
             left=round(request.deadline - now, 3),
             incarnation=target.incarnation,
-            fingerprint=self._containment.fingerprint(request.content),
+            parts=screening.parts,
         )
         if now >= request.deadline:
             raise RefusedError(find_timeout_reason(progress.run), progress.run)
         if not known_not_run and request.route.kind is CallKind.once:
             raise RefusedError(Reason.stage_failed, ExecutionState.unknown)
+        if not known_not_run and not screening.may_repeat():
+            raise RefusedError(Reason.stage_failed, progress.run)
         if attempts >= MAX_ATTEMPTS or self._is_out_of_retries(
             request, progress, error, now
         ):
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -84,7 +84,7 @@
         """Build a runner that requests placements through ``owner_router``.
 
         :param find_scheduler: returns this VM's scheduler of a service.
-        :param containment: refuses requests with harmful prompt parts.
+        :param containment: refuses harmful requests.
         :param continuations: keeps streams at the version that began them.
         """
         self._continuations = continuations
@@ -109,7 +109,7 @@
         """
         admitted, version = await self._continuations.admit(request)
         self._budgets.of(admitted.service).record_request(time.monotonic())
-        job = StreamJob(admitted, table, writer, version)
+        job = StreamJob(admitted, table, writer, version, self._containment)
         try:
             await self._generate(job)
         finally:
@@ -136,7 +136,7 @@
         self._find_scheduler(message.service).record_end(message)
 
     async def _generate(self, job: StreamJob) -> None:
-        job.trial_part = await self._containment.admit(job.parts)
+        await job.screening.admit()
         while True:
             self._continuations.check(job)
             if job.stages is None:
@@ -220,7 +220,7 @@
         )
 
     async def _attempt(self, job: StreamJob, target: Target) -> None:
-        self._containment.check(job.parts, job.trial_part, job.run)
+        job.screening.start_send(job.run)
         job.tried_targets.append(target)
         head = self._wire.make_request(
             job.request,
@@ -296,7 +296,7 @@
         job.has_first_event = True
         target = job.tried_targets[-1]
         self._continuations.record_first_event(job, target)
-        self._containment.record_answer(job.parts)
+        job.screening.record_answer()
         now = time.monotonic()
         get_logger().info(
             'first_event',
@@ -339,9 +339,7 @@
         if not isinstance(error, TargetBrokenError) or job.has_first_event:
             return
         if target in self._members.usable(job.request.service):
-            await self._containment.record_broken(
-                target, job.request.ident, job.parts
-            )
+            await job.screening.record_broken(target)
 
     def _check_retry(
         self,
@@ -370,8 +368,7 @@
             left=round(job.left, 3),
             sent=job.sent,
             incarnation=target.incarnation,
-            parts=job.parts,
-            fingerprint=self._containment.fingerprint(job.request.content),
+            parts=job.screening.parts,
         )
         if job.left <= 0:
             raise RefusedError(find_timeout_reason(job.run), job.run)
@@ -394,6 +391,6 @@
             return False
         if isinstance(error, TargetUnreachableError):
             return True
-        if not known_not_run and not self._containment.may_repeat(job.parts):
+        if not known_not_run and not job.screening.may_repeat():
             return False
         return self._budgets.of(job.request.service).acquire(time.monotonic())
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -52,6 +52,8 @@
     :ivar born: time of the last restart in milliseconds.
     :ivar harmful_part: id of the prompt part that ends the target when it
         begins to answer, empty for none.
+    :ivar harmful_body: body of the request that ends the target when it
+        begins to answer, empty for none.
     :ivar rate_limit: limit in requests per second that the answers name, 0
         for none.
     """
@@ -78,6 +80,7 @@
         self.mode = 'well'
         self.state = 'ready'
         self.harmful_part = ''
+        self.harmful_body = ''
         self.rate_limit = 0.0
         self._crash: asyncio.Task[None] | None = None
         self.address = ('', 0)
@@ -219,6 +222,11 @@
             )
         if should_fail and self.mode == 'hang':
             await asyncio.sleep(HANG_SECONDS)
+        if self._is_harmful(request, body):
+            await asyncio.sleep(EVENT_GAP_SECONDS)
+            # The crash cancels this handler, so it runs in a task of its own.
+            self._crash = asyncio.create_task(self.crash(CRASH_SECONDS))
+            await asyncio.shield(self._crash)
         if self.service == 'llm':
             return await self._stream(
                 request, headers, ident, after, should_fail
@@ -242,11 +250,6 @@
     ) -> web.StreamResponse:
         """Send a stream with the number of events that the path names."""
         count = int(request.path.rstrip('/').rpartition('/')[2])
-        if self._is_harmful(request):
-            await asyncio.sleep(EVENT_GAP_SECONDS)
-            # The crash cancels this handler, so it runs in a task of its own.
-            self._crash = asyncio.create_task(self.crash(CRASH_SECONDS))
-            await asyncio.shield(self._crash)
         version = self.version
         answer = web.StreamResponse(headers=headers)
         answer.content_type = 'text/event-stream'
@@ -266,9 +269,11 @@
     def _make_limit_header(self) -> dict[str, str]:
         return {'Server-Limit': str(self.rate_limit)} if self.rate_limit else {}
 
-    def _is_harmful(self, request: web.Request) -> bool:
+    def _is_harmful(self, request: web.Request, body: str) -> bool:
         prompt = request.headers.get('X-Prompt-Prefix', '')
-        return bool(self.harmful_part) and f'{self.harmful_part}:' in prompt
+        return (self.harmful_body != '' and body == self.harmful_body) or (
+            self.harmful_part != '' and f'{self.harmful_part}:' in prompt
+        )
 
     def _has_lost_inputs(self, ident: str, field: str) -> bool:
         """Tell whether inputs are lost; if not, record which were read."""
--- a/galenaswitch/platform/tests/driver.py
+++ b/galenaswitch/platform/tests/driver.py
@@ -33,8 +33,11 @@
         self._session = session
         self._turn = 0
 
-    async def send(self, route, *parts):
-        """Send a request with shared prompt parts."""
+    async def send(self, route, *parts, body=''):
+        """Send a request with shared prompt parts.
+
+        Its body is its own unless one is given.
+        """
         machines = self.soak._machines
         machine = machines[self._turn % len(machines)]
         self._turn += 1
@@ -52,7 +55,7 @@
         status = 0
         try:
             async with self._session.post(
-                url, headers=headers, data=b'x'
+                url, headers=headers, data=body or ident
             ) as answer:
                 await answer.read()
                 status = answer.status
--- a/galenaswitch/platform/tests/test_streams.py
+++ b/galenaswitch/platform/tests/test_streams.py
@@ -189,7 +189,7 @@
 async def test_stream_of_a_part_with_two_crashes_is_not_repeated(
     run_stream, make_route, scripted, containment, crash_count, send_count
 ):
-    parts = (ImplicatedPart('bad', 0, answered=False),)
+    parts = (ImplicatedPart('bad', 0, False, 0.1),)
     for number in range(crash_count):
         report = CrashReport(f'e{number}/1', parts, age=9 - number)
         containment._add_crash(report, None)
@@ -223,7 +223,7 @@
 async def test_first_event_clears_the_parts_of_a_prompt(
     run_stream, make_route, scripted, containment
 ):
-    parts = (ImplicatedPart('bad', 0, answered=False),)
+    parts = (ImplicatedPart('bad', 0, False, 0.1),)
     containment._add_crash(CrashReport('e0/1', parts, age=5), None)
     assert containment._evidence.count_crashes('bad') == 1
     target = await scripted([stream([event(1)])])
--- a/galenaswitch/quarantine/containment.py
+++ b/galenaswitch/quarantine/containment.py
@@ -1,34 +1,36 @@
-"""Keeps requests with a harmful prompt part away from targets.
+"""Keeps harmful requests away from targets.
 
-A prompt part may end each target that begins to answer it ("query of death").
+A request, or a part of its prompt that other requests share, may end each
+target that begins to answer it ("query of death"). Each request has as parts
+the shared parts of its prompt and, last, the whole request by its fingerprint.
 Every VM reports to all others which parts a crash implicates, and refuses
 requests with a part that has been found harmful.
 """
 
 import asyncio
 import time
-from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
-from xxhash import xxh3_64_hexdigest
-
 from galenaswitch.membership.lists import Target
 from galenaswitch.membership.mesh import Mesh
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.operations.process import TaskGroup, run_every
+from galenaswitch.quarantine.answers import AnswerMemory
 from galenaswitch.quarantine.detector import CrashDetector
-from galenaswitch.quarantine.evidence import RETENTION_SECONDS, Evidence
+from galenaswitch.quarantine.evidence import Evidence
 from galenaswitch.quarantine.exchange import (
     EvidenceExchange,
     EvidenceSinks,
     Source,
 )
-from galenaswitch.quarantine.fingerprints import Fingerprints
+from galenaswitch.quarantine.fingerprints import (
+    Fingerprints,
+    is_fingerprint,
+)
 from galenaswitch.quarantine.messages import (
     CrashReport,
-    EvidenceReply,
     ImplicatedPart,
     PartAnswered,
 )
@@ -36,8 +38,9 @@
     QUARANTINE_KIND,
     Quarantine,
     QuarantineRecords,
+    make_refusal,
 )
-from galenaswitch.refusals import ExecutionState, Reason, RefusedError
+from galenaswitch.refusals import ExecutionState
 from galenaswitch.store.cache import ObjectCache
 from galenaswitch.store.registry import Follower, WritableRegistry
 
@@ -50,16 +53,13 @@
 SETTLE_SECONDS = 0.2
 # Crashes after which this VM sends a request with an implicated part only once.
 CRASHES_TO_STOP_REPEATS = 2
-# Most parts of one prompt that are tracked, and most parts whose last answer a
-# VM remembers.
-MAX_PARTS = 64
-MAX_ANSWERED_PARTS = 8192
-# Ids up to this length are used as they are, longer ones by their digest.
-MAX_IDENT_LENGTH = 32
 
 
 class Containment:
-    """Evidence and quarantines of one VM, shared with all others."""
+    """Evidence and quarantines of one VM, shared with all others.
+
+    :ivar fingerprints: makes the fingerprints of requests.
+    """
 
     def __init__(
         self,
@@ -75,7 +75,7 @@
         :param is_listening: tells whether a target at an address accepts
             connections.
         """
-        self.fingerprint = fingerprints.make
+        self.fingerprints = fingerprints
         self._tasks = tasks
         self._metrics = metrics
         self._evidence = Evidence()
@@ -83,11 +83,13 @@
         self.exchange = EvidenceExchange(
             mesh,
             EvidenceSinks(
-                self._add_crash, self._add_answer, self._export_evidence
+                self._add_crash,
+                self._add_answer,
+                lambda: self._evidence.export(time.monotonic()),
             ),
         )
         self._records = QuarantineRecords(store, mesh.node, _read_clock)
-        self._answered: OrderedDict[str, float] = OrderedDict()
+        self._answered = AnswerMemory()
         self._unremoved: dict[str, Quarantine] = {}
         self._judgement: asyncio.Task[None] | None = None
         self._has_own_report = False
@@ -110,6 +112,8 @@
 
     async def run_maintenance(self) -> None:
         """Write records that are missing and remove those that have ended."""
+        for part in self._records.find_expired():
+            self._end_unanswered(part, 'expired')
         for part in self._records.find_unwritten():
             await self._records.write_missing(part)
         for part, ended in list(self._unremoved.items()):
@@ -119,7 +123,7 @@
     async def admit(self, parts: tuple[str, ...]) -> str:
         """Admit a request, possibly as the trial of a quarantined part.
 
-        :param parts: shared parts of its prompt.
+        :param parts: parts of the request.
         :returns: the part whose trial the request is, empty for none.
         :raises RefusedError: when a part is quarantined.
         """
@@ -144,40 +148,39 @@
         """
         for part in self._find_quarantined(parts):
             if part != trial:
-                raise self._refuse(part, run)
+                wait = self._records.quarantines[part].find_wait(
+                    time.monotonic()
+                )
+                raise make_refusal(part, run, wait)
 
     def may_repeat(self, parts: tuple[str, ...]) -> bool:
         """Tell whether a request that a target broke may be sent again."""
         return not self._find_quarantined(parts) and all(
             self._evidence.count_crashes(part) < CRASHES_TO_STOP_REPEATS
-            for part in identify_parts(parts)
+            for part in parts
         )
 
     def record_answer(self, parts: tuple[str, ...]) -> None:
-        """Record that an answer has begun, which clears its parts."""
+        """Record an answer to a request, which clears its parts."""
         now = time.monotonic()
-        for part in identify_parts(parts):
-            self._answered[part] = now
-            self._answered.move_to_end(part)
+        for part in parts:
+            self._answered.record(part, now)
             self._add_answer(PartAnswered(part, 0), None)
-        while len(self._answered) > MAX_ANSWERED_PARTS:
-            self._answered.popitem(last=False)
 
     async def record_broken(
-        self, target: Target, ident: str, parts: tuple[str, ...]
+        self, target: Target, ident: str, parts: tuple[str, ...], sent_at: float
     ) -> None:
         """Implicate the parts of a request if its target has crashed.
 
-        The target had sent nothing of the answer.
+        The target had not answered the request.
 
         :param ident: id of the caller's attempt.
+        :param sent_at: monotonic time in seconds of the send to the target.
         """
-        since = time.monotonic() - RETENTION_SECONDS
+        sent_age = time.monotonic() - sent_at
         implicated = tuple(
-            ImplicatedPart(
-                part, position, self._answered.get(part, since) > since
-            )
-            for position, part in enumerate(identify_parts(parts))
+            ImplicatedPart(part, position, answered=False, sent_age=sent_age)
+            for position, part in enumerate(parts)
         )
         await self._detector.examine(target, ident, implicated)
 
@@ -188,9 +191,6 @@
             for part, quarantine in self._records.quarantines.items()
         }
 
-    def _export_evidence(self) -> EvidenceReply:
-        return self._evidence.export(time.monotonic())
-
     def _report_crash(self, report: CrashReport) -> None:
         self._metrics.count('target_crashed')
         self._add_crash(report, None)
@@ -201,12 +201,13 @@
         :param source: link that the report came from, ``None`` for its own.
         """
         now = time.monotonic()
-        if not self._evidence.add_crash(report, now):
+        marked = self._answered.mark(report, now)
+        if not self._evidence.add_crash(marked, now):
             return
-        self.exchange.spread(report, source)
+        self.exchange.spread(marked, source if marked == report else None)
         for part in report.parts:
             # An answer may have begun here before the report arrived.
-            answered_at = self._answered.get(part.ident)
+            answered_at = self._answered.find(part.ident)
             if answered_at is not None:
                 answer = PartAnswered(part.ident, now - answered_at)
                 self._add_answer(answer, None)
@@ -246,14 +247,33 @@
             self.exchange.spread(answer, source)
 
     def _begin(self, part: str, *, writes: bool) -> None:
+        replaced = self._records.find_replaced(part)
+        if replaced:
+            self._end_unanswered(replaced, 'replaced')
         crashes = self._evidence.find_incarnations(part)
         if not self._records.add(part, crashes):
             return
-        get_logger().warning('part_quarantined', part=part, crashes=crashes)
-        self._metrics.count('part_quarantined')
+        self._record_beginning(part)
         if writes:
             self._tasks.start(self._records.write_missing(part))
 
+    def _record_beginning(self, part: str) -> tuple[str, ...]:
+        """Record that a quarantine has begun and return its crashes."""
+        crashes = self._records.quarantines[part].crashes
+        event = (
+            'request_quarantined'
+            if is_fingerprint(part)
+            else 'part_quarantined'
+        )
+        get_logger().warning(event, part=part, crashes=crashes)
+        self._metrics.count(event)
+        return crashes
+
+    def _end_unanswered(self, part: str, reason: str) -> None:
+        """End a quarantine on all VMs though its part may be harmful."""
+        self._evidence.add_answer(part, time.monotonic())
+        self._end(part, reason, removes=True)
+
     def _end(self, part: str, reason: str, *, removes: bool) -> None:
         """End a quarantine on this VM.
 
@@ -270,9 +290,7 @@
         """Apply the records in the store, which operators may have deleted."""
         begun, ended = self._records.apply(cache)
         for part in begun:
-            crashes = self._records.quarantines[part].crashes
-            get_logger().warning('part_quarantined', part=part, crashes=crashes)
-            self._metrics.count('part_quarantined')
+            crashes = self._record_beginning(part)
             if self._evidence.refutes(part, crashes):
                 self._end(part, 'answered', removes=True)
         for part in ended:
@@ -286,31 +304,8 @@
         quarantines = self._records.quarantines
         if not quarantines:
             return []
-        return [part for part in identify_parts(parts) if part in quarantines]
-
-    def _refuse(self, part: str, run: ExecutionState) -> RefusedError:
-        if run is not ExecutionState.not_run:
-            return RefusedError(Reason.stage_failed, run, part)
-        wait = self._records.quarantines[part].find_wait(time.monotonic())
-        return RefusedError(Reason.quarantined, run, part, wait)
+        return [part for part in parts if part in quarantines]
 
 
 def _read_clock() -> float:
     return time.monotonic()
-
-
-def identify_parts(parts: Iterable[str]) -> tuple[str, ...]:
-    """Return the ids under which the parts of a prompt are tracked.
-
-    Callers choose the ids, so an id that isn't short and alphanumeric is
-    replaced by its digest before it names an object in the store.
-
-    >>> identify_parts(['5c1e07a2', '../x'])
-    ('5c1e07a2', '-ade92630f33b0870')
-    """
-    return tuple(
-        part
-        if part.isalnum() and part.isascii() and len(part) <= MAX_IDENT_LENGTH
-        else f'-{xxh3_64_hexdigest(part.encode())}'
-        for part in list(parts)[:MAX_PARTS]
-    )
--- a/galenaswitch/quarantine/detector.py
+++ b/galenaswitch/quarantine/detector.py
@@ -68,7 +68,9 @@
             broken = BrokenTarget(check, time.monotonic())
             self._broken[target.incarnation] = broken
         broken.requests.append(ident)
-        broken.parts.update((one.ident, one) for one in parts)
+        for part in parts:
+            known = broken.parts.get(part.ident, part)
+            broken.parts[part.ident] = known.merge(part)
         await asyncio.shield(broken.check)
 
     async def _check_target(self, target: Target) -> None:
--- a/galenaswitch/quarantine/messages.py
+++ b/galenaswitch/quarantine/messages.py
@@ -9,14 +9,28 @@
 class ImplicatedPart(NamedTuple):
     """Prompt part of a request that had no answer when its target crashed.
 
+    The whole request is its last part, identified by its fingerprint.
+
     :param position: number of parts before it in the prompt.
-    :param answered: whether the reporting VM has seen an answer begin on the
-        part in the last minutes before the crash.
+    :param answered: whether a VM has seen an answer begin on the part in the
+        last minutes before the crash.
+    :param sent_age: seconds between the last send of such a request to the
+        target and the crash.
     """
 
     ident: str
     position: int
     answered: bool
+    sent_age: float
+
+    def merge(self, other: 'ImplicatedPart') -> 'ImplicatedPart':
+        """Return the part as implicated by two requests of one crash."""
+        return ImplicatedPart(
+            self.ident,
+            max(self.position, other.position),
+            self.answered or other.answered,
+            min(self.sent_age, other.sent_age),
+        )
 
 
 class CrashReport(NamedTuple):
--- a/galenaswitch/quarantine/records.py
+++ b/galenaswitch/quarantine/records.py
@@ -1,4 +1,4 @@
-"""Quarantined prompt parts, and their records in the platform's store.
+"""Quarantined parts of requests, and their records in the platform's store.
 
 Each quarantine has one record, so that machines that are cut off from their
 peers, or start later, know of it. A trial lets one request with a quarantined
@@ -16,6 +16,8 @@
     StoreError,
 )
 from galenaswitch.operations.logs import get_logger
+from galenaswitch.quarantine.fingerprints import is_fingerprint
+from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 from galenaswitch.store.cache import ObjectCache
 from galenaswitch.store.client import ABSENT
 from galenaswitch.store.registry import WritableRegistry
@@ -33,12 +35,15 @@
 # VM has found.
 WRITE_PAUSE_SECONDS = 2.0
 MAX_QUARANTINES = 1024
+# Seconds after which the quarantine of a whole request ends, counted from its
+# start or last trial. Such requests are many, and most never come again.
+REQUEST_LIFETIME_SECONDS = 86400.0
 # Longest list of crashed targets in a record.
 MAX_LISTED_CRASHES = 8
 
 
 class Quarantine(NamedTuple):
-    """Quarantine of one prompt part.
+    """Quarantine of one prompt part, or of a request by its fingerprint.
 
     :param body: content of the record: the part, the targets that crashed, the
         VM that found it, and the number of trials.
@@ -110,6 +115,29 @@
         self.quarantines[part] = Quarantine(body, ABSENT, now, now)
         return True
 
+    def find_replaced(self, part: str) -> str:
+        """Return the quarantine that a new one replaces, empty for none.
+
+        :param part: part of the new quarantine.
+        """
+        if part in self.quarantines or not self._is_full():
+            return ''
+        oldest = min(
+            self._find_requests(),
+            key=lambda pair: (pair[1].checked_at, pair[1].version),
+            default=('', None),
+        )
+        return oldest[0]
+
+    def find_expired(self) -> tuple[str, ...]:
+        """Return the requests whose quarantine has lasted long enough."""
+        since = self._now() - REQUEST_LIFETIME_SECONDS
+        return tuple(
+            part
+            for part, quarantine in self._find_requests()
+            if quarantine.checked_at < since
+        )
+
     def end(self, part: str) -> Quarantine | None:
         """End a quarantine on this VM and return it, if there was one."""
         ended = self.quarantines.pop(part, None)
@@ -257,10 +285,32 @@
         )
         return True
 
+    def _find_requests(self) -> list[tuple[str, Quarantine]]:
+        """Return the quarantines of whole requests."""
+        return [
+            pair for pair in self.quarantines.items() if is_fingerprint(pair[0])
+        ]
+
     def _is_full(self) -> bool:
         return len(self.quarantines) >= MAX_QUARANTINES
 
 
+def make_refusal(part: str, run: ExecutionState, wait: float) -> RefusedError:
+    """Return the refusal of a request with a quarantined part.
+
+    :param run: whether a target may have run the request.
+    :param wait: seconds after which the caller may come back.
+    """
+    if run is not ExecutionState.not_run:
+        return RefusedError(Reason.stage_failed, run, part)
+    reason = (
+        Reason.request_quarantined
+        if is_fingerprint(part)
+        else Reason.quarantined
+    )
+    return RefusedError(reason, run, part, wait)
+
+
 def _is_record(name: str, body: Any) -> bool:
     """Tell whether an object is a record as this program writes it."""
     if not isinstance(body, dict):
--- a/galenaswitch/quarantine/tests/conftest.py
+++ b/galenaswitch/quarantine/tests/conftest.py
@@ -99,7 +99,9 @@
     async def break_request(self, incarnation, *parts):
         """Report a request that a crashed target had not begun to answer."""
         target = Target(incarnation, incarnation, 'z', 'llm', 'address')
-        await self.containment.record_broken(target, 'a1', parts)
+        await self.containment.record_broken(
+            target, 'a1', parts, self.cluster.now
+        )
 
     def read_store(self):
         """Apply the records that the store has now."""
--- a/galenaswitch/refusals.py
+++ b/galenaswitch/refusals.py
@@ -54,6 +54,7 @@
     no_target = 'no-target'
     not_ready = 'not-ready'
     quarantined = 'prompt-part-quarantined'
+    request_quarantined = 'request-quarantined'
     origin_unknown = 'stream-origin-unknown'
     version_gone = 'stream-version-gone'
     claims_unreachable = 'claims-unreachable'
@@ -91,6 +92,9 @@
     Reason.no_target: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 2),
     Reason.not_ready: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 2),
     Reason.quarantined: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 60),
+    Reason.request_quarantined: RefusalResponse(
+        HTTPStatus.SERVICE_UNAVAILABLE, 60
+    ),
     Reason.origin_unknown: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE),
     Reason.version_gone: RefusalResponse(HTTPStatus.SERVICE_UNAVAILABLE, 1),
     Reason.claims_unreachable: RefusalResponse(
