--- a/galenaswitch/quarantine/tests/conftest.py
+++ b/galenaswitch/quarantine/tests/conftest.py
@@ -11,6 +11,7 @@
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.quarantine import containment, detector
 from galenaswitch.quarantine.containment import Containment
+from galenaswitch.quarantine.fingerprints import Fingerprints
 from galenaswitch.quarantine.records import QUARANTINE_KIND
 from galenaswitch.refusals import RefusedError
 from galenaswitch.store.cache import ObjectCache
@@ -65,6 +66,7 @@
             self.tasks,
             LocalMetrics(),
             cluster.is_listening,
+            Fingerprints('secret'),
         )
 
     @property
@@ -97,7 +99,9 @@
     async def break_request(self, incarnation, *parts):
         """Report a request that a crashed target had not begun to answer."""
         target = Target(incarnation, incarnation, 'z', 'llm', 'address')
-        await self.containment.record_broken(target, 'a1', parts)
+        await self.containment.record_broken(
+            target, 'a1', parts, self.cluster.now
+        )
 
     def read_store(self):
         """Apply the records that the store has now."""
