store: an unexpected error doesn't end following of a kind

Reported: machines stopped following the list of runners, or ended again and again, while one odd entry was in it. Cause: Follower.follow caught only StoreError. A KeyError, TypeError or RecursionError of a decoder or a reader ended its task; it is no critical task, so the process went on with the last list for ever. run_expiry is a critical task: the same error there ended the process. A publication that failed was not repeated, since the cache already had the change. Ruled out: ending the process on such an error. The entry is still there after the start, so the process would end again. Change: an unexpected error is logged once until a publication succeeds, and the kind is listed again after the usual pause. Changes count as unpublished until the publication has returned. Evidence: on the code before, the three new tests fail: KeyError('metadata'), TypeError('unhashable') and RecursionError end the tasks.

--- a/galenaswitch/store/registry.py
+++ b/galenaswitch/store/registry.py
@@ -102,6 +102,8 @@
         self._publish = publish
         self._retry_seconds = FIRST_RETRY_SECONDS
         self._lost_at = 0.0
+        self._is_unpublished = False
+        self._fault = ''
 
     async def follow(self) -> None:
         """List and then watch the objects, until cancelled.
@@ -122,6 +124,8 @@
                 )
             except StoreError as error:
                 self._record_failure(error)
+            except Exception as error:
+                self._log_fault(error)
             await self._pause()
 
     async def run_expiry(self) -> None:
@@ -131,8 +135,28 @@
         """
         while True:
             await asyncio.sleep(FIRST_RETRY_SECONDS)
-            if self.reachable and self.cache.drop_expired(time.monotonic()):
-                self._publish(self.cache)
+            try:
+                self._drop_expired()
+            except Exception as error:
+                self._log_fault(error)
+
+    def _drop_expired(self) -> None:
+        if self.reachable:
+            self._publish_if(self.cache.drop_expired(time.monotonic()))
+
+    def _publish_if(self, changed: bool) -> None:
+        """Publish the cache if it has changed since it was last published."""
+        self._is_unpublished |= changed
+        if self._is_unpublished:
+            self._publish(self.cache)
+            self._is_unpublished = False
+            self._fault = ''
+
+    def _log_fault(self, error: Exception) -> None:
+        """Log an unexpected error, unless it repeats without a success."""
+        if self._fault != repr(error):
+            self._fault = repr(error)
+            get_logger().error('follow_failed', kind=self._kind, exc_info=error)
 
     async def _list(self) -> None:
         listing = await self._store.list_kind(self._kind)
@@ -145,9 +169,9 @@
                 cached_revision=format_version(self.cache.revision),
             )
         changed = self.cache.apply_listing(listing, time.monotonic())
-        if changed or not self.has_listing:
-            self.has_listing = True
-            self._publish(self.cache)
+        self._is_unpublished |= not self.has_listing
+        self.has_listing = True
+        self._publish_if(changed)
 
     async def _watch(self) -> None:
         revision = self.cache.revision
@@ -160,8 +184,9 @@
             )
             self._record_success()
             revision = changes.revision
-            if self.cache.apply_changes(changes, time.monotonic()):
-                self._publish(self.cache)
+            self._publish_if(
+                self.cache.apply_changes(changes, time.monotonic())
+            )
             if changes.changes:
                 await asyncio.sleep(self._coalesce_seconds)
             elif time.monotonic() - asked_at < FIRST_RETRY_SECONDS:
--- a/galenaswitch/store/tests/test_registry.py
+++ b/galenaswitch/store/tests/test_registry.py
@@ -187,3 +187,54 @@
     await asyncio.sleep(4 * FIRST_RETRY_SECONDS)
     following.cancel()
     assert 2 < registry.call_count <= 8
+
+
+# Guards against a follower that ends with the first error that nobody expects.
+async def test_unexpected_error_does_not_end_following():
+    listing = Listing(5, (make_object('a'),))
+    follower, published = await follow(
+        KeyError('metadata'), RecursionError(), listing
+    )
+    assert set(follower.cache.objects) == {'a'}
+    assert published == [{'a'}]
+
+
+# Guards against changes that are never applied after a failed publication.
+async def test_changes_are_published_again_after_a_failed_publication():
+    published = []
+
+    def publish(cache):
+        published.append(set(cache.objects))
+        if len(published) < 3:
+            raise TypeError('unhashable')
+
+    store = ScriptedStore(*(Listing(5, (make_object('a'),)) for _ in range(3)))
+    follower = Follower(store, 'kind', publish)
+    task = asyncio.create_task(follower.follow())
+    async with asyncio.timeout(5):
+        await store.exhausted.wait()
+        while len(published) < 3:
+            await asyncio.sleep(0.01)
+    assert not task.done()
+    task.cancel()
+    assert published == [{'a'}] * 3
+
+
+# Guards against a task that a process needs and that ends with one odd entry.
+async def test_unexpected_error_does_not_end_the_expiry_of_objects():
+    expired = asyncio.Event()
+    follower = Follower(ScriptedStore(), 'kind', lambda _: None)
+    faults = [TypeError('unhashable'), TypeError('unhashable')]
+
+    def drop_expired(now):
+        if faults:
+            raise faults.pop()
+        expired.set()
+        return False
+
+    follower.cache.drop_expired = drop_expired
+    task = asyncio.create_task(follower.run_expiry())
+    async with asyncio.timeout(5):
+        await expired.wait()
+    assert not task.done()
+    task.cancel()
