platform: an entry that can't be read no longer hides all others of its kind

Reported: one odd entry of another writer among those of the runners (nested very deeply, a number too large), and the machines that read the list stopped following it or ended again and again. Cause: a page of the store was decoded as one JSON text. Nesting beyond 1,024 levels, 1e999, a number of 400 digits, NaN or a lone surrogate anywhere in it made the whole page invalid, so the kind wasn't followed while the entry was there: targets, configurations, VMs, quarantines and records of versions alike. An entry without metadata, or with a name or revision of another type, raised KeyError or TypeError instead, which ended the follower's task, or the process where the task is critical (the list of VMs, the review of versions). Ruled out: a lenient decoder for all answers (json.loads reads NaN and surrogates, yet raises RecursionError for nesting, and its infinities and surrogates fail later in links and headers). Change: an answer that is refused is split at its outermost commas, down to the metadata of each entry, by a scanner that is linear and not recursive, in a thread; it is used only after a refusal. A body counts as a whole or not at all; one that can't be read, or is nested beyond 64 levels, is None. Names and revisions are checked by type and range; a revision that can't be read is that of the answer. So removals still remove, a target whose entry becomes odd is dropped, a listing continues after the last name, and a configuration that can't be read is rejected while the one in force stays. An entry of a VM that names another VM isn't valid. A record of a quarantine that becomes odd no longer counts as removed by an operator, and trials below 0 aren't valid. entry_unreadable replaces target_unreadable, machine_unreadable and record_unreadable; it is logged once for each revision, not at each read. Conclusion: what stands beside an odd entry is read as without it. A page whose outermost brackets don't match is an error of the store as before.

--- a/galenaswitch/gateway/machine_sync.py
+++ b/galenaswitch/gateway/machine_sync.py
@@ -12,6 +12,7 @@
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.store.client import ABSENT, Listing, StoredObject
 from galenaswitch.store.registry import WritableRegistry
+from galenaswitch.store.unreadable import UnreadableLog
 
 MACHINE_KIND = 'galena-vms'
 # Seconds between two reads of the list of VMs, which changes rarely.
@@ -47,6 +48,7 @@
         self._own = own
         self._registered_era: int | None = None
         self._seen: dict[str, tuple[Machine, float]] = {}
+        self._unreadable = UnreadableLog()
 
     async def poll(self) -> None:
         """Enter this VM and read the list of VMs at regular intervals."""
@@ -108,7 +110,7 @@
         """Apply the list of VMs, and keep those that were in it recently."""
         now = time.monotonic()
         for stored in listing.objects:
-            machine = read_machine(stored)
+            machine = read_machine(stored, self._unreadable)
             if machine:
                 self._seen[machine.name] = (machine, now)
         self._seen = {
@@ -121,19 +123,25 @@
         )
 
 
-def read_machine(stored: StoredObject) -> Machine | None:
+def read_machine(
+    stored: StoredObject, unreadable: UnreadableLog | None = None
+) -> Machine | None:
     """Return the VM of a store entry, ``None`` when the entry is not valid.
 
-    Fields that a newer version adds are ignored.
+    Fields that a newer version adds are ignored. An entry that names another
+    VM is not valid.
+
+    :param unreadable: logs an entry that is not valid, by default each time.
     """
     body = stored.body if isinstance(stored.body, dict) else {}
     fields = {name: body[name] for name in Machine._fields if name in body}
+    unreadable = unreadable or UnreadableLog()
     try:
-        return _MACHINE.validate_python(fields)
+        machine: Machine = _MACHINE.validate_python(fields)
     except ValidationError as error:
-        get_logger().info(
-            'machine_unreadable',
-            machine=stored.name,
-            reason=str(error),
-        )
+        unreadable.report(stored, str(error))
+        return None
+    if machine.name != stored.name:
+        unreadable.report(stored, f'names {machine.name!r}')
         return None
+    return machine
--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -33,6 +33,7 @@
     WriterOrder,
 )
 from galenaswitch.store.registry import Follower, WritableRegistry
+from galenaswitch.store.unreadable import UnreadableLog
 from galenaswitch.store.versions import format_version
 
 CONFIGURATION_KIND = 'config'
@@ -185,6 +186,7 @@
             first_start=first_start,
         )
         self._follow_tasks: list[asyncio.Task[None]] = []
+        self._unreadable = UnreadableLog()
 
     @property
     def ready(self) -> bool:
@@ -310,12 +312,7 @@
             try:
                 target = self._documents.read_target(stored.name, stored.body)
             except InvalidInputError as error:
-                get_logger().info(
-                    'target_unreadable',
-                    target=stored.name,
-                    revision=format_version(stored.version),
-                    reason=str(error),
-                )
+                self._unreadable.report(stored, str(error))
                 continue
             targets.append(target)
         services = self.route_table.current.engine_services
--- a/galenaswitch/gateway/version_records.py
+++ b/galenaswitch/gateway/version_records.py
@@ -25,6 +25,7 @@
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.store.client import ABSENT, StoredObject
 from galenaswitch.store.registry import WritableRegistry
+from galenaswitch.store.unreadable import UnreadableLog
 from galenaswitch.store.versions import find_era
 
 VERSION_KIND = 'galena-versions'
@@ -103,6 +104,7 @@
         self._observed_since = time.monotonic()
         self._read_lock = asyncio.Lock()
         self._read_at = 0.0
+        self._unreadable = UnreadableLog()
 
     def admit(
         self, targets: Iterable[Target], services: Collection[str]
@@ -299,11 +301,23 @@
             listing = await self._store.list_kind(VERSION_KIND)
             self._observe_era(find_era(listing.revision))
             self._records = {
-                stored.name: (_read_record(stored), stored.version)
+                stored.name: (self._read_record(stored), stored.version)
                 for stored in listing.objects
             }
             self._read_at = started_at
 
+    def _read_record(self, stored: StoredObject) -> VersionRecord:
+        """Return the record of a store entry, whose new fields are ignored."""
+        body: Any = stored.body if isinstance(stored.body, dict) else {}
+        fields = {
+            name: body[name] for name in VersionRecord._fields if name in body
+        }
+        try:
+            return _RECORD.validate_python(fields)
+        except ValidationError as error:
+            self._unreadable.report(stored, str(error))
+            return UNREADABLE
+
     async def _write(
         self, service: str, record: VersionRecord, replaces: int
     ) -> None:
@@ -332,18 +346,3 @@
             self._first_start = False
             self._observed_since = time.monotonic()
         self._era = era
-
-
-def _read_record(stored: StoredObject) -> VersionRecord:
-    """Return the record of a store entry, whose new fields are ignored."""
-    body: Any = stored.body if isinstance(stored.body, dict) else {}
-    fields = {
-        name: body[name] for name in VersionRecord._fields if name in body
-    }
-    try:
-        return _RECORD.validate_python(fields)
-    except ValidationError as error:
-        get_logger().warning(
-            'record_unreadable', record=stored.name, reason=str(error)
-        )
-        return UNREADABLE
--- a/galenaswitch/membership/lists.py
+++ b/galenaswitch/membership/lists.py
@@ -33,7 +33,7 @@
     address: str
     port: Annotated[int, Field(ge=1, le=MAX_PORT)]
     state: str = LIVE
-    cores: Annotated[float, Field(gt=0)] = 1.0
+    cores: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 1.0
 
 
 class Target(NamedTuple):
--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -29,6 +29,13 @@
 )
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.platform.headers import CONFLICT, MILLISECONDS
+from galenaswitch.platform.pages import (
+    decode_in_parts,
+    decode_object,
+    decode_objects,
+    is_revision,
+    read_metadata,
+)
 from galenaswitch.store.cache import Change, Changes
 from galenaswitch.store.client import ABSENT, Listing, StoredObject
 from galenaswitch.store.versions import (
@@ -82,13 +89,15 @@
         self._pool = pool
         self._address = address
         self.era = 0
+        self._unnamed_counts: dict[str, int] = {}
         self._watches: set[asyncio.Task[StoreAnswer]] = set()
 
     async def list_kind(self, kind: str, *, stale: bool = False) -> Listing:
         """Return all objects of a kind, at the revision of the first page.
 
         Later pages may show later changes, which a watch from that revision
-        shows once more.
+        shows once more. An entry whose content can't be read has the body
+        ``None``; one whose name can't be read isn't returned.
 
         :param stale: whether the store may return data that is seconds old.
             Such a call costs a tenth of a consistent read.
@@ -97,20 +106,22 @@
         """
         stored: list[StoredObject] = []
         revision: int | None = None
+        entry_count = 0
         query: dict[str, str] = {'allow-stale': '1'} if stale else {}
         while True:
             answer = await self._call('GET', kind, query=query)
-            page, era = answer.document, answer.era
-            if stored and find_era(stored[0].version) != era:
+            if revision and find_era(revision) != answer.era:
                 raise StoreHistoryLostError('the store was restored meanwhile')
-            stored.extend(
-                _decode_object(kind, entry, era) for entry in page['items']
-            )
-            if revision is None:
-                revision = _decode_store_version(answer)
-            if not page.get('has-more') or not page['items']:
+            version = _decode_store_version(answer)
+            revision = revision or version
+            entries = _read_list(answer, 'items')
+            page = decode_objects(kind, entries, version)
+            stored.extend(page)
+            entry_count += len(entries)
+            if not answer.document.get('has-more') or not entries:
+                self._report_unnamed(kind, entry_count - len(stored))
                 return Listing(revision, tuple(stored))
-            query = {**query, 'after': stored[-1].name}
+            query = {**query, 'after': _find_next(page, query)}
 
     async def watch(self, kind: str, revision: int, seconds: float) -> Changes:
         """Wait for changes of a kind after a revision.
@@ -139,16 +150,25 @@
         )
         if answer.era != era:
             raise StoreHistoryLostError('the store was restored meanwhile')
-        return Changes(
-            _decode_store_version(answer),
-            tuple(
-                Change(
-                    _decode_object(kind, event['object'], era),
-                    bool(event['deleted']),
-                )
-                for event in answer.document['events']
-            ),
+        version = _decode_store_version(answer)
+        events = [
+            event if isinstance(event, dict) else {}
+            for event in _read_list(answer, 'events')
+        ]
+        found = [
+            (decode_object(kind, event.get('object'), version), event)
+            for event in events
+        ]
+        changes = tuple(
+            Change(stored, bool(event.get('deleted')))
+            for stored, event in found
+            if stored
         )
+        if len(changes) < len(events):
+            get_logger().warning(
+                'entries_unnamed', kind=kind, count=len(events) - len(changes)
+            )
+        return Changes(version, changes)
 
     async def write(
         self,
@@ -200,6 +220,12 @@
         if answer.status == CONFLICT:
             raise StoreConflictError(_decode_version(answer))
 
+    def _report_unnamed(self, kind: str, count: int) -> None:
+        """Log how many entries of a listing have no name, if that changed."""
+        if self._unnamed_counts.get(kind, 0) != count:
+            self._unnamed_counts[kind] = count
+            get_logger().warning('entries_unnamed', kind=kind, count=count)
+
     def _find_revision(self, version: int) -> int:
         """Return the revision of a version for the condition of a write.
 
@@ -276,7 +302,8 @@
                 f'the store does not answer: {type(error).__name__}',
             ) from error
         era = self._observe_era(answer)
-        return StoreAnswer(answer.status, _decode_answer(answer, content), era)
+        document = await _decode_answer(answer, content)
+        return StoreAnswer(answer.status, document, era)
 
     async def _exchange(
         self,
@@ -298,7 +325,7 @@
         return answer, bytes(content)
 
 
-def _decode_answer(answer: AnswerHead, content: bytes) -> Document:
+async def _decode_answer(answer: AnswerHead, content: bytes) -> Document:
     if answer.status == GONE:
         raise StoreHistoryLostError(
             'the store no longer has the changes after the watched revision',
@@ -311,31 +338,53 @@
         return {}
     try:
         document = orjson.loads(content)
-    except ValueError as error:
-        raise StoreError('the store answers with invalid JSON') from error
+    except ValueError:
+        document = await _decode_in_parts(content)
     if not isinstance(document, dict):
         raise StoreError('the store answers with JSON that is not an object')
     return document
 
 
-def _decode_object(kind: str, document: Document, era: int) -> StoredObject:
-    metadata = document['metadata']
-    return StoredObject(
-        kind,
-        metadata['name'],
-        join_version(Revision(era, metadata['revision'])),
-        document.get('spec'),  # type: ignore[arg-type]
-    )
+def _find_next(page: list[StoredObject], query: dict[str, str]) -> str:
+    """Return the name after which a listing continues.
+
+    :raises StoreError: when no name is left that can be read.
+    """
+    name = page[-1].name if page else ''
+    if name in {'', query.get('after')}:
+        raise StoreError('no name to continue a listing from')
+    return name
+
+
+async def _decode_in_parts(content: bytes) -> Any:
+    """Decode what can be read, in a thread, since it may take a second."""
+    try:
+        return await asyncio.to_thread(decode_in_parts, content)
+    except ValueError as error:
+        raise StoreError('the store answers with invalid JSON') from error
 
 
 def _decode_store_version(answer: StoreAnswer) -> int:
-    number = answer.document['store-revision']
+    number = answer.document.get('store-revision')
+    if not is_revision(number):
+        raise StoreError('the store answers without its revision')
     return join_version(Revision(answer.era, number))
 
 
 def _decode_version(answer: StoreAnswer) -> int:
     """Return the version of the object in an answer, ``ABSENT`` for none."""
-    metadata = answer.document.get('metadata') or {}
-    if 'revision' not in metadata:
+    revision = read_metadata(answer.document).get('revision')
+    if not is_revision(revision):
         return ABSENT
-    return join_version(Revision(answer.era, int(metadata['revision'])))
+    return join_version(Revision(answer.era, revision))
+
+
+def _read_list(answer: StoreAnswer, name: str) -> list[Any]:
+    """Return a list of an answer.
+
+    :raises StoreError: when the answer has no such list.
+    """
+    entries = answer.document.get(name)
+    if not isinstance(entries, list):
+        raise StoreError(f'the store answers without a list of {name}')
+    return entries
--- a/galenaswitch/quarantine/records.py
+++ b/galenaswitch/quarantine/records.py
@@ -130,7 +130,7 @@
             if _is_record(name, entry.body)
         }
         ended = []
-        for part in set(self.quarantines) - set(stored):
+        for part in set(self.quarantines) - set(cache.objects):
             version = self.quarantines[part].version
             if find_era(version) < find_era(cache.revision):
                 self._expect_write(part)
@@ -267,7 +267,11 @@
         return False
     return (
         body.get('part') == name
-        and isinstance(body.get('trials'), int)
+        and _is_count(body.get('trials'))
         and isinstance(body.get('crashes'), list)
         and all(isinstance(name, str) for name in body['crashes'])
     )
+
+
+def _is_count(field: Any) -> bool:
+    return isinstance(field, int) and field >= 0
--- /dev/null
+++ b/galenaswitch/store/unreadable.py
@@ -0,0 +1,32 @@
+"""Log of store entries that can't be read, with one line for each version."""
+
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.store.client import StoredObject
+from galenaswitch.store.versions import format_version
+
+# Entries whose last line is remembered. Beyond that, the oldest are forgotten.
+MAX_REMEMBERED = 4096
+# Longest name and reason in a line.
+MAX_TEXT_LENGTH = 200
+
+
+class UnreadableLog:
+    """Logs entries of one kind that can't be read."""
+
+    def __init__(self) -> None:
+        """Build a log that has reported nothing."""
+        self._versions: dict[str, int] = {}
+
+    def report(self, stored: StoredObject, reason: str) -> None:
+        """Log an entry unless this version of it has been logged."""
+        if self._versions.pop(stored.name, None) != stored.version:
+            get_logger().warning(
+                'entry_unreadable',
+                kind=stored.kind,
+                name=stored.name[:MAX_TEXT_LENGTH],
+                revision=format_version(stored.version),
+                reason=reason[:MAX_TEXT_LENGTH],
+            )
+        self._versions[stored.name] = stored.version
+        if len(self._versions) > MAX_REMEMBERED:
+            self._versions.pop(next(iter(self._versions)))
