targets: addresses, slots and names of odd entries name no target

Reported: an odd entry among those of the runners with a port out of range, or a number too large, and machines that ended or stopped following the list. Seen here: 127.0.0.1:99999, ports of 5,000 or non-ASCII digits, slots of 0 and less, and names that are no header value passed read_target. asyncio's own loop raises OverflowError for such a port, which nothing caught; uvloop takes the port modulo 65,536, so a connection goes to another program. A very long version would also make the record of its service too large for the store, so that no further version of that service could be recorded. Ruled out: refusing host names in the pool. Change: split_address takes a host and a decimal port of 1 to 65,535 and is used by the pool and by the decoder of targets, which also demands an IPv4 address of a host, 1 to 65,536 slots, born and sequence from 0 to 2**63 - 1, a name of visible ASCII, and texts of 256 characters at most. Each failure of opening is TargetUnreachableError. A link to a VM whose address no resolver takes (a label of 300 letters, a NUL) raised UnicodeError; it is a PeerError now. Conclusion: an address of another program on a valid port can't be told from a target's; the id that is sent with each request guards against that as before.

--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -21,7 +21,11 @@
     find_header_text,
     find_header_values,
 )
-from galenaswitch.connections.sockets import enable_dead_peer_detection
+from galenaswitch.connections.sockets import (
+    MAX_ADDRESS_LENGTH,
+    enable_dead_peer_detection,
+    split_address,
+)
 from galenaswitch.errors import TargetBrokenError, TargetUnreachableError
 
 # Longest time in seconds for opening a connection to a target. Targets are in
@@ -355,19 +359,20 @@
         return None
 
     async def _open(self, address: str) -> TargetConnection:
-        host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         self.opened_count += 1
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
                     lambda: TargetConnection(address),
                     host,
-                    int(port),
+                    port,
                     local_addr=self._local_address,
                 )
         except (OSError, TimeoutError, ValueError) as error:
             raise TargetUnreachableError(
-                f'cannot connect to {address}: {type(error).__name__}',
+                f'cannot connect to {address[:MAX_ADDRESS_LENGTH]}: '
+                f'{type(error).__name__}',
             ) from error
         return connection
--- a/galenaswitch/connections/sockets.py
+++ b/galenaswitch/connections/sockets.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 
 # Longest time in milliseconds that sent bytes may stay unacknowledged. It is
@@ -17,6 +18,26 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 # Number of unanswered keep-alive probes after which a connection is closed.
 MAX_LOST_PROBES = 2
+MAX_PORT = 65_535
+# Longest host name, and a port.
+MAX_ADDRESS_LENGTH = 260
+_ADDRESS = re.compile(r'([^\s:]{1,253}):([1-9][0-9]{0,4})')
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address.
+
+    :raises ValueError: when the address isn't a host and a decimal port.
+
+    >>> split_address('127.0.0.1:8080')
+    ('127.0.0.1', 8080)
+    """
+    found = _ADDRESS.fullmatch(address)
+    port = int(found[2]) if found else 0
+    if found is None or port > MAX_PORT:
+        shown = address[:MAX_ADDRESS_LENGTH]
+        raise ValueError(f'no host and port in address {shown!r}')
+    return found[1], port
 
 
 def enable_dead_peer_detection(transport: asyncio.BaseTransport) -> None:
--- a/galenaswitch/connections/tests/test_outbound.py
+++ b/galenaswitch/connections/tests/test_outbound.py
@@ -109,3 +109,27 @@
     connection = await pool.acquire(target.address, 0)
     assert not connection.was_used
     connection.close()
+
+
+# Guards against a connection to another program: loops take a port modulo
+# 65,536, or raise an error that is no failure of the target.
+@pytest.mark.parametrize(
+    'port',
+    ['{over}', '0', '-1', '65536', '9' * 5000, '\u0668\u0660', '80.0', '', '²'],
+)
+async def test_odd_port_raises_target_unreachable(pool, scripted, port):
+    target = await scripted([OK])
+    host, _, listening = target.address.rpartition(':')
+    odd = port.format(over=int(listening) + 65_536)
+    with pytest.raises(TargetUnreachableError):
+        await pool.acquire(f'{host}:{odd}', 3)
+    assert not target.connections
+
+
+@pytest.mark.parametrize(
+    'host',
+    ['', 'a' * 300, '127.0.0.1\x00', 'ä' * 70, '.', 'a..b', '[::1', '::'],
+)
+async def test_odd_host_raises_target_unreachable(pool, host):
+    with pytest.raises(TargetUnreachableError):
+        await pool.acquire(f'{host}:8080', 3)
--- a/galenaswitch/membership/links.py
+++ b/galenaswitch/membership/links.py
@@ -380,7 +380,7 @@
                 port,
                 local_addr=source_address,
             )
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError) as error:
         raise PeerClosedError(f'cannot reach {address}:{port}') from error
     link = Link(reader, writer, service)
     try:
--- a/galenaswitch/membership/lists.py
+++ b/galenaswitch/membership/lists.py
@@ -10,11 +10,11 @@
 
 from pydantic import Field, TypeAdapter, ValidationError
 
+from galenaswitch.connections.sockets import MAX_PORT
 from galenaswitch.errors import InvalidInputError
 
 LIVE = 'live'
 LEAVING = 'leaving'
-MAX_PORT = 65535
 
 
 class Machine(NamedTuple):
--- a/galenaswitch/membership/tests/test_links.py
+++ b/galenaswitch/membership/tests/test_links.py
@@ -141,3 +141,10 @@
     vocabulary = Vocabulary(EchoRequest)
     older = Frame(1, 0, 'EchoRequest', ['hi'])
     assert vocabulary.decode(older) == EchoRequest('hi', 0)
+
+
+# Guards against an odd address of one VM that ends the links to all others.
+@pytest.mark.parametrize('address', ['a' * 300, 'a..b', '\x00', 'é' * 70, ''])
+async def test_address_that_is_none_raises_a_peer_error(address):
+    with pytest.raises(PeerError):
+        await dial(address, 1, make_service())
--- a/galenaswitch/platform/documents.py
+++ b/galenaswitch/platform/documents.py
@@ -13,9 +13,12 @@
 - ``sequence``: number of a target's own reports since its start.
 """
 
+import ipaddress
+import re
 from typing import Any
 
 from galenaswitch.connections.requests import InboundLimits
+from galenaswitch.connections.sockets import split_address
 from galenaswitch.errors import InvalidInputError
 from galenaswitch.gateway.routes import (
     BatchLimits,
@@ -43,6 +46,14 @@
     'streaming': CallKind.stream,
 }
 _TARGET_STATES = {'ready': LIVE, 'draining': LEAVING}
+# Longest zone, service or version. All are passed on between VMs, and versions
+# are recorded in the store.
+MAX_TEXT_LENGTH = 256
+MAX_SLOTS = 65_536
+# Largest number that all encodings on the way take.
+MAX_NUMBER = 0x7FFFFFFFFFFFFFFF
+# A name is sent as the value of a header.
+_NAME = re.compile(r'[!-~]{1,256}')
 Document = dict[str, Any]
 
 
@@ -74,9 +85,9 @@
         """
         try:
             return (
-                _check_type(document.get('born', 0), int),
+                _read_number(document, 'born'),
                 int(_TARGET_STATES[document['state']] == LEAVING),
-                _check_type(document.get('sequence', 0), int),
+                _read_number(document, 'sequence'),
             )
         except DECODE_ERRORS:
             return ()
@@ -111,22 +122,48 @@
 
 
 def _read_target_entry(name: str, document: Document) -> Target:
-    address = _check_type(document['address'], str)
-    host, _, port = address.rpartition(':')
-    if not host or not port.isdecimal():
-        raise ValueError(f'no host and port in address {address!r}')
+    if not _NAME.fullmatch(name):
+        raise ValueError('the name is no header value')
     return Target(
         name=name,
-        incarnation=f'{name}/{_check_type(document.get("born", 0), int)}',
-        zone=_check_type(document['zone'], str),
-        pool=_check_type(document['service'], str),
-        url=address,
+        incarnation=f'{name}/{_read_number(document, "born")}',
+        zone=_read_text(document, 'zone'),
+        pool=_read_text(document, 'service'),
+        url=_read_address(document),
         state=_TARGET_STATES[document['state']],
-        capacity=_check_type(document['slots'], int),
-        version=_check_type(document['version'], str),
+        capacity=_check_range(document['slots'], 1, MAX_SLOTS),
+        version=_read_text(document, 'version'),
     )
 
 
+def _read_address(document: Document) -> str:
+    """Return an address to which a connection can go, and to no other host."""
+    address: str = _check_type(document['address'], str)
+    host, _ = split_address(address)
+    parsed = ipaddress.IPv4Address(host)
+    if parsed.is_unspecified or parsed.is_multicast or parsed.is_reserved:
+        raise ValueError(f'{host} is not the address of a host')
+    return address
+
+
+def _read_text(document: Document, name: str) -> str:
+    text: str = _check_type(document[name], str)
+    if len(text) > MAX_TEXT_LENGTH:
+        raise ValueError(f'{name} has {len(text)} characters')
+    return text
+
+
+def _read_number(document: Document, name: str) -> int:
+    return _check_range(document.get(name, 0), 0, MAX_NUMBER)
+
+
+def _check_range(field: Any, lowest: int, highest: int) -> int:
+    number: int = _check_type(field, int)
+    if not lowest <= number <= highest:
+        raise ValueError(f'{number} is not within {lowest} to {highest}')
+    return number
+
+
 def _check_type(field: Any, kind: type[Any]) -> Any:
     if not isinstance(field, kind) or isinstance(field, bool):
         raise TypeError(f'{field!r} is not of type {kind.__name__}')
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -382,3 +382,16 @@
         ) % (status, ident, extra, len(body), body)
 
     return make
+
+
+@pytest.fixture
+async def start_store(scripted):
+    """Return a function that starts a store with scripted answers."""
+    pool = ConnectionPool()
+
+    async def start(*answers):
+        server = await scripted(answers, keep=True)
+        return PlatformStore(pool, server.address), server
+
+    yield start
+    pool.close()
