version records: a review names versions that a restore has lost

Callers would see a stream that no VM remembers go on at another version of the software: a VM that is cut off from the others infers where it began from the record in the store, and the record can vouch for too few versions.

Cause: a version is recorded when a VM first lists it, and stays admitted while it is listed. A restore of the store can take it out of the record again, and no VM misses it. Where the old version still has targets, a take-up of a stream of the new one goes on there. The record names it only once a VM starts again.

Change: a review names each version that its VM has listed within the time in which callers may take streams up, besides those that the record has.

Ruled out: the record that vouches before the review does so. It isn't trusted in another era, which a test shows already. Admitting targets anew after a restore was left out: no target could be used while the store stays away.

Evidence: test_review_adds_a_version_that_a_restore_lost failed on the old code ("assert 'v1' is None", log: versions_recorded complete=True versions=('v1',) while v1 and v2 are used) and passes now, with the other tests of the records.

--- a/galenaswitch/gateway/tests/test_version_records.py
+++ b/galenaswitch/gateway/tests/test_version_records.py
@@ -236,6 +236,26 @@
     assert 'v2' in store.objects['b'].body['versions']
 
 
+# Guards against a record that lacks a version in service, since a restore lost
+# it and no VM missed it, and that vouches for the others all the same.
+async def test_review_adds_a_version_that_a_restore_lost(
+    store, start_vm, monkeypatch
+):
+    monkeypatch.setattr(version_records, 'SETTLE_SECONDS', 0.05)
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1')
+    await settle()
+    copy = store.copy()
+    vm.list_versions('v1', 'v2')
+    await settle()
+    store.restore(copy)
+    assert await vm.records.find_only_version(SERVICE) is None
+    await asyncio.sleep(0.06)
+    await vm.records.review_once()
+    assert vm.usable == {'v1', 'v2'}
+    assert await start_vm().records.find_only_version(SERVICE) is None
+
+
 # Guards against calls without end by VMs that start together.
 async def test_vms_that_start_together_write_a_version_once(store, start_vm):
     vms = [start_vm(first_start=True) for _ in range(8)]
--- a/galenaswitch/gateway/version_records.py
+++ b/galenaswitch/gateway/version_records.py
@@ -185,15 +185,21 @@
                 await self._write(service, settled, version)
 
     def _settle(self, service: str, record: VersionRecord) -> VersionRecord:
-        """Return a record without versions that are out of service.
+        """Return a record of the versions that are in service.
 
-        A version is marked as retiring first, so that a VM that lists one of
-        its targets again notices before it is dropped.
+        It names all that this VM has listed, since a restore may have lost
+        some that were admitted before. A version is marked as retiring first,
+        so that a VM that lists one of its targets again notices before it is
+        dropped.
         """
         now = time.monotonic()
+        listed = {
+            version for pool, version in self._listed_at if pool == service
+        }
+        versions = sorted(listed.union(record.versions))
         gone = {
             version
-            for version in record.versions
+            for version in versions
             if self._listed_at.get((service, version), 0) < now - SETTLE_SECONDS
         }
         dropped = {
@@ -203,7 +209,7 @@
             <= now - REVIEW_SECONDS
         }
         return VersionRecord(
-            tuple(one for one in record.versions if one not in dropped),
+            tuple(one for one in versions if one not in dropped),
             self._era,
             complete=True,
             retiring=tuple(sorted(gone - dropped)),
