version records: a late answer to a write hides no newer record

Callers would see a stream that no VM remembers go on at another version, at a VM whose write of the record is answered late.

Cause: the answer to a write replaced what the VM knew of the record, also when it had read a newer record meanwhile. Take-ups that share one read of the store wait for it in turn, and one that goes on after the late answer saw the record without what other VMs had added: a lost update in the copy, not in the store, whose writes are conditional.

Change: what was written replaces only a record of an older version.

Ruled out: a write that is done seconds after its answer was given up. It is conditional on the revision that it replaces, and its body names its era.

Evidence: test_late_answer_to_a_write_hides_no_version[5] failed on the old code ("assert [None, None, 'v1'] == [None, None, None]") and passes now; the other seven orders passed on both.

--- a/galenaswitch/gateway/tests/test_version_records.py
+++ b/galenaswitch/gateway/tests/test_version_records.py
@@ -256,6 +256,37 @@
     assert await start_vm().records.find_only_version(SERVICE) is None
 
 
+# Guards against an answer to a write that comes late and hides what other VMs
+# have recorded since.
+@pytest.mark.parametrize('turns', range(8))
+async def test_late_answer_to_a_write_hides_no_version(
+    store, start_vm, monkeypatch, turns
+):
+    vm, other = start_vm(first_start=True), start_vm()
+    answered, write = asyncio.Event(), store.write
+
+    async def answer_late(*request):
+        monkeypatch.setattr(store, 'write', write)
+        version = await write(*request)
+        await answered.wait()
+        return version
+
+    monkeypatch.setattr(store, 'write', answer_late)
+    vm.list_versions('v1')
+    await settle()
+    other.list_versions('v1', 'v2')
+    await settle()
+    assert other.usable == {'v1', 'v2'}
+    found = [
+        asyncio.create_task(vm.records.find_only_version(SERVICE))
+        for _ in range(3)
+    ]
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    answered.set()
+    assert await asyncio.gather(*found) == [None, None, None]
+
+
 # Guards against calls without end by VMs that start together.
 async def test_vms_that_start_together_write_a_version_once(store, start_vm):
     vms = [start_vm(first_start=True) for _ in range(8)]
--- a/galenaswitch/gateway/version_records.py
+++ b/galenaswitch/gateway/version_records.py
@@ -324,7 +324,9 @@
         )
         if find_era(version) != record.era:
             raise StoreConflictError(version)
-        self._records[service] = (record, version)
+        _, known_version = self._records.get(service, (None, ABSENT))
+        if version > known_version:
+            self._records[service] = (record, version)
         get_logger().info(
             'versions_recorded',
             service=service,
