version records: tests of VMs that stand still and of writes that come late

A report from systems like ours: a VM that was out of step while targets of a new version joined took up streams that had begun there, and they went on at another version. Reading showed no way to that here; these tests look for one.

What is played: VMs list versions, begin streams, infer the only version, stand still between a call of the store and its answer, are killed; the store is away, is restored, or does writes later without an answer. An inference may go on over other steps, and has to name all versions at which streams had begun when it began. Before, each inference ended before the next step. The play has 500 examples a run, as before; steps, checks and bounds of before are kept.

--- a/galenaswitch/gateway/tests/test_version_records.py
+++ b/galenaswitch/gateway/tests/test_version_records.py
@@ -94,6 +94,44 @@
     assert vm.usable == {'v1', 'v2'}
 
 
+# Guards against a stream at a version whose record is written seconds later,
+# or never.
+async def test_target_waits_while_the_write_of_its_version_is_late(
+    store, start_vm
+):
+    vm, other = start_vm(first_start=True), start_vm()
+    vm.list_versions('v1')
+    await settle()
+    store.is_late = True
+    vm.list_versions('v1', 'v2')
+    await settle()
+    assert vm.usable == {'v1'}
+    assert await other.records.find_only_version(SERVICE) == 'v1'
+    store.finish_writes()
+    await settle()
+    assert vm.usable == {'v1', 'v2'}
+    assert await other.records.find_only_version(SERVICE) is None
+
+
+# Guards against a take-up at a VM that stood still before it read the record,
+# while a version joined.
+async def test_vm_that_stood_still_infers_nothing_old(start_vm):
+    vm, other = start_vm(first_start=True), start_vm()
+    vm.list_versions('v1')
+    await settle()
+    assert await vm.records.find_only_version(SERVICE) == 'v1'
+    vm.store.running.clear()
+    found = [
+        asyncio.create_task(vm.records.find_only_version(SERVICE))
+        for _ in range(3)
+    ]
+    other.list_versions('v1', 'v2')
+    await settle()
+    assert other.usable == {'v1', 'v2'}
+    vm.store.running.set()
+    assert await asyncio.gather(*found) == [None, None, None]
+
+
 async def test_targets_of_other_services_are_used_at_once(store, start_vm):
     vm = start_vm()
     store.is_away = True
@@ -304,10 +342,24 @@
         st.integers(0, VM_COUNT - 1),
         st.sets(st.sampled_from(VERSIONS), min_size=1),
     ),
-    st.tuples(st.just('restart'), st.integers(0, VM_COUNT - 1), st.none()),
+    st.tuples(
+        st.sampled_from(('restart', 'suspend', 'resume', 'find', 'find')),
+        st.integers(0, VM_COUNT - 1),
+        st.none(),
+    ),
     st.tuples(
         st.sampled_from(
-            ('begin', 'find', 'find', 'copy', 'restore', 'away', 'back')
+            (
+                'begin',
+                'begin',
+                'copy',
+                'restore',
+                'away',
+                'back',
+                'late',
+                'on_time',
+                'finish_writes',
+            )
         ),
         st.just(0),
         st.none(),
@@ -316,42 +368,115 @@
 )
 
 
+class Deployment:
+    """VMs that begin streams and infer where others began, step by step.
+
+    :ivar begun: versions at which streams began.
+    """
+
+    def __init__(self):
+        """Build VMs that list no targets."""
+        self.store = ModelStore()
+        self.begun = {'v1'}
+        self._copy = self.store.copy()
+        self._vms = [Vm(self.store, first_start=True) for _ in range(VM_COUNT)]
+        self._inferred = []
+
+    async def start(self):
+        """Let all VMs list the first version."""
+        for vm in self._vms:
+            vm.list_versions('v1')
+            await settle()
+
+    async def stop(self):
+        """Let all VMs finish, and check what they inferred."""
+        self.store.is_away = self.store.is_late = False
+        for vm in self._vms:
+            vm.store.running.set()
+        for begun, task in self._inferred:
+            if not task.cancelled():
+                found = await task
+                assert found is None or begun == {found}
+        for vm in self._vms:
+            vm.tasks.stop()
+
+    async def turns(self, number, _):
+        """Let tasks run for some turns of the event loop."""
+        for _turn in range(number):
+            await asyncio.sleep(0)
+
+    async def list(self, number, versions):
+        """Show a VM targets of some versions, unless it stands still."""
+        if self._vms[number].store.running.is_set():
+            self._vms[number].list_versions(*sorted(versions))
+
+    async def begin(self, *_):
+        """Begin streams at all targets that VMs may use."""
+        for vm in self._vms:
+            if vm.store.running.is_set():
+                self.begun |= vm.usable
+
+    async def find(self, number, _):
+        """Let a VM infer where a stream began that has begun already."""
+        vm = self._vms[number]
+        found = vm.tasks.start(vm.records.find_only_version(SERVICE))
+        self._inferred.append((set(self.begun), found))
+
+    async def restart(self, number, _):
+        """Kill a VM and start it again."""
+        self._vms[number].tasks.stop()
+        await asyncio.sleep(0)
+        self._vms[number] = Vm(self.store)
+
+    async def suspend(self, number, _):
+        """Let a VM stand still."""
+        self._vms[number].store.running.clear()
+
+    async def resume(self, number, _):
+        """Let a VM go on."""
+        self._vms[number].store.running.set()
+
+    async def copy(self, *_):
+        """Copy the store."""
+        self._copy = self.store.copy()
+
+    async def restore(self, *_):
+        """Restore the store from its last copy."""
+        self.store.restore(self._copy)
+
+    async def away(self, *_):
+        """Let the store refuse all calls."""
+        self.store.is_away = True
+
+    async def back(self, *_):
+        """Let the store answer calls."""
+        self.store.is_away = False
+
+    async def late(self, *_):
+        """Let the store do writes later, without an answer."""
+        self.store.is_late = True
+
+    async def on_time(self, *_):
+        """Let the store do writes at once."""
+        self.store.is_late = False
+
+    async def finish_writes(self, *_):
+        """Let the store do its late writes."""
+        self.store.finish_writes()
+
+
 async def play(steps):
     """Play steps, and check that what is inferred is where streams began."""
-    store = ModelStore()
-    copy = store.copy()
-    vms = [Vm(store, first_start=True) for _ in range(VM_COUNT)]
-    for vm in vms:
-        vm.list_versions('v1')
-        await settle()
-    begun = {'v1'}
+    deployment = Deployment()
+    await deployment.start()
     for name, number, versions in steps:
-        if name == 'list':
-            vms[number].list_versions(*sorted(versions))
-        elif name == 'begin':
-            begun.update(*(vm.usable for vm in vms))
-        elif name == 'restart':
-            vms[number].tasks.stop()
-            vms[number] = Vm(store)
-        elif name == 'find':
-            for vm in vms:
-                found = await vm.records.find_only_version(SERVICE)
-                assert found is None or begun == {found}
-        elif name == 'copy':
-            copy = store.copy()
-        elif name == 'restore':
-            store.restore(copy)
-        elif name == 'turns':
-            for _ in range(number):
-                await asyncio.sleep(0)
-        else:
-            store.is_away = name == 'away'
-    for vm in vms:
-        vm.tasks.stop()
+        await getattr(deployment, name)(number, versions)
+    await deployment.stop()
 
 
 # Guards against an inferred version at which not all streams began, in any
-# order of listings, restarts, restores and streams.
+# order of listings, restarts, restores, late writes and streams, also at a VM
+# that stands still meanwhile.
 @given(st.lists(STEPS, max_size=MAX_STEPS))
 @settings(deadline=None, max_examples=500)
 def test_inferred_version_is_that_of_all_streams(steps):
--- a/galenaswitch/gateway/tests/version_fakes.py
+++ b/galenaswitch/gateway/tests/version_fakes.py
@@ -1,6 +1,7 @@
 """Fakes for the records of versions: a store that is restored, and VMs."""
 
 import asyncio
+import contextlib
 
 from galenaswitch.errors import StoreConflictError, StoreUnavailableError
 from galenaswitch.gateway.version_records import VersionRecords
@@ -20,6 +21,8 @@
         self.number = 1
         self.objects = {}
         self.is_away = False
+        self.is_late = False
+        self.late_writes = []
         self.calls = []
 
     async def list_kind(self, kind, *, stale=False):
@@ -31,9 +34,27 @@
         return listing
 
     async def write(self, kind, name, body, replaces):
-        """Write a record if its revision is the expected one."""
+        """Write a record if its revision is the expected one.
+
+        While the store is late, the write waits for :meth:`finish_writes` and
+        isn't answered.
+        """
         self.calls.append('write')
         await self._answer()
+        if self.is_late:
+            self.late_writes.append((kind, name, body, replaces))
+            raise StoreUnavailableError('no answer')
+        version = self._apply_write(kind, name, body, replaces)
+        await asyncio.sleep(0)
+        return version
+
+    def finish_writes(self):
+        """Do all late writes whose condition still holds."""
+        while self.late_writes:
+            with contextlib.suppress(StoreConflictError):
+                self._apply_write(*self.late_writes.pop(0))
+
+    def _apply_write(self, kind, name, body, replaces):
         known = self.objects.get(name)
         current = known.version if known else ABSENT
         # The store compares revisions, and knows nothing of eras in a call.
@@ -44,7 +65,6 @@
         self.number += 1
         stored = StoredObject(kind, name, self._revision, body)
         self.objects[name] = stored
-        await asyncio.sleep(0)
         return stored.version
 
     def copy(self):
@@ -78,6 +98,33 @@
             raise StoreUnavailableError('away')
 
 
+class VmStore:
+    """The store as one VM sees it, which stands still at times.
+
+    :ivar running: whether the VM sends calls and handles answers.
+    """
+
+    def __init__(self, store):
+        """Build the view of a VM that is running."""
+        self.running = asyncio.Event()
+        self.running.set()
+        self._store = store
+
+    async def list_kind(self, kind, *, stale=False):
+        """Return all records."""
+        await self.running.wait()
+        listing = await self._store.list_kind(kind, stale=stale)
+        await self.running.wait()
+        return listing
+
+    async def write(self, kind, name, body, replaces):
+        """Write a record if its revision is the expected one."""
+        await self.running.wait()
+        version = await self._store.write(kind, name, body, replaces)
+        await self.running.wait()
+        return version
+
+
 class StubTasks:
     """Task group that starts tasks in the running event loop."""
 
@@ -103,10 +150,15 @@
     def __init__(self, store, *, first_start=False):
         """Build a VM that lists no targets."""
         self.tasks = StubTasks()
+        self.store = VmStore(store)
         self.listed = ()
         self.usable = set()
         self.records = VersionRecords(
-            store, self.tasks, self.apply, lambda: 0, first_start=first_start
+            self.store,
+            self.tasks,
+            self.apply,
+            lambda: 0,
+            first_start=first_start,
         )
 
     def list_versions(self, *versions):
