streams: tests of take-ups over an owner or a list that is out of step

What is played: an owner that places a take-up on a target whose version it doesn't know; a target that starts again under its id as another version while the owner is asked; a new stream at such a target, which is noted at the version of the send; a stream that no VM remembers, taken up where one version is in service and again after another one has joined.

Result: all hold on the code as it is.

Open: a target that starts again under its id as another version, at a VM whose list lags behind.

--- a/galenaswitch/platform/tests/test_stream_versions.py
+++ b/galenaswitch/platform/tests/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from galenaswitch.gateway.messages import PlaceReply
 from galenaswitch.gateway.origin_messages import StreamOrigin
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.routes import CallKind, EngineLimits
@@ -18,6 +19,25 @@
 REST = stream([event(2), event(3)])
 
 
+class StaleOwnerRouter(LocalOwnerRouter):
+    """Owner router whose owner places all requests on the first target.
+
+    :ivar on_query: called before the owner replies.
+    """
+
+    def __init__(self):
+        """Build a router whose owner knows no versions."""
+        self.on_query = lambda: None
+
+    async def query(self, service, message, seconds, decide):
+        """Answer a placement query with the first target."""
+        self.on_query()
+        return 'owner', PlaceReply('t0')
+
+    def notify(self, owner, message, deliver):
+        """Drop a message to the owner."""
+
+
 @pytest.fixture
 def make_stream_runner(sender, budgets, containment, continuations):
     """Return a function that makes the stream runner of a VM.
@@ -26,7 +46,7 @@
     first, and lists others with ``list_targets``.
     """
 
-    def make(*targets):
+    def make(*targets, router=None):
         listed = Members()
 
         def list_targets(*found):
@@ -55,7 +75,7 @@
         )
         policy = continuations(listed)
         wire = PlatformWire()
-        router = LocalOwnerRouter()
+        router = router or LocalOwnerRouter()
         runner = StreamRunner(
             sender,
             wire,
@@ -216,3 +236,73 @@
     versions.find_only_version.return_value = None
     _, refusal = await send(vm, 'a3', **{'Last-Event-Id': '1'})
     assert refusal.run is ExecutionState.not_run
+
+
+# Guards against a take-up that an owner with an old list of the targets places
+# on one of another version.
+async def test_take_up_is_not_sent_to_a_target_of_a_version_the_owner_missed(
+    send, make_stream_runner, scripted
+):
+    target = await scripted([REST.replace(b'a1', b'a2')])
+    same = await scripted([])
+    vm = make_stream_runner(
+        (target, 'v2'), (same, 'v1'), router=StaleOwnerRouter()
+    )
+    vm.record_origin(StreamOrigin('a1', 'lab', 'desk', 'v1'))
+    _, refusal = await send(vm, 'a2', **{'Last-Event-Id': '1', 'Resumes': 'a1'})
+    assert refusal.run is ExecutionState.not_run
+    assert not target.requests
+
+
+# Guards against a target that is taken for the one that it was when its owner
+# was asked, though it has started again under its id as another version.
+async def test_take_up_is_not_sent_to_a_target_that_changes_its_version(
+    send, make_stream_runner, scripted
+):
+    target = await scripted([REST.replace(b'a1', b'a2')])
+    same = await scripted([])
+    router = StaleOwnerRouter()
+    vm = make_stream_runner((target, 'v1'), (same, 'v1'), router=router)
+    vm.record_origin(StreamOrigin('a1', 'lab', 'desk', 'v1'))
+    router.on_query = lambda: vm.list_targets((target, 'v2'), (same, 'v1'))
+    _, refusal = await send(vm, 'a2', **{'Last-Event-Id': '1', 'Resumes': 'a1'})
+    assert refusal.run is ExecutionState.not_run
+    assert not target.requests
+
+
+# Guards against a stream that is noted as begun at the version that its target
+# had when its owner was asked.
+async def test_stream_is_noted_at_the_version_of_its_send(
+    send, make_stream_runner, scripted
+):
+    target = await scripted([BROKEN, REST.replace(b'a1', b'a2')])
+    router = StaleOwnerRouter()
+    vm = make_stream_runner((target, 'v1'), router=router)
+    router.on_query = lambda: vm.list_targets((target, 'v2'))
+    await send(vm)
+    writer, refusal = await send(
+        vm, 'a2', **{'Last-Event-Id': '1', 'Resumes': 'a1'}
+    )
+    assert refusal is None
+    assert writer.body == event(2) + event(3)
+
+
+# Guards against a stream that no VM remembers and that is joined, or lost, when
+# it is taken up again after a version has joined.
+async def test_second_take_up_goes_on_where_the_first_one_did(
+    send, make_stream_runner, scripted, versions
+):
+    versions.find_only_version.return_value = 'v1'
+    first = await scripted([stream([event(2)], end=b'').replace(b'a1', b'a2')])
+    vm = make_stream_runner((first, 'v1'))
+    await send(vm, 'a2', **{'Last-Event-Id': '1', 'Resumes': 'a1'})
+    versions.find_only_version.return_value = None
+    other = await scripted([stream([event(3)]).replace(b'a1', b'a3')])
+    same = await scripted([stream([event(3)]).replace(b'a1', b'a3')])
+    vm.list_targets((other, 'v2'), (same, 'v1'))
+    writer, refusal = await send(
+        vm, 'a3', **{'Last-Event-Id': '2', 'Resumes': 'a1'}
+    )
+    assert refusal is None
+    assert writer.body == event(3)
+    assert not other.requests
