connections: an idle timeout that was announced outlives a change of it

What callers see: beside a change of the configuration's idle timeout, a kept connection is closed earlier than its last answer's Keep-Alive says, or than the timeout now in force says. A request that is sent on it then gets neither an answer nor a refusal. Cause: the head of an answer announces the timeout in force when it starts, the timer took the one in force when the answer ends; a stream may last seconds in between. And a connection that was idle when the timeout rose kept the shorter one until its next request. Class: two reads of a configuration that must agree, with a change between. Change: the timer of a connection knows what its answer announced, and looks again at the limits in force when its time is over. It has a module of its own. A timeout that falls applies from the next answer on, as callers are told. Ruled out: one table for each connection, which would keep old limits for as long as its caller stays. Evidence: on the code before, both new tests end with IncompleteReadError: 0 bytes read. Whether this was the reported case is not known: a caller whose request crosses the close can't tell the two apart.

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -8,7 +8,6 @@
 import asyncio
 import time
 from collections.abc import Callable
-from functools import partial
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -24,6 +23,7 @@
 )
 from galenaswitch.connections.responses import ConnectionWriter
 from galenaswitch.connections.sockets import enable_dead_peer_detection
+from galenaswitch.connections.timers import RequestTimer
 from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.operations.process import is_cancelled
@@ -119,26 +119,6 @@
         )
 
 
-class Timer:
-    """Schedules one callback, which can be replaced or cancelled."""
-
-    def __init__(self) -> None:
-        """Build a timer without a scheduled callback."""
-        self._handle: asyncio.TimerHandle | None = None
-
-    def start(self, seconds: float, callback: Callable[[], None]) -> None:
-        """Schedule ``callback`` and cancel the callback scheduled before."""
-        self.stop()
-        loop = asyncio.get_running_loop()
-        self._handle = loop.call_later(seconds, callback)
-
-    def stop(self) -> None:
-        """Cancel the scheduled callback."""
-        if self._handle:
-            self._handle.cancel()
-            self._handle = None
-
-
 class CallerConnection(asyncio.Protocol):
     """One connection that a caller opened."""
 
@@ -151,7 +131,7 @@
         self._request_arrived = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
-        self._timer = Timer()
+        self.timer = RequestTimer(listener.limits, self._handle_timeout)
         self._rejection: RequestRejectedError | None = None
         self._serving = False
         self._closed = False
@@ -164,7 +144,7 @@
         self.listener.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
         self._task.add_done_callback(_log_failure)
-        self._arm_timer()
+        self._start_timer()
 
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes from the caller and wake the connection's task."""
@@ -182,7 +162,7 @@
         if self._parser.requests or self._rejection:
             self._request_arrived.set()
         if not self._serving:
-            self._arm_timer()
+            self._start_timer()
 
     def eof_received(self) -> bool:
         """Disconnect; a half-closed connection counts as closed."""
@@ -251,7 +231,7 @@
             if not keep_alive:
                 self._close()
                 return
-            self._arm_timer()
+            self._start_timer()
 
     async def _next_request(self) -> InboundRequest | None:
         while True:
@@ -297,41 +277,31 @@
 
     def _close(self) -> None:
         self._closed = True
-        self._timer.stop()
+        self.timer.stop()
         self._transport.close()
 
     def _disconnect(self) -> None:
         self._closed = True
-        self._timer.stop()
+        self.timer.stop()
         self._writable.set()
         self.listener.connections.discard(self)
         if self._task:
             self._task.cancel()
         self._transport.close()
 
-    def _arm_timer(self) -> None:
-        """Restart the header timeout or, between requests, the idle timeout."""
-        limits = self.listener.limits()
-        request_begun = self._parser.begun_at is not None
-        seconds = (
-            limits.header_timeout_seconds
-            if request_begun
-            else limits.idle_timeout_seconds
-        )
-        self._timer.start(seconds, partial(self._handle_timeout, request_begun))
+    def _start_timer(self) -> None:
+        self.timer.start(request_begun=self._parser.begun_at is not None)
 
     def _handle_timeout(self, request_begun: bool) -> None:
-        if self._serving:
-            return
-        if request_begun and not self._parser.head_complete:
+        if not request_begun:
+            self.close_if_idle()
+        elif not self._serving and not self._parser.head_complete:
             self._reject(
                 RequestRejectedError(
                     HTTPStatus.REQUEST_TIMEOUT,
                     'the request head did not arrive in time',
                 ),
             )
-        if not request_begun:
-            self._disconnect()
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
--- a/galenaswitch/connections/responses.py
+++ b/galenaswitch/connections/responses.py
@@ -10,6 +10,7 @@
     encode_response_head,
 )
 from galenaswitch.connections.requests import InboundLimits
+from galenaswitch.connections.timers import RequestTimer
 
 
 class ListenerState(Protocol):
@@ -26,6 +27,10 @@
     def listener(self) -> ListenerState:
         """State that the connections of a port share."""
 
+    @property
+    def timer(self) -> RequestTimer:
+        """Timeout between two requests."""
+
     async def drain(self) -> None:
         """Wait until the write buffer of the connection can take bytes."""
 
@@ -72,6 +77,7 @@
             seconds = int(
                 self._connection.listener.limits().idle_timeout_seconds
             )
+            self._connection.timer.announced_idle_seconds = seconds
             framing.append((b'Keep-Alive', b'timeout=%d' % seconds))
         else:
             framing.append((b'Connection', b'close'))
--- /dev/null
+++ b/galenaswitch/connections/tests/test_timers.py
@@ -0,0 +1,90 @@
+"""Timeouts of connections that callers keep, beside a change of the limits."""
+
+import asyncio
+
+import pytest
+
+from galenaswitch.connections.heads import AnswerHead
+from galenaswitch.connections.inbound import Listener
+from galenaswitch.connections.requests import InboundLimits
+from galenaswitch.operations.metrics import LocalMetrics
+
+GET = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+class ChangingLimits:
+    """Limits in force, which tests change while a connection is open."""
+
+    def __init__(self):
+        """Begin with a short idle timeout."""
+        self.current = InboundLimits(idle_timeout_seconds=0.1)
+
+    def __call__(self):
+        """Return the limits now in force."""
+        return self.current
+
+    def set_idle_timeout(self, seconds):
+        """Bring another idle timeout into force."""
+        self.current = InboundLimits(idle_timeout_seconds=seconds)
+
+
+class ChangingHandler:
+    """Answers requests, and changes the idle timeout within each answer."""
+
+    def __init__(self, limits):
+        """Answer with the longer timeout of 1 s announced in the head."""
+        self._limits = limits
+
+    async def handle(self, request, writer):
+        """Start an answer, change the limits and end the answer."""
+        self._limits.set_idle_timeout(1.2)
+        writer.start(AnswerHead(200, ()), 0)
+        self._limits.set_idle_timeout(0.1)
+        writer.finish()
+
+
+async def open_server(limits):
+    """Return a server on a free port, and its address."""
+    listener = Listener(ChangingHandler(limits), limits, LocalMetrics())
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(listener.open_connection, '127.0.0.1', 0)
+    return server, server.sockets[0].getsockname()
+
+
+@pytest.fixture
+def limits():
+    """Return limits that a test changes."""
+    return ChangingLimits()
+
+
+@pytest.fixture
+async def connect(limits):
+    """Return a function that opens a connection to a listener."""
+    server, address = await open_server(limits)
+    yield lambda: asyncio.open_connection(*address)
+    server.close()
+
+
+# Guards against a change of the idle timeout that closes a connection before
+# the time that its last answer announced.
+async def test_announced_idle_timeout_is_kept_after_a_change(connect):
+    reader, writer = await connect()
+    writer.write(GET)
+    head = await reader.readuntil(b'\r\n\r\n')
+    assert b'Keep-Alive: timeout=1\r\n' in head
+    await asyncio.sleep(0.5)
+    writer.write(GET)
+    head = await reader.readuntil(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200')
+
+
+# Guards against an idle connection that a longer timeout, in force since, does
+# not keep open.
+async def test_longer_idle_timeout_counts_for_idle_connections(connect, limits):
+    reader, writer = await connect()
+    await asyncio.sleep(0.01)
+    limits.set_idle_timeout(5)
+    await asyncio.sleep(0.3)
+    writer.write(GET)
+    head = await reader.readuntil(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200')
