connections: what arrived while the loop was held up is read before a timeout

What callers see: a process stands still for a moment, or is held up by work, as that of bringing a configuration into force. When it goes on, the connection of a request that arrived meanwhile is reset: neither an answer nor a refusal. Cause: the event loop runs the timers that are due before it reads sockets. The idle timeout of a kept connection closed it with a whole request unread, and the timeout of a head refused a request whose rest had arrived. Class: a timeout that measures this process and not the caller. Ruled out: asyncio's own loop, which reads before it runs timers; the product uses uvloop, and so does the test. Evidence: on the code before, the new test ends with ConnectionResetError: [Errno 104] Connection reset by peer. The idle timeout has to be over while the loop is held up, so a request must be sent late in it.

--- a/galenaswitch/connections/tests/test_timers.py
+++ b/galenaswitch/connections/tests/test_timers.py
@@ -1,8 +1,11 @@
 """Timeouts of connections that callers keep, beside a change of the limits."""
 
 import asyncio
+import socket
+import time
 
 import pytest
+import uvloop
 
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import Listener
@@ -88,3 +91,27 @@
     writer.write(GET)
     head = await reader.readuntil(b'\r\n\r\n')
     assert head.startswith(b'HTTP/1.1 200')
+
+
+# Guards against a timeout that closes a connection whose request has arrived
+# while the process stood still.
+def test_request_that_arrived_while_the_loop_was_held_up_is_answered(limits):
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        server, address = runner.run(open_server(limits))
+        caller = socket.create_connection(address)
+        caller.settimeout(2)
+        runner.run(asyncio.sleep(0.05))
+        mine, theirs = socket.socketpair()
+
+        def hold_up():
+            mine.recv(1)
+            time.sleep(0.3)
+            caller.sendall(GET)
+
+        runner.get_loop().add_reader(mine, hold_up)
+        theirs.send(b'x')
+        runner.run(asyncio.sleep(0.1))
+        assert caller.recv(99).startswith(b'HTTP/1.1 200')
+        server.close()
+        for one in (caller, mine, theirs):
+            one.close()
--- a/galenaswitch/connections/timers.py
+++ b/galenaswitch/connections/timers.py
@@ -5,6 +5,10 @@
 
 from galenaswitch.connections.requests import InboundLimits
 
+# Time to read what arrived while the event loop was held up, which runs timers
+# that are due before it reads.
+LAST_READ_SECONDS = 0.01
+
 
 class RequestTimer:
     """Reports that no request begins, or that the head of one doesn't end.
@@ -52,10 +56,13 @@
     def _check(self) -> None:
         loop = asyncio.get_running_loop()
         left = self._started_at + self._find_timeout() - loop.time()
-        if left > 0:
-            self._handle = loop.call_later(left, self._check)
-        else:
-            self._on_timeout(self._request_begun)
+        self._handle = (
+            loop.call_later(left, self._check)
+            if left > 0
+            else loop.call_later(
+                LAST_READ_SECONDS, self._on_timeout, self._request_begun
+            )
+        )
 
     def _find_timeout(self) -> float:
         limits = self._limits()
