configurations: a service that is left out keeps its limits for its requests

What callers see: beside a change of the configuration that leaves a service out, a stream that has begun and needs another engine is broken off, and new requests that were admitted before it wait in vain and are refused late. Cause: a request keeps its route for its whole life, but the limits of engines and batches were looked up in the table that is in force now. Without limits nothing is placed; stages that were queued stayed so until their time was over. Class: two reads of a configuration that must agree, with a change between. Change: the table in force has a second form, which keeps services of former configurations. Owners of services use its limits. Routes and keys are looked up in the table in force only, so nothing new reaches a former service. Ruled out: the table of each request, since the owner of a service may be another VM, and gets queries that were made under other tables. Evidence: with the limits of the table in force, the new test fails with "assert '' == 'e'". The tests of the bound and of replaced limits hold new behaviour.

--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -50,6 +50,9 @@
 # the relays.
 RELAY_WATCH_SECONDS = 1.5
 NON_RELAY_WATCH_SECONDS = 20.0
+# Most services of former configurations whose limits are kept for requests
+# that began under them.
+MAX_FORMER_SERVICES = 256
 # Seconds between two queries to the seeds while the store is unreachable.
 RETRY_PAUSE_SECONDS = 0.5
 REPLY_TIMEOUT_SECONDS = 1.0
@@ -88,7 +91,11 @@
 
 
 class ActiveRouteTable:
-    """Holds the route table of the configuration in force."""
+    """Holds the route table of the configuration in force.
+
+    :ivar with_former_services: the same table, in which services that former
+        configurations had are kept. Requests that are in progress use them.
+    """
 
     def __init__(self, documents: DocumentReader) -> None:
         """Build a route table that is empty until a configuration applies.
@@ -97,6 +104,7 @@
         """
         self.current = EMPTY_TABLE
         self._documents = documents
+        self.with_former_services = EMPTY_TABLE
 
     def apply(self, item: Item) -> None:
         """Bring a newer configuration into force, unless it is not valid."""
@@ -104,6 +112,15 @@
         if table is None:
             return
         self.current = table
+        former = [
+            service
+            for service in self.with_former_services.services.values()
+            if service.name not in table.services
+        ]
+        kept = {one.name: one for one in former[-MAX_FORMER_SERVICES:]}
+        self.with_former_services = table._replace(
+            services=kept | table.services
+        )
         get_logger().info(
             'route_table_in_force',
             configuration=table.version,
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -203,11 +203,11 @@
 
     def find_batch_limits(self, service: str) -> BatchLimits | None:
         """Return a service's batch limits, None if it has none."""
-        return self._find_route_table().find_batch_limits(service)
+        return self._find_known_services().find_batch_limits(service)
 
     def find_engine_limits(self, service: str) -> EngineLimits | None:
         """Return a service's engine limits, None if it has none."""
-        return self._find_route_table().find_engine_limits(service)
+        return self._find_known_services().find_engine_limits(service)
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should route callers to this VM."""
@@ -309,6 +309,9 @@
         self._tasks.start(self.turns.on_link_open(link))
         self._tasks.start(self.origins.on_link_open(link))
 
+    def _find_known_services(self) -> RouteTable:
+        return self.state_sync.route_table.with_former_services
+
     def _find_route_table(self) -> RouteTable:
         return self.state_sync.route_table.current
 
