tasks: a duty of a VM goes on after an unexpected error

What callers see: a VM that no longer follows the store serves them by the configuration and the targets of the moment at which it stopped to. Cause: the followers of configurations and targets were started as plain tasks. An error that they don't foresee, as in the decoding of an odd entry or in what a change sets off, ended them for good, with one line in the log. The other duties of a VM were started as critical tasks, whose failure has to end the process; the edge process, unlike the control process, never waited for that. Class: a task on which others rely ends and nobody looks. Change: a lasting task runs again after a pause of 0.5 s, and leaves a bounded line task_restarts each time. All duties of a VM are lasting tasks, in quarantine/containment.py as well (three calls, nothing else there). Ruled out: ending the process, which an odd entry in the store would do again after each start, at all VMs at once. Evidence: on the code before, the test of the followers fails with "assert 1 > 1": each listed the store once.

--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -218,10 +218,10 @@
         """Start the background tasks that follow the store."""
         self._restart_followers()
         for follower in self._followers:
-            self._tasks.start_critical(follower.run_expiry())
-        self._tasks.start_critical(self._machines.poll())
-        self._tasks.start_critical(self.versions.review())
-        self._tasks.start_critical(self._detect_suspension())
+            self._tasks.start_lasting(follower.run_expiry)
+        self._tasks.start_lasting(self._machines.poll)
+        self._tasks.start_lasting(self.versions.review)
+        self._tasks.start_lasting(self._detect_suspension)
 
     def apply_items(self, message: Any) -> None:
         """Bring configurations into force that the relay accepted."""
@@ -252,7 +252,8 @@
         for task in self._follow_tasks:
             task.cancel()
         self._follow_tasks = [
-            self._tasks.start(follower.follow()) for follower in self._followers
+            self._tasks.start_lasting(follower.follow)
+            for follower in self._followers
         ]
 
     async def _query_seed(
--- a/galenaswitch/gateway/tests/test_state_sync.py
+++ b/galenaswitch/gateway/tests/test_state_sync.py
@@ -1,14 +1,21 @@
 """State sync of a VM: entries of VMs and the duration of a watch."""
 
+import asyncio
+from unittest.mock import AsyncMock
+
 import pytest
 
 from galenaswitch.gateway.machine_sync import read_machine
 from galenaswitch.gateway.state_sync import (
+    CONFIGURATION_KIND,
     NON_RELAY_WATCH_SECONDS,
+    TARGET_KIND,
     StateSync,
 )
 from galenaswitch.membership.directory import Directory
 from galenaswitch.membership.lists import Machine, Members
+from galenaswitch.operations import process
+from galenaswitch.operations.process import TaskGroup
 from galenaswitch.store.client import StoredObject
 
 # Seconds within which a new configuration has to be in force.
@@ -77,3 +84,17 @@
 
 def test_machine_without_a_relay_has_the_watch_timeout_of_a_relay(state_sync):
     assert state_sync._find_watch_seconds() < APPLY_SECONDS
+
+
+# Guards against a VM that stops following the store after an odd answer.
+async def test_followers_go_on_after_an_unexpected_error(monkeypatch):
+    monkeypatch.setattr(process, 'RESTART_SECONDS', 0.01)
+    own = Machine('a', 'z', '127.0.0.1', 1)
+    store = AsyncMock(**{'list_kind.side_effect': KeyError('odd')})
+    tasks = TaskGroup()
+    directory = Directory(Members(), own)
+    StateSync(store, None, directory, own, tasks, 1.2).start()
+    await asyncio.sleep(0.1)
+    await tasks.stop()
+    listed = [call.args[0] for call in store.list_kind.await_args_list]
+    assert min(listed.count(CONFIGURATION_KIND), listed.count(TARGET_KIND)) > 1
--- a/galenaswitch/operations/process.py
+++ b/galenaswitch/operations/process.py
@@ -12,10 +12,14 @@
 import uvloop
 
 from galenaswitch.errors import DutyError, GalenaError, SettingsError
-from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.settings import load_settings
 
 Shape = TypeVar('Shape')
+# Pause before a lasting task that has failed runs again.
+RESTART_SECONDS = 0.5
+# Most characters of the description of a task in a log line.
+MAX_JOB_LENGTH = 100
 EXIT_USAGE = 2
 EXIT_FAILED = 1
 
@@ -62,6 +66,16 @@
         task.add_done_callback(self._handle_task_end)
         return task
 
+    def start_lasting(
+        self, job: Callable[[], Coroutine[Any, Any, Any]]
+    ) -> asyncio.Task[Any]:
+        """Start a background task that runs again after an unexpected error.
+
+        It suits tasks that read what others write: an input that they can't
+        handle would end a critical task again after each restart.
+        """
+        return self.start(_run_lasting(job))
+
     async def wait_for_failure(self) -> None:
         """Wait until a critical background task has failed."""
         await self.failed.wait()
@@ -83,6 +97,21 @@
             get_logger().error('task_failed', exc_info=task.exception())
 
 
+async def _run_lasting(job: Callable[[], Coroutine[Any, Any, Any]]) -> None:
+    while True:
+        try:
+            await job()
+        except Exception as error:
+            get_logger().error(
+                'task_restarts',
+                task=getattr(job, '__qualname__', str(job)[:MAX_JOB_LENGTH]),
+                **describe_error(error),
+            )
+        else:
+            return
+        await asyncio.sleep(RESTART_SECONDS)
+
+
 async def run_every(
     seconds: float,
     job: Callable[[], Awaitable[Any]],
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -237,13 +237,18 @@
         """Start the background tasks that sync state with store and peers."""
         self.state_sync.start()
         self.containment.start()
-        self._tasks.start_critical(self.mesh.maintain_links())
-        self._tasks.start_critical(self.relay.repair())
-        self._tasks.start(
-            self.state_sync.sync_from_seeds(self._settings.seeds, self.service),
+        self._tasks.start_lasting(self.mesh.maintain_links)
+        self._tasks.start_lasting(self.relay.repair)
+        self._tasks.start_lasting(
+            partial(
+                self.state_sync.sync_from_seeds,
+                self._settings.seeds,
+                self.service,
+            ),
         )
-        self._tasks.start_critical(
-            run_every(
+        self._tasks.start_lasting(
+            partial(
+                run_every,
                 MAINTENANCE_INTERVAL_SECONDS,
                 self.run_maintenance,
                 'look_failed',
--- a/galenaswitch/quarantine/containment.py
+++ b/galenaswitch/quarantine/containment.py
@@ -9,6 +9,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 from typing import Any
 
 from xxhash import xxh3_64_hexdigest
@@ -97,11 +98,14 @@
 
     def start(self) -> None:
         """Start the background tasks that keep in line with the store."""
-        self._tasks.start_critical(self._follower.follow())
-        self._tasks.start_critical(self._follower.run_expiry())
-        self._tasks.start_critical(
-            run_every(
-                MAINTENANCE_SECONDS, self.run_maintenance, 'quarantine_failed'
+        self._tasks.start_lasting(self._follower.follow)
+        self._tasks.start_lasting(self._follower.run_expiry)
+        self._tasks.start_lasting(
+            partial(
+                run_every,
+                MAINTENANCE_SECONDS,
+                self.run_maintenance,
+                'quarantine_failed',
             ),
         )
 
