mesh: a link that closes at once is an error of the peer

Cause: a query waits until the link to the owner of a service opens, and then takes the link from the table. If the link closes before the waiting task runs, as when the peer stops right after the handshake, the table has no link any more: KeyError, which nobody on the way of a request foresees. Class: a wait and a look-up in two steps, with a change between. Change: the error is PeerClosedError, as for any other closed link. The owner counts as suspect, and the next VM or this one answers the query.

--- a/galenaswitch/membership/mesh.py
+++ b/galenaswitch/membership/mesh.py
@@ -149,7 +149,10 @@
                 await opened.wait()
         except TimeoutError as error:
             raise PeerTimeoutError(f'{node} is not reachable') from error
-        return self._links[node]
+        link = self._links.get(node)
+        if link is None:
+            raise PeerClosedError(f'the link to {node} closed at once')
+        return link
 
     def reachable(self) -> tuple[str, ...]:
         """Return the names of this VM and its zone's linked VMs."""
