--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -51,6 +51,9 @@
 # the relays.
 RELAY_WATCH_SECONDS = 1.5
 NON_RELAY_WATCH_SECONDS = 20.0
+# Most services of former configurations whose limits are kept for requests
+# that began under them.
+MAX_FORMER_SERVICES = 256
 # Seconds between two queries to the seeds while the store is unreachable.
 RETRY_PAUSE_SECONDS = 0.5
 REPLY_TIMEOUT_SECONDS = 1.0
@@ -89,7 +92,11 @@
 
 
 class ActiveRouteTable:
-    """Holds the route table of the configuration in force."""
+    """Holds the route table of the configuration in force.
+
+    :ivar with_former_services: the same table, in which services that former
+        configurations had are kept. Requests that are in progress use them.
+    """
 
     def __init__(self, documents: DocumentReader) -> None:
         """Build a route table that is empty until a configuration applies.
@@ -98,6 +105,7 @@
         """
         self.current = EMPTY_TABLE
         self._documents = documents
+        self.with_former_services = EMPTY_TABLE
 
     def apply(self, item: Item) -> None:
         """Bring a newer configuration into force, unless it is not valid."""
@@ -105,6 +113,15 @@
         if table is None:
             return
         self.current = table
+        former = [
+            service
+            for service in self.with_former_services.services.values()
+            if service.name not in table.services
+        ]
+        kept = {one.name: one for one in former[-MAX_FORMER_SERVICES:]}
+        self.with_former_services = table._replace(
+            services=kept | table.services
+        )
         get_logger().info(
             'route_table_in_force',
             configuration=table.version,
@@ -203,10 +220,10 @@
         """Start the background tasks that follow the store."""
         self._restart_followers()
         for follower in self._followers:
-            self._tasks.start_critical(follower.run_expiry())
-        self._tasks.start_critical(self._machines.poll())
-        self._tasks.start_critical(self.versions.review())
-        self._tasks.start_critical(self._detect_suspension())
+            self._tasks.start_lasting(follower.run_expiry)
+        self._tasks.start_lasting(self._machines.poll)
+        self._tasks.start_lasting(self.versions.review)
+        self._tasks.start_lasting(self._detect_suspension)
 
     def apply_items(self, message: Any) -> None:
         """Bring configurations into force that the relay accepted."""
@@ -237,7 +254,8 @@
         for task in self._follow_tasks:
             task.cancel()
         self._follow_tasks = [
-            self._tasks.start(follower.follow()) for follower in self._followers
+            self._tasks.start_lasting(follower.follow)
+            for follower in self._followers
         ]
 
     async def _query_seed(
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -209,11 +209,11 @@
 
     def find_batch_limits(self, service: str) -> BatchLimits | None:
         """Return a service's batch limits, None if it has none."""
-        return self._find_route_table().find_batch_limits(service)
+        return self._find_known_services().find_batch_limits(service)
 
     def find_engine_limits(self, service: str) -> EngineLimits | None:
         """Return a service's engine limits, None if it has none."""
-        return self._find_route_table().find_engine_limits(service)
+        return self._find_known_services().find_engine_limits(service)
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should route callers to this VM."""
@@ -243,13 +243,18 @@
         """Start the background tasks that sync state with store and peers."""
         self.state_sync.start()
         self.containment.start()
-        self._tasks.start_critical(self.mesh.maintain_links())
-        self._tasks.start_critical(self.relay.repair())
-        self._tasks.start(
-            self.state_sync.sync_from_seeds(self._settings.seeds, self.service),
+        self._tasks.start_lasting(self.mesh.maintain_links)
+        self._tasks.start_lasting(self.relay.repair)
+        self._tasks.start_lasting(
+            partial(
+                self.state_sync.sync_from_seeds,
+                self._settings.seeds,
+                self.service,
+            ),
         )
-        self._tasks.start_critical(
-            run_every(
+        self._tasks.start_lasting(
+            partial(
+                run_every,
                 MAINTENANCE_INTERVAL_SECONDS,
                 self.run_maintenance,
                 'look_failed',
@@ -315,6 +320,9 @@
         self._tasks.start(self.turns.on_link_open(link))
         self._tasks.start(self.origins.on_link_open(link))
 
+    def _find_known_services(self) -> RouteTable:
+        return self.state_sync.route_table.with_former_services
+
     def _find_route_table(self) -> RouteTable:
         return self.state_sync.route_table.current
 
--- a/galenaswitch/quarantine/containment.py
+++ b/galenaswitch/quarantine/containment.py
@@ -10,6 +10,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 from galenaswitch.membership.lists import Target
@@ -102,11 +103,14 @@
 
     def start(self) -> None:
         """Start the background tasks that keep in line with the store."""
-        self._tasks.start_critical(self._follower.follow())
-        self._tasks.start_critical(self._follower.run_expiry())
-        self._tasks.start_critical(
-            run_every(
-                MAINTENANCE_SECONDS, self.run_maintenance, 'quarantine_failed'
+        self._tasks.start_lasting(self._follower.follow)
+        self._tasks.start_lasting(self._follower.run_expiry)
+        self._tasks.start_lasting(
+            partial(
+                run_every,
+                MAINTENANCE_SECONDS,
+                self.run_maintenance,
+                'quarantine_failed',
             ),
         )
 
