tests: machines follow the store beside odd entries of each kind

Reported: machines that ended again and again, or stopped following the list of runners, because of one odd entry. Seen: the cases of the decoder are tested alone; nothing played them against whole processes while targets and configurations change. The reason of entry_unreadable says when an entry has no content that could be decoded. Conclusion: a cut of the whole list by one entry is shown end to end.

--- a/galenaswitch/platform/tests/test_odd_targets.py
+++ b/galenaswitch/platform/tests/test_odd_targets.py
@@ -1,6 +1,7 @@
 """Targets and configurations beside entries that another writer left."""
 
 import asyncio
+import signal
 from unittest.mock import Mock
 
 import pytest
@@ -175,3 +176,49 @@
     for _ in range(6):
         await state._followers[1]._list()
     assert logger.warning.call_count == 2
+
+
+def nest(depth):
+    """Return arrays that are nested."""
+    nested = []
+    for _ in range(depth):
+        nested = [nested]
+    return nested
+
+
+# Guards against machines that end, or stop following the store, because of
+# entries of another writer.
+@pytest.mark.timeout(90)
+async def test_machines_follow_the_store_beside_odd_entries(open_driver):
+    driver = await open_driver(74)
+    soak = driver.soak
+    odd = {
+        'odd-nan': {**TARGET, 'slots': float('nan')},
+        'odd-infinity': {**TARGET, 'cold-left-ms': float('inf')},
+        'odd-digits': {**TARGET, 'sequence': 10**400},
+        'odd-text': {**TARGET, 'zone': '\ud800'},
+        'odd-depth': {**TARGET, 'more': nest(400)},
+        'odd-port': {**TARGET, 'service': 'desk', 'address': '127.0.0.1:99999'},
+        'odd-body': 'x',
+        '\ud800': TARGET,
+    }
+    for kind in (
+        'servers',
+        'config',
+        'galena-vms',
+        'galena-versions',
+        'galena-quarantines',
+    ):
+        for name, spec in odd.items():
+            soak._store.put(kind, name, spec)
+    answered = []
+    for turn in range(40):
+        if turn < len(soak._targets):
+            soak._targets[turn].restart()
+        if turn == 20:
+            soak._machines[0].signal(signal.SIGKILL)
+        await asyncio.sleep(0.3)
+        answered.append(await driver.send('plain'))
+    late = [sent.status for sent in answered[-10:]]
+    assert soak.records.violations == []
+    assert late == [200] * 10
--- a/galenaswitch/store/unreadable.py
+++ b/galenaswitch/store/unreadable.py
@@ -18,14 +18,19 @@
         self._versions: dict[str, int] = {}
 
     def report(self, stored: StoredObject, reason: str) -> None:
-        """Log an entry unless this version of it has been logged."""
+        """Log an entry unless this version of it has been logged.
+
+        :param reason: why the content isn't valid, if it could be decoded.
+        """
         if self._versions.pop(stored.name, None) != stored.version:
             get_logger().warning(
                 'entry_unreadable',
                 kind=stored.kind,
                 name=stored.name[:MAX_TEXT_LENGTH],
                 revision=format_version(stored.version),
-                reason=reason[:MAX_TEXT_LENGTH],
+                reason=(
+                    reason[:MAX_TEXT_LENGTH] if stored.body else 'no content'
+                ),
             )
         self._versions[stored.name] = stored.version
         if len(self._versions) > MAX_REMEMBERED:
