connections: a response with another transfer coding than chunked is broken

Reported: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. Seen here: no head that is cut off anywhere is taken for one, on a new or a kept connection, behind interim responses, byte by byte or at once. Chunks, trailers and lengths that are cut or broken fail as well. One neighbour of that does pass: "Transfer-Encoding: gzip, chunked", "chunked, chunked", or chunked in two lines was complete, and its body went to the caller with the coding still on it, since that header isn't passed on. "gzip" alone began an answer that then broke off. Cause: any Transfer-Encoding counted as a length, and the parser judges only whether the last coding is chunked. Change: a response whose transfer codings are anything but one "chunked" is broken at its head, so a request that may be repeated goes to another target. Evidence: on the code before, 12 of the new cases fail (coded chunks, chunks of chunks, chunks twice; each on a new and a kept connection, whole and byte by byte). The other cases passed before as well and stay as guards. Conclusion: the reported fault can't happen on these connections by these ways. A response without any length still ends at an orderly close, as HTTP has it.

--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -197,13 +197,15 @@
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS or self._exchange is None:
             return
+        codings = find_header_values(self._headers, b'transfer-encoding')
+        if codings and [one.lower() for one in codings] != [b'chunked']:
+            self._fail('the target sent a body with an unknown coding')
+            self.close()
+            return
         self._keep_alive = self._keep_alive and self._parser.should_keep_alive()
         self._read_idle_timeout()
-        has_length = find_header_values(
+        has_length = codings or find_header_values(
             self._headers, b'content-length'
-        ) or find_header_values(
-            self._headers,
-            b'transfer-encoding',
         )
         self._ends_at_close = (
             not has_length and status not in _BODILESS_STATUSES
