--- a/galenaswitch/platform/tests/test_batcher.py
+++ b/galenaswitch/platform/tests/test_batcher.py
@@ -125,6 +125,37 @@
     assert pacer.rates == {member.incarnation: 1.0}
 
 
+# Guards against results that are taken from a head that is cut off or broken.
+@pytest.mark.parametrize(
+    'cut',
+    [
+        b'HTTP/1.1 200 OK\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Len',
+        b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: 1\r\n',
+        MADE[:-1],
+        MADE.replace(b'Content-Length: ', b'Content-Length: -'),
+        MADE.replace(b'Content-Length: ', b'Transfer-Encoding: gzip\r\nX-A: '),
+    ],
+)
+async def test_batch_with_a_cut_head_is_sent_again(
+    open_batcher, monkeypatch, cut
+):
+    monkeypatch.setattr(target_states, 'FAILURE_PAUSE_SECONDS', 0.01)
+    batcher, target = await open_batcher()
+    batcher._sender._pool.close()
+    answers = [cut, MADE_AGAIN]
+
+    async def serve(reader, writer):
+        await target.read_request(reader)
+        writer.write(answers.pop(0))
+        await writer.drain()
+
+    target._script = serve
+    reply = await batcher.make_results(make_query())
+    assert reply.handles == ('127.0.0.1:1/i',)
+    assert count_batches(target) == 2
+
+
 # Guards against a work item that ends one target after the other.
 async def test_work_item_of_crashed_targets_is_sent_twice_at_most(
     open_batcher, monkeypatch
