--- a/galenaswitch/platform/tests/driver.py
+++ b/galenaswitch/platform/tests/driver.py
@@ -1,5 +1,7 @@
 """Fixture with the processes of a soak, to which a test sends requests."""
 
+import asyncio
+import random
 import secrets
 from typing import NamedTuple
 
@@ -7,9 +9,12 @@
 import pytest
 from yarl import URL
 
-from galenaswitch.platform.soak.callers import API_KEY, HOST
+from galenaswitch.platform.soak.callers import API_KEY, HOST, Caller
 from galenaswitch.platform.soak.soak import Plan, Soak
 
+# Callers that a test starts.
+CALLERS = 12
+
 
 class Sent(NamedTuple):
     """Request that a driver sent.
@@ -82,3 +87,26 @@
     for soak, session in opened:
         await session.close()
         await soak.close()
+
+
+@pytest.fixture
+def start_callers():
+    """Return a function that starts callers of resumable streams."""
+    tasks = []
+
+    def start(soak):
+        addresses = [machine.callers for machine in soak._machines]
+        for number in range(CALLERS):
+            caller = Caller(
+                addresses,
+                soak._balancer,
+                soak.records,
+                soak._now,
+                random.Random(number),
+                ('notes',),
+            )
+            tasks.append(asyncio.create_task(caller.run()))
+
+    yield start
+    for task in tasks:
+        task.cancel()
--- a/galenaswitch/platform/tests/test_take_ups.py
+++ b/galenaswitch/platform/tests/test_take_ups.py
@@ -1,43 +1,18 @@
 """Streams that callers take up while VMs are killed and versions change."""
 
 import asyncio
-import random
 
 import pytest
 
-from galenaswitch.platform.soak.callers import OK, Caller
+from galenaswitch.platform.soak.callers import OK
 from galenaswitch.platform.soak.promises import check_answers, check_versions
 
-CALLERS = 12
 # Seconds between two kills of a VM; the machine starts again in between.
 KILL_INTERVAL_SECONDS = 2.5
 KILLS = 8
 MIN_TAKE_UPS = 12
 
 
-@pytest.fixture
-def start_callers():
-    """Return a function that starts callers of resumable streams."""
-    tasks = []
-
-    def start(soak):
-        addresses = [machine.callers for machine in soak._machines]
-        for number in range(CALLERS):
-            caller = Caller(
-                addresses,
-                soak._balancer,
-                soak.records,
-                soak._now,
-                random.Random(number),
-                ('notes',),
-            )
-            tasks.append(asyncio.create_task(caller.run()))
-
-    yield start
-    for task in tasks:
-        task.cancel()
-
-
 async def wait_ready(soak):
     """Wait until all machines have been ready for a while after a kill."""
     await asyncio.sleep(KILL_INTERVAL_SECONDS / 2)
