mesh: a peer is dialled again after an unexpected error

What callers see: a VM without a link to the owner of a service answers queries itself, or not in time, for as long as its process runs. Cause: the dialler of a peer goes on after errors of peers and sockets. Another error, as in the handling of one message, ended its task, and the mesh took the ended task for a dialler that runs. Class: a task on which others rely ends and nobody looks. Change: an unexpected error ends the link only, and leaves a bounded line link_failed; the dialler goes on. Evidence: on the code before, the new test fails with "assert not [<ScriptedLink>]": the second link was never opened.

--- a/galenaswitch/membership/mesh.py
+++ b/galenaswitch/membership/mesh.py
@@ -19,7 +19,7 @@
 from galenaswitch.membership.links import Link, LinkService, dial
 from galenaswitch.membership.lists import Machine, Members
 from galenaswitch.membership.ranking import pick_nodes
-from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.process import TaskGroup
 
 RELAYS_PER_ZONE = 2
@@ -300,6 +300,10 @@
                     peer=machine.name,
                     reason=str(error),
                 )
+            except Exception as error:
+                get_logger().error(
+                    'link_failed', peer=machine.name, **describe_error(error)
+                )
             await asyncio.sleep(REDIAL_SECONDS)
 
     async def _run_link(self, machine: Machine) -> None:
--- a/galenaswitch/membership/tests/test_mesh.py
+++ b/galenaswitch/membership/tests/test_mesh.py
@@ -66,3 +66,12 @@
     dialled.append(ScriptedLink())
     with pytest.raises(PeerClosedError):
         await mesh.connect('b', 1)
+
+
+# Guards against a peer that is never dialled again after an unexpected error.
+async def test_peer_is_dialled_again_after_an_unexpected_error(mesh, dialled):
+    dialled.extend([ScriptedLink(KeyError('odd')), ScriptedLink()])
+    with pytest.raises(PeerClosedError):
+        await mesh.connect('b', 1)
+    await asyncio.sleep(0.1)
+    assert not dialled
