callers: a stream that fails unexpectedly doesn't look complete

What callers see: a stream of the product's own interface that an unexpected error ends is framed as complete: the last chunk comes after the events so far, without an error event and without done. Cause: a failed stream was reset for refusals only. Any other error reached the HTTP library, which ends a response that has begun in an orderly way. Its outcome was counted as cancelled. Change: the one place through which both kinds of responses run turns an unexpected error into the refusal internal-error, with one bounded line request_failed; so a stream ends with an error event and a reset. A task that was cancelled elsewhere counts as an error, too; the caller's own leaving doesn't.

--- a/galenaswitch/callers/server.py
+++ b/galenaswitch/callers/server.py
@@ -28,8 +28,9 @@
     choose_deadline_ms,
     parse_body,
 )
-from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.metrics import Metrics
+from galenaswitch.operations.process import is_cancelled
 from galenaswitch.pipelines.execution import TokenSink
 from galenaswitch.pipelines.requests import PipelineRequest, Progress
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
@@ -278,6 +279,18 @@
         except RefusedError as error:
             outcome = error.reason.value
             raise
+        except (Exception, asyncio.CancelledError) as error:
+            if is_cancelled():
+                raise
+            outcome = Reason.internal.value
+            get_logger().error(
+                'request_failed',
+                request=pipeline_request.ident,
+                **describe_error(error),
+            )
+            raise RefusedError(
+                Reason.internal, ExecutionState.unknown
+            ) from error
         finally:
             self._metrics.count(f'requests.{outcome}')
             self._metrics.time(
