--- a/galenaswitch/quarantine/tests/conftest.py
+++ b/galenaswitch/quarantine/tests/conftest.py
@@ -96,11 +96,14 @@
             return False
         return True
 
-    async def break_request(self, incarnation, *parts):
-        """Report a request that a crashed target had not begun to answer."""
+    async def break_request(self, incarnation, *parts, run_seconds=0):
+        """Report a request that a crashed target had not begun to answer.
+
+        :param run_seconds: time from its send to the crash.
+        """
         target = Target(incarnation, incarnation, 'z', 'llm', 'address')
         await self.containment.record_broken(
-            target, 'a1', parts, self.cluster.now
+            target, 'a1', parts, self.cluster.now - run_seconds
         )
 
     def read_store(self):
