stages: a crash under a batch implicates the requests of its work items

Callers would see the targets of a stage go down one after the other: a work item that ends its target was stopped after two crashes, but only within one attempt of its caller. The attempts that come again had other ids, so each of them could end two more targets (BUDGET), and the quarantine of whole requests never heard of it.

Cause: crashes under a batch were counted by attempt only. A query for results names the fingerprint of the request now (a field with a default, so VMs of an older release read it), and the batcher reports a crash under a batch with the fingerprints of all its requests. Parts of prompts are not implicated, as stages don't read them. An answer that begins clears the request as before. A target that is leaving ends by itself: it no longer counts as crashed here.

`BatchedService` joins two arguments of Batcher. Sender.is_listening had no other use and is gone; the crash is found by the one detector.

Evidence: test_crash_of_a_batch_implicates_its_requests fails with "assert 0 == 1" where batches implicate nothing. test_work_item_of_crashed_targets_is_sent_ twice_at_most sets the detector's check now instead of the pool's, with the same asserts. Tests of quarantine, gateway, pipelines and of plain calls, streams, batches and stages passed.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -26,6 +26,7 @@
     ReleaseNote,
 )
 from galenaswitch.gateway.questions import (
+    BatchedService,
     acquire_budget,
     count_crash,
     estimate_retry_after,
@@ -42,6 +43,7 @@
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.pipelines.batch_queue import Batch, BatchQueue
 from galenaswitch.pipelines.pending import PendingStage
+from galenaswitch.quarantine.containment import Containment
 
 # Seconds after which an idle connection to a target is not reused.
 MAX_IDLE_SECONDS = 3.0
@@ -64,23 +66,25 @@
 
     def __init__(
         self,
-        service: str,
-        find_limits: Callable[[str], BatchLimits | None],
+        service: BatchedService,
         members: Members,
         sender: Sender,
         wire: Wire,
         budgets: RetryBudgets,
         tasks: TaskGroup,
         release: Callable[[HeldResults], None],
+        containment: Containment,
     ) -> None:
         """Build a batcher for the ``members`` that serve ``service``.
 
         :param find_limits: returns the batch limits of a service.
         :param release: releases results that work items have read.
+        :param containment: learns which requests crash targets.
         """
+        self._containment = containment
         self._inputs = InputReleases(release)
-        self._service = service
-        self._find_limits = find_limits
+        self._service = service.name
+        self._find_limits = service.find_limits
         self._members = members
         self._sender = sender
         self._wire = wire
@@ -250,7 +254,9 @@
                 reason=str(error),
                 seconds=round(time.monotonic() - started_at, 3),
             )
-            await count_crash(batch, error, self._sender)
+            # A target that is leaving ends by itself.
+            if batch.target in self._members.usable(self._service):
+                await count_crash(batch, error, self._containment, started_at)
             self._handle_failure(batch, error, limits)
         else:
             seconds = time.monotonic() - started_at
--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -74,6 +74,8 @@
         is met.
     :param first_byte_deadline: monotonic time at which the caller
         disconnects unless the answer has started.
+    :param fingerprint: id of the whole request over attempts and VMs, empty
+        until it is made.
     """
 
     fields: RequestFields
@@ -87,6 +89,7 @@
     deadline: float
     objective_deadline: float
     first_byte_deadline: float
+    fingerprint: str = ''
 
     @property
     def ident(self) -> str:
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -58,7 +58,6 @@
             new stream.
         :param containment: refuses the request if it is harmful.
         """
-        self.request = request
         self.table = table
         self.writer = writer
         self.stages: StageJob | None = None
@@ -76,6 +75,8 @@
             request.fields.shared_parts,
             request.content,
         )
+        fingerprint = self.screening.fingerprint
+        self.request = request._replace(fingerprint=fingerprint)
 
     @property
     def run(self) -> ExecutionState:
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -32,6 +32,7 @@
     :param stages_left: number of stages that still run one after the other,
         this stage included.
     :param late: whether an earlier stage found that the request will be late.
+    :param fingerprint: id of the whole request over attempts and VMs.
     """
 
     service: str
@@ -46,6 +47,7 @@
     priority: int = 0
     stages_left: int = 1
     late: bool = False
+    fingerprint: str = ''
 
 
 class PiecesReply(NamedTuple):
--- a/galenaswitch/gateway/questions.py
+++ b/galenaswitch/gateway/questions.py
@@ -4,16 +4,19 @@
 stage that a query becomes, and the retry time after a refusal.
 """
 
+import asyncio
 import random
+from collections.abc import Callable
+from typing import NamedTuple
 
 from galenaswitch.errors import GalenaError, TargetBrokenError
 from galenaswitch.gateway.messages import PiecesQuestion
 from galenaswitch.gateway.routes import BatchLimits
-from galenaswitch.gateway.sending import Sender
 from galenaswitch.limits.retries import RetryBudget
 from galenaswitch.pipelines.arrivals import WINDOW_SECONDS
 from galenaswitch.pipelines.batch_queue import Batch
 from galenaswitch.pipelines.pending import PendingStage, Urgency
+from galenaswitch.quarantine.containment import Containment
 
 # Share of used result memory above which a target has memory pressure. The
 # remaining memory holds the results of one full batch.
@@ -36,14 +39,38 @@
     return True
 
 
-async def count_crash(batch: Batch, error: GalenaError, sender: Sender) -> None:
-    """Count a crash of a batch's target against all stages in the batch."""
+class BatchedService(NamedTuple):
+    """Service whose targets make work items in batches.
+
+    :param find_limits: returns the batch limits of a service.
+    """
+
+    name: str
+    find_limits: Callable[[str], BatchLimits | None]
+
+
+async def count_crash(
+    batch: Batch, error: GalenaError, containment: Containment, sent_at: float
+) -> None:
+    """Count a crash of a batch's target against all stages in the batch.
+
+    It implicates their requests, which come again under other ids.
+
+    :param sent_at: monotonic time in seconds of the send to the target.
+    """
     if not isinstance(error, TargetBrokenError):
         return
-    if await sender.is_listening(batch.target):
-        return
-    for pending in {id(one): one for one, _ in batch.work_items}.values():
-        pending.crashes += 1
+    stages = list({id(one): one for one, _ in batch.work_items}.values())
+    crashed = await asyncio.gather(
+        *(
+            containment.record_broken(
+                batch.target, one.ident, one.implicated, sent_at
+            )
+            for one in stages
+        )
+    )
+    for pending, has_crashed in zip(stages, crashed, strict=True):
+        pending.crashes += has_crashed
 
 
 def has_memory_pressure(used_bytes: float, limits: BatchLimits | None) -> bool:
@@ -91,4 +118,5 @@
             query.late,
         ),
         query.last_read,
+        query.fingerprint,
     )
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -145,10 +145,6 @@
         finally:
             self._pool.release(connection)
 
-    async def is_listening(self, target: Target) -> bool:
-        """Tell whether a target accepts connections."""
-        return await self._pool.is_listening(target.url)
-
     def _observe(
         self, target: Target, names_limit: bool, head: AnswerHead
     ) -> None:
--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -240,6 +240,7 @@
             self._request.priority,
             self._stage_times.count_stages_left(number),
             self.late,
+            self._request.fingerprint,
         )
         owner, reply = await self._runner.query(query)
         self._owners[stage.service] = owner
--- a/galenaswitch/pipelines/pending.py
+++ b/galenaswitch/pipelines/pending.py
@@ -55,6 +55,7 @@
         zone: str,
         urgency: Urgency,
         releasable_inputs: tuple[HeldResults, ...] = (),
+        fingerprint: str = '',
     ) -> None:
         """Build a pending stage that queues ``work_items``.
 
@@ -62,8 +63,10 @@
         :param zone: preferred zone of the results, empty for any zone.
         :param releasable_inputs: inputs that can be released once this stage
             has read them.
+        :param fingerprint: id of the whole request over attempts and VMs.
         """
         self.ident = ident
+        self._fingerprint = fingerprint
         self.queued = list(work_items)
         self.missing_results = len(self.queued)
         self.result_bytes = result_bytes
@@ -76,12 +79,14 @@
         self.late = urgency.late
         self.handles: dict[int, str] = {}
         self.failure = ''
-        self._weighted_start_by = (
-            urgency.start_by + urgency.priority * PRIORITY_STEP_SECONDS
-        )
         self.retries = 0
         self.crashes = 0
 
+    @property
+    def implicated(self) -> tuple[str, ...]:
+        """What a crash implicates: the request, if its fingerprint is known."""
+        return (self._fingerprint,) if self._fingerprint else ()
+
     @property
     def start_by(self) -> float:
         """Latest monotonic time to start a batch for a request on time."""
@@ -138,5 +143,7 @@
         return (
             not self.started,
             late,
-            self._weighted_start_by - zone_advance_seconds,
+            self.start_by
+            + self.urgency.priority * PRIORITY_STEP_SECONDS
+            - zone_advance_seconds,
         )
--- a/galenaswitch/platform/tests/test_batcher.py
+++ b/galenaswitch/platform/tests/test_batcher.py
@@ -11,6 +11,7 @@
     PiecesCancel,
     PiecesQuestion,
 )
+from galenaswitch.gateway.questions import BatchedService
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.limits.pacing import BURST_REQUESTS
 from galenaswitch.limits.retries import RetryBudgets
@@ -45,7 +46,7 @@
 
 
 @pytest.fixture
-async def open_batcher(scripted, sender):
+async def open_batcher(scripted, sender, containment):
     """Return a function that opens a batcher for one scripted target."""
     tasks = TaskGroup()
 
@@ -56,14 +57,14 @@
         members.accept(MemberList(1, (), (member,)))
         released = []
         batcher = Batcher(
-            'intake',
-            lambda _: BATCHES,
+            BatchedService('intake', lambda _: BATCHES),
             members,
             sender,
             PlatformWire(),
             RetryBudgets(0, min_retries, 10),
             tasks,
             released.append,
+            containment,
         )
         # The target's first answer reports its free result memory.
         batcher._result_memory.query_new(members.usable('intake'), BATCHES)
@@ -127,7 +128,7 @@
 
 # Guards against a work item that ends one target after the other.
 async def test_work_item_of_crashed_targets_is_sent_twice_at_most(
-    open_batcher, monkeypatch
+    open_batcher, containment, monkeypatch
 ):
     monkeypatch.setattr(target_states, 'FAILURE_PAUSE_SECONDS', 0.01)
     batcher, target = await open_batcher(BROKEN, BROKEN, BROKEN, MADE)
@@ -135,12 +136,27 @@
     async def is_listening(address):
         return False
 
-    batcher._sender._pool.is_listening = is_listening
+    monkeypatch.setattr(containment._detector, '_is_listening', is_listening)
     reply = await batcher.make_results(make_query())
     assert reply.failure == 'TargetBrokenError'
     assert count_batches(target) == 2
 
 
+# Guards against attempts of a caller whose work items end target after target.
+async def test_crash_of_a_batch_implicates_its_requests(
+    open_batcher, containment, monkeypatch
+):
+    monkeypatch.setattr(target_states, 'FAILURE_PAUSE_SECONDS', 0.01)
+    batcher, _ = await open_batcher(BROKEN, MADE)
+
+    async def is_listening(address):
+        return False
+
+    monkeypatch.setattr(containment._detector, '_is_listening', is_listening)
+    await batcher.make_results(make_query(fingerprint='request-1'))
+    assert containment._evidence.count_crashes('request-1') == 1
+
+
 async def test_work_item_of_targets_that_broke_it_and_live_is_retried(
     open_batcher, monkeypatch
 ):
--- a/galenaswitch/platform/tests/test_repeated_answers.py
+++ b/galenaswitch/platform/tests/test_repeated_answers.py
@@ -8,6 +8,7 @@
 from galenaswitch.gateway.batcher import Batcher
 from galenaswitch.gateway.calls import WorkItem
 from galenaswitch.gateway.messages import PiecesQuestion
+from galenaswitch.gateway.questions import BatchedService
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.operations.process import TaskGroup
@@ -67,7 +68,7 @@
 
 
 @pytest.fixture
-async def make_results(sender, monkeypatch):
+async def make_results(sender, containment, monkeypatch):
     """Return a function that makes results for one request after the other.
 
     :returns: the reply to each request.
@@ -84,14 +85,14 @@
         member = Target('m', 'm/1', 'z', 'intake', target.address)
         members.accept(MemberList(1, (), (member,)))
         batcher = Batcher(
-            'intake',
-            lambda _: BATCHES,
+            BatchedService('intake', lambda _: BATCHES),
             members,
             sender,
             PlatformWire(),
             RetryBudgets(0, 10, 10),
             tasks,
             lambda held: None,
+            containment,
         )
         replies = {}
         for ident in idents:
--- a/galenaswitch/platform/tests/test_stages.py
+++ b/galenaswitch/platform/tests/test_stages.py
@@ -9,6 +9,7 @@
 from galenaswitch.gateway.batcher import Batcher
 from galenaswitch.gateway.jobs import INPUT_READ_SECONDS
 from galenaswitch.gateway.placements import PlacementScheduler
+from galenaswitch.gateway.questions import BatchedService
 from galenaswitch.gateway.routes import (
     BatchLimits,
     CallKind,
@@ -157,14 +158,14 @@
         listed.accept(MemberList(1, (), tuple(targets)))
         wire = PlatformWire()
         batcher = Batcher(
-            'intake',
-            lambda _: limits,
+            BatchedService('intake', lambda _: limits),
             listed,
             sender,
             wire,
             budgets,
             tasks,
             lambda held: stages.release(held),
+            containment,
         )
         stages = StageRunner(
             'z', listed, wire, LocalOwnerRouter(), lambda _: batcher
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -34,6 +34,7 @@
 from galenaswitch.gateway.owners import OwnerRouter
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.plain import PlainRunner
+from galenaswitch.gateway.questions import BatchedService
 from galenaswitch.gateway.readiness import Readiness
 from galenaswitch.gateway.routes import BatchLimits, EngineLimits, RouteTable
 from galenaswitch.gateway.sending import Sender
@@ -183,14 +184,14 @@
         """Return the batcher of a service on this VM; create it if needed."""
         if service not in self._batchers:
             self._batchers[service] = Batcher(
-                service,
-                self.find_batch_limits,
+                BatchedService(service, self.find_batch_limits),
                 self.members,
                 self._sender,
                 self._wire,
                 self.budgets,
                 self._tasks,
                 self.stages.release,
+                self.containment,
             )
         return self._batchers[service]
 
--- a/galenaswitch/quarantine/containment.py
+++ b/galenaswitch/quarantine/containment.py
@@ -169,20 +169,21 @@
 
     async def record_broken(
         self, target: Target, ident: str, parts: tuple[str, ...], sent_at: float
-    ) -> None:
+    ) -> bool:
         """Implicate the parts of a request if its target has crashed.
 
         The target had not answered the request.
 
         :param ident: id of the caller's attempt.
         :param sent_at: monotonic time in seconds of the send to the target.
+        :returns: whether the target has crashed.
         """
         sent_age = time.monotonic() - sent_at
         implicated = tuple(
             ImplicatedPart(part, position, answered=False, sent_age=sent_age)
             for position, part in enumerate(parts)
         )
-        await self._detector.examine(target, ident, implicated)
+        return await self._detector.examine(target, ident, implicated)
 
     def dump(self) -> dict[str, Any]:
         """Return the quarantined parts with their records."""
--- a/galenaswitch/quarantine/detector.py
+++ b/galenaswitch/quarantine/detector.py
@@ -24,7 +24,7 @@
     :ivar requests: ids of the broken requests.
     """
 
-    def __init__(self, check: asyncio.Task[None], now: float) -> None:
+    def __init__(self, check: asyncio.Task[bool], now: float) -> None:
         """Build the record of a target that ``check`` examines."""
         self.check = check
         self.broken_at = now
@@ -54,13 +54,14 @@
 
     async def examine(
         self, target: Target, ident: str, parts: tuple[ImplicatedPart, ...]
-    ) -> None:
+    ) -> bool:
         """Report the parts of a broken request if its target has crashed.
 
         Several requests that one target broke are examined and reported
         together.
 
         :param ident: id of the caller's attempt.
+        :returns: whether the target has crashed.
         """
         broken = self._broken.get(target.incarnation)
         if broken is None:
@@ -71,15 +72,15 @@
         for part in parts:
             known = broken.parts.get(part.ident, part)
             broken.parts[part.ident] = known.merge(part)
-        await asyncio.shield(broken.check)
+        return await asyncio.shield(broken.check)
 
-    async def _check_target(self, target: Target) -> None:
+    async def _check_target(self, target: Target) -> bool:
         try:
             is_listening = await self._is_listening(target.url)
         finally:
             broken = self._broken.pop(target.incarnation)
         if is_listening:
-            return
+            return False
         get_logger().warning(
             'target_crashed',
             target=target.name,
@@ -94,3 +95,4 @@
                 time.monotonic() - broken.broken_at,
             ),
         )
+        return True
--- a/galenaswitch/quarantine/messages.py
+++ b/galenaswitch/quarantine/messages.py
@@ -21,7 +21,7 @@
     ident: str
     position: int
     answered: bool
-    sent_age: float
+    sent_age: float = 0.0
 
     def merge(self, other: 'ImplicatedPart') -> 'ImplicatedPart':
         """Return the part as implicated by two requests of one crash."""
--- a/galenaswitch/quarantine/screening.py
+++ b/galenaswitch/quarantine/screening.py
@@ -22,6 +22,7 @@
 class Screening:
     """Screening of one caller's attempt.
 
+    :ivar fingerprint: id of the whole request.
     :ivar parts: ids of the request's parts.
     """
 
@@ -38,8 +39,8 @@
         :param shared_parts: shared parts of its prompt.
         :param content: fields that are the same in each attempt.
         """
-        fingerprint = containment.fingerprints.make(content)
-        self.parts = (*identify_parts(shared_parts), fingerprint)
+        self.fingerprint = containment.fingerprints.make(content)
+        self.parts = (*identify_parts(shared_parts), self.fingerprint)
         self._containment = containment
         self._ident = ident
         self._trial = ''
