tests: a network of its own for the machines beside odd entries

Seen: in a run of the tests of seven packages, 1 of 1,239 failed: "OSError: [Errno 98] Address already in use (while attempting to bind on address ('127.61.1.1', 8001))" in test_harmful_prompt_part_stops_reaching_engines. Cause: each test that starts machines has a loopback network by its number, and runs of several worktrees of one computer share these. Ruled out: an effect of the decoders. The test passed alone on the same code. Change: the test of odd entries uses number 87, which no test of the other worktrees uses; 74 was in use by another. Evidence: it passes with that number, in 15 s.

--- a/galenaswitch/platform/tests/test_odd_targets.py
+++ b/galenaswitch/platform/tests/test_odd_targets.py
@@ -190,7 +190,7 @@
 # entries of another writer.
 @pytest.mark.timeout(90)
 async def test_machines_follow_the_store_beside_odd_entries(open_driver):
-    driver = await open_driver(74)
+    driver = await open_driver(87)
     soak = driver.soak
     odd = {
         'odd-nan': {**TARGET, 'slots': float('nan')},
