--- a/galenaswitch/gateway/tests/version_fakes.py
+++ b/galenaswitch/gateway/tests/version_fakes.py
@@ -10,6 +10,8 @@
 from galenaswitch.store.versions import Revision, find_era, join_version
 
 SERVICE = 'llm'
+# Turns of the event loop within which a version without conflicts is recorded.
+MANY_TURNS = 40
 
 
 class ModelStore:
@@ -173,3 +175,9 @@
         """Use the targets that are admitted."""
         admitted = self.records.admit(self.listed, {SERVICE})
         self.usable = {target.version for target in admitted}
+
+
+async def settle():
+    """Let all VMs record what they list."""
+    for _ in range(MANY_TURNS):
+        await asyncio.sleep(0)
