connections: a failure of the parser is answered with 500

What callers see: the bytes of their request are read, and the connection is reset without an answer or a refusal. Cause: an error that the parser's callbacks raise by themselves goes on to the event loop, which closes the connection. A limit of a wrong type does it, as a null for max-header-bytes, which the check of a configuration lets pass: then each request at each VM is lost. Class: the same as in the answering of requests: what nobody foresaw had no end. Change: such an error is a rejection with status 500, and leaves a bounded line request_unreadable. The check of the configuration stays as it is: that a null limit passes it is open. Evidence: on the code before, the new test fails with "assert False" for an empty response, beside "Fatal error: protocol.data_received() call failed" and TypeError: '>' not supported between instances of 'int' and 'NoneType'.

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -154,6 +154,12 @@
         except RequestRejectedError as error:
             self._rejection = error
             self._transport.pause_reading()
+        except Exception as error:
+            get_logger().error('request_unreadable', **describe_error(error))
+            self._rejection = RequestRejectedError(
+                HTTPStatus.INTERNAL_SERVER_ERROR, 'the parser failed'
+            )
+            self._transport.pause_reading()
         if self._parser.wants_continue:
             self._parser.wants_continue = False
             self._transport.write(CONTINUE_RESPONSE)
--- a/galenaswitch/connections/tests/test_inbound.py
+++ b/galenaswitch/connections/tests/test_inbound.py
@@ -216,3 +216,12 @@
     listener.close_idle()
     response = await reader.readuntil(b'\r\n\r\n')
     assert response.startswith(b'HTTP/1.1 200')
+
+
+# Guards against bytes whose parsing fails, which reset a connection.
+async def test_failure_of_the_parser_is_answered_with_500(listen):
+    limits = InboundLimits(max_header_bytes=None)
+    _, _, reader, writer = await listen(respond_ok, limits)
+    writer.write(GET)
+    response = await reader.read()
+    assert response.startswith(b'HTTP/1.1 500')
