gateway: a target that says in an answer that it leaves gets no more requests

Callers saw requests go on to a target whose answers had carried the notice Server-Leaving for seconds: nothing read the header, so a machine stopped sending only when the store's list marked the target, which may come late or, for a machine that is cut off from the store, not at all.

The cause: leaving notices had one source, the lists. Any answer is a second one now. The codec decodes the header, the sender observes it in the head of every answer (work, batches, reports, releases, streams, refusals), and the notice is recorded by incarnation on the one path of leaving notices and spread to the other machines, also on links that open later. A notice outlives the entry of its target, since a list may bring the entry back; the newest 1,024 of unlisted targets are kept. A misdirected answer is that of the target which has the address now, so the notice is given to that one.

Whether a target is leaving is checked right before each send, and once more after a connection was opened, whichever machine placed the request; a request that waited for a placement, a turn, a batch or a retry is placed anew without using retry budget. The owner learns in the query which incarnations the asking machine doesn't use. A target object of an earlier list no longer hides that the newest list marks it.

In test_batcher.py, conftest.py and test_results.py the fixtures share one list of members with the sender; no check in them changed.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -25,6 +25,7 @@
     PiecesReply,
     ReleaseNote,
 )
+from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.gateway.questions import (
     acquire_budget,
     count_crash,
@@ -57,6 +58,8 @@
 # Failure of a work item whose inputs are lost at their producer.
 LOST = 'gone'
 _OUT_OF_CAPACITY = 'out-of-capacity'
+# Failures of work items that are queued again without using retry budget.
+_FREE_RETRIES = frozenset((_NO_MEMORY, TargetClosedError.__name__))
 
 
 class Batcher:
@@ -378,7 +381,7 @@
         now = time.monotonic()
         if now >= pending.deadline or failure in {_LATE, LOST}:
             return False
-        if failure == _NO_MEMORY:
+        if failure in _FREE_RETRIES:
             return True
         if not pending.has_retries_left:
             return False
--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -207,6 +207,12 @@
         :returns: ``None`` when not sent.
         """
 
+    def is_leaving(self, head: AnswerHead) -> bool:
+        """Tell whether an answer says that the target is leaving."""
+
+    def is_misdirected(self, head: AnswerHead) -> bool:
+        """Tell whether an answer is that of another target."""
+
     def is_not_run(self, head: AnswerHead) -> bool:
         """Tell whether an answer states that the target ran nothing."""
 
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -13,6 +13,7 @@
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.gateway.calls import CallerRequest
 from galenaswitch.gateway.events import EventBuffer
+from galenaswitch.gateway.messages import PlaceQuestion, TargetLimit
 from galenaswitch.gateway.routes import RouteTable
 from galenaswitch.gateway.stages import StageJob, StageResults
 from galenaswitch.membership.lists import Target
@@ -116,6 +117,39 @@
         self.stages = None
 
 
+def make_placement_query(
+    job: StreamJob,
+    zone: str,
+    now: float,
+    limits: tuple[TargetLimit, ...],
+    closed: tuple[str, ...],
+) -> PlaceQuestion:
+    """Return the query for the engine that should run a request.
+
+    :param zone: zone of this VM, which sends the request.
+    :param now: monotonic time in seconds.
+    :param limits: limits of engines that this VM knows of.
+    :param closed: incarnations that take no request of this VM now.
+    """
+    request = job.request
+    return PlaceQuestion(
+        request.service,
+        request.ident,
+        request.fields.prompt_parts,
+        request.fields.prompt_tokens,
+        request.fields.answer_tokens,
+        zone,
+        job.inputs.zone_bytes,
+        tuple(target.name for target in job.tried_targets),
+        request.priority,
+        request.objective_deadline - now,
+        job.event_deadline - now,
+        limits,
+        job.version,
+        closed,
+    )
+
+
 @contextlib.contextmanager
 def release_early(job: StreamJob) -> Iterator[None]:
     """Release stage results once an engine has read them.
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -105,6 +105,7 @@
     :param limits: limits of engines that the asking VM knows of.
     :param version: software version that the engine must have, ``None`` for
         any.
+    :param closed: incarnations that take no request of the asking VM now.
     """
 
     service: str
@@ -120,6 +121,7 @@
     left: float
     limits: tuple[TargetLimit, ...] = ()
     version: str | None = None
+    closed: tuple[str, ...] = ()
 
 
 class PlaceReply(NamedTuple):
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -190,11 +190,11 @@
 
     def _find_targets(self, query: PlaceQuestion) -> tuple[Target, ...]:
         """Return the targets that may run a request."""
-        targets = self._members.usable(self._service)
-        if query.version is None:
-            return targets
         return tuple(
-            target for target in targets if target.version == query.version
+            target
+            for target in self._members.usable(self._service)
+            if query.version in {None, target.version}
+            and target.incarnation not in query.closed
         )
 
     def _find_excess_wait(
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -22,6 +22,7 @@
     send_complete,
 )
 from galenaswitch.gateway.calls import CallerRequest, Wire
+from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.gateway.routes import CallKind
 from galenaswitch.gateway.sending import Sender
 from galenaswitch.limits.retries import RetryBudgets
@@ -91,6 +92,8 @@
             try:
                 head, body = await self._attempt(request, target, progress)
             except TargetError as error:
+                if isinstance(error, TargetClosedError):
+                    tried.discard(target.name)
                 self._check_retry(request, target, progress, error, len(tried))
                 continue
             if self._should_retry(request, head, progress):
@@ -311,6 +314,8 @@
     def _record_failure(
         self, target: Target, error: TargetError, now: float
     ) -> None:
+        if isinstance(error, TargetClosedError):
+            return
         if isinstance(error, TargetUnreachableError):
             self._ejector.eject(target.name, now)
         elif not isinstance(error, TargetBusyError):
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -20,6 +20,7 @@
     TargetBrokenError,
     TargetLateError,
 )
+from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.turns import Turns
 from galenaswitch.membership.lists import Target
 
@@ -98,12 +99,14 @@
     """Sends requests to targets, each exactly once.
 
     :ivar turns: limits that the targets name in their answers.
+    :ivar notices: leaving notices in the targets' answers.
     """
 
     def __init__(
         self,
         pool: ConnectionPool,
         turns: Turns,
+        notices: TargetNotices,
         read_rate_limit: Callable[[AnswerHead], float | None],
     ) -> None:
         """Build a sender that uses connections of ``pool``.
@@ -111,6 +114,7 @@
         :param read_rate_limit: decodes the limit in the head of an answer.
         """
         self.turns = turns
+        self.notices = notices
         self._pool = pool
         self._read_rate_limit = read_rate_limit
 
@@ -133,9 +137,13 @@
         :param names_limit: whether an answer without a limit means that the
             target has none. Only answers to work do.
         :raises TargetUnreachableError: when no byte was sent.
+        :raises TargetClosedError: when the target takes no requests now.
         """
+        self.notices.check(target)
         connection = await self._pool.acquire(target.url, max_idle_seconds)
         try:
+            # The target may have closed while the connection was opened.
+            self.notices.check(target)
             exchange = connection.send(head, body)
             on_head = partial(self._observe, target, names_limit)
             yield Attempt(connection, exchange, on_head)
@@ -152,6 +160,7 @@
     def _observe(
         self, target: Target, names_limit: bool, head: AnswerHead
     ) -> None:
+        self.notices.observe(target, head)
         rate = self._read_rate_limit(head)
         if names_limit or rate is not None:
             self.turns.observe(target, rate)
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -32,6 +32,7 @@
 from galenaswitch.gateway.jobs import (
     PlacementRecord,
     StreamJob,
+    make_placement_query,
     release_early,
 )
 from galenaswitch.gateway.messages import (
@@ -40,6 +41,7 @@
     PlaceQuestion,
     PlaceReply,
 )
+from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.gateway.owners import OwnerRouter
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.routes import RouteTable
@@ -146,7 +148,9 @@
             try:
                 await self._attempt(job, target)
             except TargetError as error:
-                failed = not isinstance(error, TargetBusyError)
+                failed = not isinstance(
+                    error, (TargetBusyError, TargetClosedError)
+                )
                 await self._examine_failure(job, target, error)
                 self._check_retry(job, target, error)
             else:
@@ -181,22 +185,14 @@
         seconds_left = job.event_deadline - now
         if seconds_left <= 0:
             raise RefusedError(find_timeout_reason(job.run), job.run)
-        query = PlaceQuestion(
-            request.service,
-            request.ident,
-            request.fields.prompt_parts,
-            request.fields.prompt_tokens,
-            request.fields.answer_tokens,
+        query = make_placement_query(
+            job,
             self._stages.zone,
-            job.inputs.zone_bytes,
-            tuple(target.name for target in job.tried_targets),
-            request.priority,
-            request.objective_deadline - now,
-            seconds_left,
+            now,
             self._sender.turns.find_limits(
                 self._members.usable(request.service)
             ),
-            job.version,
+            self._sender.notices.find_closed(request.service),
         )
         owner, reply = await self._owner_router.query(
             request.service,
@@ -358,6 +354,8 @@
         )
         if isinstance(error, TargetBusyError):
             job.sent -= 1
+        if isinstance(error, TargetClosedError):
+            job.tried_targets.pop()
         self._continuations.restart(job)
         get_logger().info(
             'attempt_failed',
--- a/galenaswitch/gateway/tests/test_results.py
+++ b/galenaswitch/gateway/tests/test_results.py
@@ -8,6 +8,7 @@
 
 from galenaswitch.connections.heads import RequestHead
 from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.results import StoredResult, StoredResults
 from galenaswitch.gateway.sending import Sender
 from galenaswitch.gateway.turns import Turns
@@ -48,7 +49,12 @@
         members.accept(MemberList(1, (), (target,)))
         stored_results = StoredResults(
             members,
-            Sender(pool, Mock(spec=Turns), lambda head: None),
+            Sender(
+                pool,
+                Mock(spec=Turns),
+                Mock(spec=TargetNotices),
+                lambda head: None,
+            ),
             StubWire(),
             tasks,
             released.append,
--- a/galenaswitch/gateway/vocabulary.py
+++ b/galenaswitch/gateway/vocabulary.py
@@ -22,7 +22,7 @@
     StreamOrigin,
 )
 from galenaswitch.membership.frames import Vocabulary
-from galenaswitch.membership.lists import MemberList
+from galenaswitch.membership.lists import LeavingSign, MemberList
 from galenaswitch.membership.mesh import Leaving, Ping, Pong
 from galenaswitch.membership.messages import ListQuestion
 from galenaswitch.quarantine.messages import (
@@ -39,6 +39,7 @@
     EvidenceReply,
     Items,
     Leaving,
+    LeavingSign,
     LimitsQuery,
     LimitsReply,
     ListQuestion,
--- a/galenaswitch/membership/lists.py
+++ b/galenaswitch/membership/lists.py
@@ -15,6 +15,8 @@
 LIVE = 'live'
 LEAVING = 'leaving'
 MAX_PORT = 65535
+# Most leaving notices that are kept of incarnations that aren't listed.
+MAX_UNLISTED_NOTICES = 1024
 
 
 class Machine(NamedTuple):
@@ -196,13 +198,15 @@
         self._live_machines: dict[str, tuple[Machine, ...]] = {}
         self._targets_by_pool: dict[str, tuple[Target, ...]] = {}
         self._usable_targets: dict[str, tuple[Target, ...]] = {}
-        self._leaving_notices: set[LeavingSign] = set()
+        self._leaving_notices: dict[LeavingSign, None] = {}
+        self._listed_leaving: frozenset[LeavingSign] = frozenset()
         self._loaded_models: dict[str, tuple[str, ...]] = {}
 
     def accept(self, member_list: MemberList) -> bool:
         """Replace the member list if the given list is newer.
 
-        Leaving notices are dropped when their target is no longer listed.
+        Leaving notices outlive the entry of their target, which a list may
+        bring back. Only the newest notices of unlisted targets are kept.
 
         :returns: whether the given list was newer.
         """
@@ -222,10 +226,12 @@
             pool: tuple(one for one in member_list.targets if one.pool == pool)
             for pool in pools
         }
-        names = {target.name for target in member_list.targets}
-        self._leaving_notices = {
-            notice for notice in self._leaving_notices if notice.target in names
-        }
+        self._listed_leaving = frozenset(
+            LeavingSign(target.name, target.incarnation)
+            for target in member_list.targets
+            if target.state == LEAVING
+        )
+        self._drop_unlisted_notices()
         return True
 
     def record_leaving(self, notice: LeavingSign) -> bool:
@@ -238,7 +244,7 @@
         """
         if notice in self._leaving_notices:
             return False
-        self._leaving_notices.add(notice)
+        self._leaving_notices[notice] = None
         self._usable_targets = {}
         return True
 
@@ -246,22 +252,29 @@
         """Return all recorded leaving notices."""
         return tuple(self._leaving_notices)
 
+    def targets(self, pool: str) -> tuple[Target, ...]:
+        """Return all listed targets of a pool, also those that are leaving."""
+        return self._targets_by_pool.get(pool, ())
+
     def usable(self, pool: str) -> tuple[Target, ...]:
         """Return the targets of a pool that may receive new requests."""
         if pool not in self._usable_targets:
             self._usable_targets[pool] = tuple(
                 target
-                for target in self._targets_by_pool.get(pool, ())
+                for target in self.targets(pool)
                 if not self.is_leaving(target)
             )
         return self._usable_targets[pool]
 
     def is_leaving(self, target: Target) -> bool:
-        """Tell whether the list or a notice marks a target as leaving."""
+        """Tell whether the list or a notice marks a target as leaving.
+
+        :param target: an entry of this list or of an earlier one.
+        """
         if target.state == LEAVING:
             return True
         notice = LeavingSign(target.name, target.incarnation)
-        return notice in self._leaving_notices
+        return notice in self._leaving_notices or notice in self._listed_leaving
 
     def record_models(self, target: str, models: tuple[str, ...]) -> None:
         """Record the loaded models that a target has reported."""
@@ -277,11 +290,17 @@
 
     def find_target_by_url(self, url: str) -> Target | None:
         """Return the target at a base URL unless it is leaving or unknown."""
-        for target in self.member_list.targets:
-            if target.url == url and not self.is_leaving(target):
+        for target in self.find_targets_by_url(url):
+            if not self.is_leaving(target):
                 return target
         return None
 
+    def find_targets_by_url(self, url: str) -> tuple[Target, ...]:
+        """Return all listed targets at a base URL."""
+        return tuple(
+            target for target in self.member_list.targets if target.url == url
+        )
+
     def find_machine(self, name: str) -> Machine | None:
         """Return a listed VM by name, whether live or leaving."""
         for machine in self.member_list.machines:
@@ -292,3 +311,12 @@
     def machines(self, zone: str = '') -> tuple[Machine, ...]:
         """Return the live VMs in one zone, or in all zones."""
         return self._live_machines.get(zone, ())
+
+    def _drop_unlisted_notices(self) -> None:
+        listed = {
+            LeavingSign(target.name, target.incarnation)
+            for target in self.member_list.targets
+        }
+        unlisted = [one for one in self._leaving_notices if one not in listed]
+        for notice in unlisted[:-MAX_UNLISTED_NOTICES]:
+            self._leaving_notices.pop(notice)
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -8,6 +8,7 @@
   target with another name answers 421.
 - ``X-Server-Seal``: mark of an answer that a target itself produced.
 - ``X-Not-Executed``: statement of a target that it ran nothing.
+- ``Server-Leaving``: notice that the target which answers is leaving.
 - ``Resumes``: id of the attempt that brought a stream's first event.
 - ``X-Pieces``: number of work items of each stage.
 - ``X-Piece-Key``: key of the input of stages without earlier stages.
@@ -55,6 +56,8 @@
 _LAST_EVENT_HEADER = b'Last-Event-Id'
 _SEAL_HEADER = b'x-server-seal'
 _NOT_RUN_HEADER = b'x-not-executed'
+_LEAVING_HEADER = b'server-leaving'
+_SET = b'1'
 _JSON_CONTENT_TYPE = (b'Content-Type', b'application/json')
 # Headers that are removed from a caller's request before it goes to a target,
 # because only galenaswitch may set them.
@@ -149,7 +152,7 @@
             == request.ident,
             genuine=sealed and not encoded,
             not_run=self.is_not_run(head),
-            misdirected=head.status == MISDIRECTED,
+            misdirected=self.is_misdirected(head),
             inputs_lost=head.status == CONFLICT and self.is_not_run(head),
             load=self.read_load(head),
         )
@@ -168,10 +171,19 @@
         """
         return _read_decimal(find_header_text(head.headers, b'server-limit'))
 
+    def is_leaving(self, head: AnswerHead) -> bool:
+        """Tell whether an answer says that the target is leaving."""
+        fields = find_header_values(head.headers, _LEAVING_HEADER)
+        return any(field.strip() == _SET for field in fields)
+
+    def is_misdirected(self, head: AnswerHead) -> bool:
+        """Tell whether an answer is that of another target."""
+        return head.status == MISDIRECTED
+
     def is_not_run(self, head: AnswerHead) -> bool:
         """Tell whether an answer states that the target ran nothing."""
         has_header = bool(find_header_values(head.headers, _NOT_RUN_HEADER))
-        return has_header or head.status == MISDIRECTED
+        return has_header or self.is_misdirected(head)
 
     def make_batch(
         self,
--- a/galenaswitch/platform/soak/callers.py
+++ b/galenaswitch/platform/soak/callers.py
@@ -229,6 +229,7 @@
             stream.origin,
             stream.after,
             answer.reusable,
+            answer.leaving,
         )
         self._records.sent.append(sent)
         return sent
@@ -241,6 +242,7 @@
     :param from_target: whether a target produced the answer.
     :param complete: whether the answer was complete.
     :param reusable: whether the connection may be used again.
+    :param leaving: name of the target, if its answer said that it leaves.
     """
 
     status: int
@@ -248,6 +250,7 @@
     body: bytes
     complete: bool
     reusable: bool
+    leaving: str
 
 
 def _make_headers(stream: Stream, ident: str) -> dict[str, str]:
@@ -278,7 +281,7 @@
     timeout = aiohttp.ClientTimeout(total=DEADLINE_SECONDS + 2)
     body = f'body-{headers["X-Attempt-Id"]}'
     content = bytearray()
-    status, from_target = 0, False
+    status, from_target, leaving = 0, False, ''
     try:
         async with session.post(
             url,
@@ -288,13 +291,14 @@
         ) as answer:
             status = answer.status
             from_target = 'X-Server-Seal' in answer.headers
+            if 'Server-Leaving' in answer.headers:
+                seal = answer.headers.get('X-Server-Seal', '')
+                leaving = seal.partition('.')[0]
             async for chunk in answer.content.iter_any():
                 content.extend(chunk)
             reusable = answer.headers.get('Connection', '') != 'close'
     except (aiohttp.ClientError, TimeoutError, OSError):
         return Answer(
-            status, from_target, bytes(content), complete=False, reusable=False
+            status, from_target, bytes(content), False, False, leaving
         )
-    return Answer(
-        status, from_target, bytes(content), complete=True, reusable=reusable
-    )
+    return Answer(status, from_target, bytes(content), True, reusable, leaving)
--- a/galenaswitch/platform/soak/faults.py
+++ b/galenaswitch/platform/soak/faults.py
@@ -257,5 +257,6 @@
         """Restart a target after a leaving notice, during which it serves."""
         target = self._subjects.runners[fault.subject]
         target.state = 'draining'
+        target.says_leaving = True
         await asyncio.sleep(LEAVING_SECONDS)
         target.restart()
--- a/galenaswitch/platform/soak/promises.py
+++ b/galenaswitch/platform/soak/promises.py
@@ -32,6 +32,11 @@
 FAULT_FREE_SECONDS = 3.0
 # Smallest share of requests that succeed after the recovery from all faults.
 MIN_SERVED_SHARE = 0.9
+# Time after a machine passed a leaving notice on, from which it sends the
+# target no further requests.
+DRAIN_SECONDS = 2.0
+# Faults of a machine after which it may have lost a notice.
+MACHINE_FAULTS = frozenset(('kill', 'herd_kill', 'term', 'freeze'))
 WORK_ITEM_COUNTS = tuple(map(int, WORK_ITEM_COUNTS_FIELD.split(',')))
 _EVENT_PATTERN = re.compile(r'id: (\d+)\ndata: (\w+)(?:\.(\w+))?\n\n')
 
@@ -200,6 +205,41 @@
             yield f'{request.ident}: cut by {planned_on_machine[0].kind}'
 
 
+def check_leaving(records: Records) -> Iterator[str]:
+    """Check that machines send nothing to targets whose notice they passed on.
+
+    The time counts until a caller sent the request. A restart or a freeze of
+    the machine since the notice excuses it.
+    """
+    sent_by_ident = {request.ident: request for request in records.sent}
+    passed: dict[tuple[int, str], float] = {}
+    for request in records.sent:
+        key = (request.machine, request.leaving)
+        passed[key] = min(passed.get(key, request.ended_at), request.ended_at)
+    for run in records.ran:
+        sent = sent_by_ident.get(run.ident)
+        notice_at = sent and passed.get((sent.machine, run.target))
+        if sent is None or notice_at is None:
+            continue
+        if sent.sent_at > notice_at + DRAIN_SECONDS and not _was_disturbed(
+            records, sent.machine, notice_at, run.started_at
+        ):
+            yield f'{run.ident}: reached {run.target}, which had left'
+
+
+def _was_disturbed(
+    records: Records, machine: int, since: float, until: float
+) -> bool:
+    """Tell whether a fault hit a machine between two times."""
+    return any(
+        fault.kind in MACHINE_FAULTS
+        and (fault.subject == machine or fault.kind == 'herd_kill')
+        and fault.started_at <= until
+        and fault.ended_at >= since
+        for fault in records.faults
+    )
+
+
 def _is_planned_on_machine(fault: InjectedFault, request: SentRequest) -> bool:
     return fault.planned and fault.subject == request.machine
 
@@ -225,4 +265,5 @@
     check_runs,
     check_inputs,
     check_planned_work,
+    check_leaving,
 )
--- a/galenaswitch/platform/soak/records.py
+++ b/galenaswitch/platform/soak/records.py
@@ -25,6 +25,7 @@
         that the request takes up, empty for a new one.
     :param after: number of the event after which a stream is taken up.
     :param reusable: whether the connection may be used again.
+    :param leaving: name of the target, if its answer said that it leaves.
     """
 
     ident: str
@@ -40,6 +41,7 @@
     origin: str = ''
     after: int = 0
     reusable: bool = False
+    leaving: str = ''
 
 
 class TargetRun(NamedTuple):
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -4,6 +4,7 @@
 import secrets
 import time
 from collections.abc import Callable
+from functools import partial
 
 from aiohttp import web
 
@@ -52,6 +53,7 @@
     :ivar born: time of the last restart in milliseconds.
     :ivar harmful_part: id of the prompt part that ends the target when it
         begins to answer, empty for none.
+    :ivar says_leaving: whether all answers say that the target leaves.
     :ivar rate_limit: limit in requests per second that the answers name, 0
         for none.
     """
@@ -79,6 +81,7 @@
         self.state = 'ready'
         self.harmful_part = ''
         self.rate_limit = 0.0
+        self.says_leaving = False
         self._crash: asyncio.Task[None] | None = None
         self.address = ('', 0)
         self.proxy = Proxy(lambda: self.address)
@@ -107,6 +110,7 @@
         self.version = VERSIONS[version_index]
         self._sequence = 0
         self.state = 'ready'
+        self.says_leaving = False
         for handle in self._own_handles:
             self._handles.pop(handle, None)
         self._own_handles.clear()
@@ -114,6 +118,7 @@
     async def start(self, host: str) -> web.AppRunner:
         """Start the target's server, and its proxy, which others connect to."""
         app = web.Application()
+        app.on_response_prepare.append(partial(_add_notice, self))
         app.router.add_get('/health', self._answer_health)
         app.router.add_get('/api/report', self._answer_report)
         app.router.add_post('/api/stage-run', self._handle_batch)
@@ -323,3 +328,10 @@
             self._handles.pop(handle, None)
             self._own_handles.discard(handle)
         return web.json_response({})
+
+
+async def _add_notice(
+    target: FakeTarget, request: web.Request, answer: web.StreamResponse
+) -> None:
+    if target.says_leaving:
+        answer.headers['Server-Leaving'] = '1'
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -13,6 +13,7 @@
 from galenaswitch.connections.requests import InboundLimits, InboundRequest
 from galenaswitch.gateway.checks import check_request
 from galenaswitch.gateway.continuation import ContinuationPolicy
+from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.origins import StreamOrigins
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.plain import PlainRunner
@@ -231,14 +232,19 @@
 
 
 @pytest.fixture
-def members():
-    """Return a function that makes members of targets at given addresses."""
+def listed():
+    """Return the members that the parts of a VM share."""
+    return Members()
+
+
+@pytest.fixture
+def members(listed):
+    """Return a function that lists targets at given addresses as members."""
 
     def make(*targets):
-        listed = Members()
         listed.accept(
             MemberList(
-                1,
+                listed.member_list.revision + 1,
                 (),
                 tuple(
                     Target(f't{n}', f't{n}/1', 'z', 'desk', one.address)
@@ -252,10 +258,10 @@
 
 
 @pytest.fixture
-async def sender(turns):
+async def sender(turns, notices):
     """Return a sender; its connections are closed after the test."""
     pool = ConnectionPool()
-    yield Sender(pool, turns, PlatformWire().read_rate_limit)
+    yield Sender(pool, turns, notices, PlatformWire().read_rate_limit)
     pool.close()
 
 
@@ -284,6 +290,13 @@
     return make
 
 
+@pytest.fixture
+def notices(listed):
+    """Return the notices of a VM, whose mesh records what is spread."""
+    mesh = Mock(spec=Mesh, node='a', zone='z')
+    return TargetNotices(PlatformWire(), listed, mesh, LocalMetrics())
+
+
 @pytest.fixture
 def turns():
     """Return the turns of a VM that owns all services."""
--- a/galenaswitch/platform/tests/test_batcher.py
+++ b/galenaswitch/platform/tests/test_batcher.py
@@ -14,7 +14,7 @@
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.limits.pacing import BURST_REQUESTS
 from galenaswitch.limits.retries import RetryBudgets
-from galenaswitch.membership.lists import MemberList, Members, Target
+from galenaswitch.membership.lists import MemberList, Target
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.pipelines import target_states
 from galenaswitch.platform.headers import PlatformWire
@@ -45,20 +45,19 @@
 
 
 @pytest.fixture
-async def open_batcher(scripted, sender):
+async def open_batcher(scripted, sender, listed):
     """Return a function that opens a batcher for one scripted target."""
     tasks = TaskGroup()
 
     async def open_for(*answers, min_retries=10):
         target = await scripted([FREE_MEMORY, *answers], keep=True)
-        members = Members()
         member = Target('m', 'm/1', 'z', 'intake', target.address)
-        members.accept(MemberList(1, (), (member,)))
+        listed.accept(MemberList(1, (), (member,)))
         released = []
         batcher = Batcher(
             'intake',
             lambda _: BATCHES,
-            members,
+            listed,
             sender,
             PlatformWire(),
             RetryBudgets(0, min_retries, 10),
@@ -66,7 +65,7 @@
             released.append,
         )
         # The target's first answer reports its free result memory.
-        batcher._result_memory.query_new(members.usable('intake'), BATCHES)
+        batcher._result_memory.query_new(listed.usable('intake'), BATCHES)
         async with asyncio.timeout(5):
             while not target.requests:
                 await asyncio.sleep(0.005)
@@ -95,6 +94,19 @@
     assert count_batches(target) == 2
 
 
+# Guards against batches to a target whose answer said that it leaves.
+async def test_stage_target_that_leaves_gets_no_more_batches(open_batcher):
+    leaving = answer(
+        b'{"items":[{"handle":"127.0.0.1:1/h"}]}',
+        extra=b'Server-Leaving: 1\r\n',
+    )
+    batcher, target = await open_batcher(leaving, MADE_AGAIN)
+    assert (await batcher.make_results(make_query())).handles
+    reply = await batcher.make_results(make_query(ident='s'))
+    assert reply.failure == 'no-target'
+    assert count_batches(target) == 1
+
+
 # Guards against batches that don't count towards the limit of their target.
 async def test_batches_keep_the_limit_of_their_target(open_batcher):
     limited = answer(
--- a/galenaswitch/platform/tests/test_headers.py
+++ b/galenaswitch/platform/tests/test_headers.py
@@ -122,3 +122,13 @@
         (b'Retry-After', b'0.25'),
     )
     assert not WIRE.make_refusal('', 404, 0).headers
+
+
+@pytest.mark.parametrize(
+    ('fields', 'is_leaving'),
+    [((b'1',), True), ((b' 1 ',), True), ((b'0', b'1'), True)]
+    + [((), False), ((b'0',), False), ((b'',), False), ((b'yes',), False)],
+)
+def test_leaving_notice_is_decoded(fields, is_leaving):
+    headers = tuple((b'Server-Leaving', field) for field in fields)
+    assert WIRE.is_leaving(AnswerHead(503, headers)) is is_leaving
--- a/galenaswitch/platform/tests/test_soak.py
+++ b/galenaswitch/platform/tests/test_soak.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from galenaswitch.platform.soak.promises import CHECKS, check_recovery
+from galenaswitch.platform.soak.promises import (
+    CHECKS,
+    check_leaving,
+    check_recovery,
+)
 from galenaswitch.platform.soak.proxy import Proxy
 from galenaswitch.platform.soak.records import (
     InjectedFault,
@@ -177,6 +181,35 @@
     assert len(run_checks(records)) == violation_count
 
 
+# Guards against machines that send to a target whose notice they passed on.
+@pytest.mark.parametrize(
+    ('machine', 'sent_at', 'faults', 'found'),
+    [
+        (0, 4.0, (), 1),
+        (0, 3.1, (), 0),
+        (1, 4.0, (), 0),
+        (0, 4.0, (InjectedFault('kill', 0, 3.5, 3.5),), 0),
+        (0, 4.0, (InjectedFault('kill', 0, 0.5, 0.5),), 1),
+        (0, 4.0, (InjectedFault('kill', 1, 3.5, 3.5),), 1),
+    ],
+)
+def test_request_to_a_target_that_has_left_is_a_violation(
+    machine, sent_at, faults, found
+):
+    records = open_records()
+    ident = next(iter(PATHS))
+    first = make_request(ident, leaving='i-1')
+    later = first._replace(
+        ident='later', machine=machine, sent_at=sent_at, leaving=''
+    )
+    records.sent.extend((first, later))
+    records.ran.append(
+        make_run(ident)._replace(ident='later', started_at=sent_at + 0.1)
+    )
+    records.faults.extend(faults)
+    assert len(list(check_leaving(records))) == found
+
+
 def test_missing_recovery_is_a_violation(records):
     records.sent.extend([make_request('a1', status=503, complete=True)] * 2)
     assert len(list(check_recovery(records, 0))) == 1
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -30,6 +30,7 @@
     PlaceQuestion,
     ReleaseNote,
 )
+from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.origins import StreamOrigins
 from galenaswitch.gateway.owners import OwnerRouter
 from galenaswitch.gateway.placements import PlacementScheduler
@@ -141,7 +142,12 @@
         self._batchers: dict[str, Batcher] = {}
         self._schedulers: dict[str, PlacementScheduler] = {}
         self._wire = PlatformWire()
-        self._sender = Sender(self.pool, self.turns, self._wire.read_rate_limit)
+        self.notices = TargetNotices(
+            self._wire, self.members, self.mesh, self.metrics
+        )
+        self._sender = Sender(
+            self.pool, self.turns, self.notices, self._wire.read_rate_limit
+        )
         self.stages = StageRunner(
             settings.zone,
             self.members,
@@ -299,6 +305,7 @@
         return self.members.member_list
 
     def _on_link_open(self, link: Link) -> None:
+        self.notices.on_link_open(link)
         self._tasks.start(self._owner_router.on_link_open(link))
         self._tasks.start(self.relay.on_link_open(link))
         self._tasks.start(self.containment.exchange.on_link_open(link))
@@ -327,6 +334,7 @@
         }
         handlers |= self.containment.exchange.handlers()
         handlers |= self.turns.handlers()
+        handlers |= self.notices.handlers()
         handlers |= self.origins.handlers()
         self.service.handlers.update(handlers)  # type: ignore[attr-defined]
 
