gateway: a target that refuses with Retry-After gets no request for so long

Callers' requests went on to targets that had refused with 503 and a time in Retry-After: nothing read the header of a target's answer. Requests were refused again and again there, and callers got a default Retry-After that was not true.

A status other than 503 asks for no pause.

Plain requests go to targets that aren't paused. Batches go to targets that aren't paused for the machine that sends them. While all are paused, a request waits if a pause ends within its objective; else it is refused at once, as not run, with the time to the earliest end, and so are queued work items that a pause makes impossible. When a pause ends, one request goes first and the others follow its answer. Releases of results wait for the end of a short pause.

The soak draws pauses apart from its other faults, so that a seed's other faults stay the same, and checks that a machine's third request doesn't reach a target in a pause.

Batcher._record_load moved to the batch queue. No existing check changed.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -16,7 +16,7 @@
     TargetUnreachableError,
 )
 from galenaswitch.gateway.batch_answers import BatchAnswers
-from galenaswitch.gateway.calls import Load, Wire, WorkItem, WorkItemResult
+from galenaswitch.gateway.calls import Wire, WorkItem, WorkItemResult
 from galenaswitch.gateway.inputs import InputReleases
 from galenaswitch.gateway.messages import (
     HeldResults,
@@ -58,6 +58,7 @@
 # Failure of a work item whose inputs are lost at their producer.
 LOST = 'gone'
 _OUT_OF_CAPACITY = 'out-of-capacity'
+_FINAL_FAILURES = frozenset((_LATE, LOST, _OUT_OF_CAPACITY))
 # Failures of work items that are queued again without using retry budget.
 _FREE_RETRIES = frozenset((_NO_MEMORY, TargetClosedError.__name__))
 
@@ -86,6 +87,7 @@
         self._find_limits = find_limits
         self._members = members
         self._sender = sender
+        self._notices = sender.notices
         self._wire = wire
         self._budgets = budgets
         self._tasks = tasks
@@ -117,6 +119,8 @@
         key = f'{query.ident}/{query.pieces[0].stage}'
         pending = make_pending_stage(query, now)
         wait_seconds = self._batch_queue.add(key, pending, targets, limits, now)
+        pause_seconds = self._notices.find_pause(self._service)
+        wait_seconds += pause_seconds
         if wait_seconds > query.left:
             self._batch_queue.remove(key)
             get_logger().info(
@@ -133,7 +137,9 @@
             return PiecesReply(
                 (),
                 _OUT_OF_CAPACITY,
-                estimate_retry_after(wait_seconds, query.left, drain_seconds),
+                estimate_retry_after(
+                    wait_seconds, query.left, drain_seconds + pause_seconds
+                ),
             )
         return await self._wait_for_results(key, pending, query)
 
@@ -170,7 +176,8 @@
         if pending.missing_results:
             self._stored_results.release(tuple(pending.handles.values()))
             failure = 'replaced' if key in self._done_events else 'cancelled'
-            return PiecesReply((), pending.failure or failure, 0.1)
+            retry_after = max(0.1, self._notices.find_pause(self._service))
+            return PiecesReply((), pending.failure or failure, retry_after)
         handles = tuple(
             pending.handles[work_item.number] for work_item in query.pieces
         )
@@ -206,8 +213,9 @@
         if limits:
             self._refuse_infeasible(limits)
         while limits:
+            usable = self._members.usable(self._service)
             batch = self._batch_queue.next_batch(
-                self._members.usable(self._service), limits, time.monotonic()
+                self._notices.select(usable), limits, time.monotonic()
             )
             if batch is None:
                 break
@@ -223,7 +231,10 @@
         """Refuse pending stages that can no longer meet their deadline."""
         now = time.monotonic()
         targets = self._members.usable(self._service)
-        for key in self._batch_queue.find_infeasible(targets, limits, now):
+        resumed_at = now + self._notices.find_pause(self._service)
+        for key in self._batch_queue.find_infeasible(
+            targets, limits, resumed_at
+        ):
             pending = self._batch_queue.pending_stages[key]
             pending.failure = _OUT_OF_CAPACITY
             self._batch_queue.remove(key)
@@ -289,18 +300,10 @@
         ) as attempt:
             answer = await attempt.read_head(seconds)
             content = await attempt.read_complete(seconds)
-            self._record_load(batch, self._wire.read_load(answer))
+            load = self._wire.read_load(answer)
+            self._batch_queue.record_load(batch.target, load, time.monotonic())
             return self._answers.read(attempt, answer, content, batch)
 
-    def _record_load(self, batch: Batch, load: Load | None) -> None:
-        """Record whether other VMs send batches to the same target.
-
-        The load in a target's answer doesn't include the answered batch.
-        """
-        target_state = self._batch_queue.target_state(batch.target)
-        if load and load.running + load.waiting >= target_state.calls:
-            target_state.record_sharing(time.monotonic())
-
     def _apply_outcomes(
         self,
         batch: Batch,
@@ -369,6 +372,9 @@
         if self._batch_queue.pending_stages.get(key) is not pending:
             return
         pending.retries += 1
+        pause_seconds = self._notices.find_pause(self._service)
+        if pause_seconds > max(0, pending.deadline - time.monotonic()):
+            failure = _OUT_OF_CAPACITY
         if pending.inputs_released:
             failure = LOST
         if self._may_retry(pending, failure):
@@ -379,7 +385,7 @@
 
     def _may_retry(self, pending: PendingStage, failure: str) -> bool:
         now = time.monotonic()
-        if now >= pending.deadline or failure in {_LATE, LOST}:
+        if now >= pending.deadline or failure in _FINAL_FAILURES:
             return False
         if failure in _FREE_RETRIES:
             return True
--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -207,6 +207,12 @@
         :returns: ``None`` when not sent.
         """
 
+    def read_pause(self, head: AnswerHead) -> float | None:
+        """Decode for how long a refusal says that no request may come.
+
+        :returns: seconds, ``None`` when not sent.
+        """
+
     def is_leaving(self, head: AnswerHead) -> bool:
         """Tell whether an answer says that the target is leaving."""
 
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -7,17 +7,18 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.gateway.calls import CallerRequest
 from galenaswitch.gateway.events import EventBuffer
 from galenaswitch.gateway.messages import PlaceQuestion, TargetLimit
+from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.routes import RouteTable
 from galenaswitch.gateway.stages import StageJob, StageResults
 from galenaswitch.membership.lists import Target
-from galenaswitch.refusals import ExecutionState
+from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 
 # Seconds after which an engine has read the results of stages. An engine
 # fetches them before the prompt.
@@ -99,6 +100,15 @@
             else self.request.first_byte_deadline
         )
 
+    @property
+    def useful_wait(self) -> float:
+        """Longest wait in seconds after which an engine is still useful."""
+        now = time.monotonic()
+        left = self.event_deadline - now
+        if self.has_first_event:
+            return left
+        return min(left, self.request.objective_deadline - now)
+
     @property
     def released(self) -> bool:
         """Whether results of the stages were released."""
@@ -117,6 +127,25 @@
         self.stages = None
 
 
+async def wait_for_engine(
+    job: StreamJob, usable: Sequence[Target], notices: TargetNotices
+) -> None:
+    """Wait until an untried engine isn't paused, if that is useful.
+
+    :raises RefusedError: when all are paused for too long.
+    """
+    fitting = [
+        target for target in usable if job.version in {None, target.version}
+    ]
+    untried = [one for one in fitting if one not in job.tried_targets]
+    wait = await notices.wait_for_open(
+        untried or fitting, job.useful_wait if untried else 0
+    )
+    if wait:
+        reason = Reason.stage_failed if job.sent else Reason.capacity
+        raise RefusedError(reason, job.run, 'all engines are paused', wait)
+
+
 def make_placement_query(
     job: StreamJob,
     zone: str,
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -122,11 +122,39 @@
         candidates = [target for target in untried if target.name in names]
         if not candidates:
             reason = Reason.stage_failed if progress.sent else Reason.no_target
-            raise RefusedError(reason, progress.run)
-        chosen = self._choose_untried(candidates, now)
+            wait = self._sender.notices.find_wait(usable)
+            raise RefusedError(reason, progress.run, '', wait)
+        opened = await self._find_open(request, progress, candidates)
+        chosen = self._choose_untried(opened, now)
         if chosen.incarnation not in self._sender.turns.pacer.rates:
             return chosen
-        return await self._find_turn(request, progress, candidates, chosen)
+        return await self._find_turn(request, progress, opened, chosen)
+
+    async def _find_open(
+        self,
+        request: CallerRequest,
+        progress: Progress,
+        candidates: Sequence[Target],
+    ) -> Sequence[Target]:
+        """Return the targets that aren't paused, after a wait if need be.
+
+        :raises RefusedError: when all are paused for too long.
+        """
+        notices = self._sender.notices
+        max_wait = self._find_max_wait(request)
+        wait = await notices.wait_for_open(candidates, max_wait)
+        if wait:
+            reason = Reason.stage_failed if progress.sent else Reason.capacity
+            raise RefusedError(
+                reason, progress.run, 'all targets are paused', wait
+            )
+        return notices.select(candidates)
+
+    def _find_max_wait(self, request: CallerRequest) -> float:
+        """Return the longest wait with which a request is still on time."""
+        latency = self._loads.typical_latency(request.service)
+        left = request.objective_deadline - time.monotonic()
+        return max(0, left - latency)
 
     def _choose_untried(
         self, candidates: Sequence[Target], now: float
@@ -155,8 +183,7 @@
             if one.incarnation in rates and one is not chosen
         )
         unlimited = [one for one in candidates if one.incarnation not in rates]
-        latency = self._loads.typical_latency(request.service)
-        max_wait = max(0, request.objective_deadline - now - latency)
+        max_wait = self._find_max_wait(request)
         target, wait = await self._sender.turns.find_turn(
             request.service, limited, 0 if unlimited else max_wait
         )
--- a/galenaswitch/gateway/results.py
+++ b/galenaswitch/gateway/results.py
@@ -19,6 +19,8 @@
 
 # Seconds for which releases at one producer are collected into one call.
 RELEASE_DELAY_SECONDS = 0.005
+# Longest such time while a producer is paused; the retention ends about then.
+MAX_RELEASE_DELAY_SECONDS = 5.0
 # Seconds after which a release call to a producer times out.
 RELEASE_TIMEOUT_SECONDS = 1.0
 # Seconds after which an idle connection to a target is not reused.
@@ -107,7 +109,7 @@
             self._on_release(self._unknown_results.popleft())
 
     async def _send_release(self, producer: str) -> None:
-        await asyncio.sleep(RELEASE_DELAY_SECONDS)
+        await asyncio.sleep(self._find_release_delay(producer))
         handles = tuple(self._pending_releases.pop(producer))
         target = self._members.find_target_by_url(producer)
         if target is None:
@@ -133,6 +135,12 @@
             return
         self._remove(handles)
 
+    def _find_release_delay(self, producer: str) -> float:
+        """Return the seconds for which releases at a producer are collected."""
+        target = self._members.find_target_by_url(producer)
+        wait = self._sender.notices.find_wait((target,)) if target else 0
+        return max(RELEASE_DELAY_SECONDS, min(wait, MAX_RELEASE_DELAY_SECONDS))
+
     def _remove(self, handles: tuple[str, ...] | list[str]) -> None:
         for handle in handles:
             stored = self._stored.pop(handle, None)
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -99,7 +99,7 @@
     """Sends requests to targets, each exactly once.
 
     :ivar turns: limits that the targets name in their answers.
-    :ivar notices: leaving notices in the targets' answers.
+    :ivar notices: leaving notices and pauses in the targets' answers.
     """
 
     def __init__(
@@ -139,13 +139,13 @@
         :raises TargetUnreachableError: when no byte was sent.
         :raises TargetClosedError: when the target takes no requests now.
         """
-        self.notices.check(target)
+        is_probe = self.notices.start(target)
         connection = await self._pool.acquire(target.url, max_idle_seconds)
         try:
             # The target may have closed while the connection was opened.
-            self.notices.check(target)
+            self.notices.check(target, is_probe=is_probe)
             exchange = connection.send(head, body)
-            on_head = partial(self._observe, target, names_limit)
+            on_head = partial(self._observe, target, names_limit, is_probe)
             yield Attempt(connection, exchange, on_head)
         except (MismatchedAnswerError, InvalidInputError):
             connection.close()
@@ -158,9 +158,13 @@
         return await self._pool.is_listening(target.url)
 
     def _observe(
-        self, target: Target, names_limit: bool, head: AnswerHead
+        self,
+        target: Target,
+        names_limit: bool,
+        is_probe: bool,
+        head: AnswerHead,
     ) -> None:
-        self.notices.observe(target, head)
+        self.notices.observe(target, head, is_probe=is_probe)
         rate = self._read_rate_limit(head)
         if names_limit or rate is not None:
             self.turns.observe(target, rate)
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -34,6 +34,7 @@
     StreamJob,
     make_placement_query,
     release_early,
+    wait_for_engine,
 )
 from galenaswitch.gateway.messages import (
     PlaceEnd,
@@ -185,13 +186,14 @@
         seconds_left = job.event_deadline - now
         if seconds_left <= 0:
             raise RefusedError(find_timeout_reason(job.run), job.run)
+        usable = self._members.usable(request.service)
+        await wait_for_engine(job, usable, self._sender.notices)
+        now = time.monotonic()
         query = make_placement_query(
             job,
             self._stages.zone,
             now,
-            self._sender.turns.find_limits(
-                self._members.usable(request.service)
-            ),
+            self._sender.turns.find_limits(usable),
             self._sender.notices.find_closed(request.service),
         )
         owner, reply = await self._owner_router.query(
--- a/galenaswitch/gateway/tests/test_results.py
+++ b/galenaswitch/gateway/tests/test_results.py
@@ -52,7 +52,7 @@
             Sender(
                 pool,
                 Mock(spec=Turns),
-                Mock(spec=TargetNotices),
+                Mock(spec=TargetNotices, **{'find_wait.return_value': 0}),
                 lambda head: None,
             ),
             StubWire(),
@@ -126,3 +126,20 @@
     await asyncio.sleep(0.06)
     stored_results.drop_expired()
     assert len(released) == 1
+
+
+# Guards against a release that reaches a producer which asked for a pause.
+async def test_results_of_a_paused_producer_are_released_after_its_pause(
+    open_results,
+    scripted,
+    released,
+):
+    producer = await scripted([DONE], keep=True)
+    stored_results, target = open_results(producer)
+    stored_results._sender.notices.find_wait.return_value = 0.2
+    handle = f'{producer.address}/1'
+    released_at = time.monotonic()
+    stored_results.add(handle, StoredResult(target, 100, released_at + 9))
+    stored_results.release((handle,))
+    await wait_for(lambda: released)
+    assert time.monotonic() - released_at > 0.15
--- a/galenaswitch/pipelines/batch_queue.py
+++ b/galenaswitch/pipelines/batch_queue.py
@@ -21,7 +21,7 @@
 from functools import partial
 from typing import NamedTuple
 
-from galenaswitch.gateway.calls import WorkItem
+from galenaswitch.gateway.calls import Load, WorkItem
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.membership.lists import Target
 from galenaswitch.pipelines.arrivals import ArrivalRate
@@ -148,6 +148,18 @@
         """Return the state of a target, with defaults for a new target."""
         return self._target_states.setdefault(target.incarnation, TargetState())
 
+    def record_load(
+        self, target: Target, load: Load | None, now: float
+    ) -> None:
+        """Record whether other VMs send batches to a target.
+
+        :param load: load in an answer, which doesn't include the answered
+            batch.
+        """
+        target_state = self.target_state(target)
+        if load and load.running + load.waiting >= target_state.calls:
+            target_state.record_sharing(now)
+
     def next_batch(
         self,
         targets: Sequence[Target],
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -44,6 +44,7 @@
 DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 CONFLICT = 409
 MISDIRECTED = 421
+UNAVAILABLE = 503
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
 # The wire format gives the time left in whole milliseconds, at least one.
@@ -56,6 +57,7 @@
 _LAST_EVENT_HEADER = b'Last-Event-Id'
 _SEAL_HEADER = b'x-server-seal'
 _NOT_RUN_HEADER = b'x-not-executed'
+_PAUSE_HEADER = b'retry-after'
 _LEAVING_HEADER = b'server-leaving'
 _SET = b'1'
 _JSON_CONTENT_TYPE = (b'Content-Type', b'application/json')
@@ -171,6 +173,20 @@
         """
         return _read_decimal(find_header_text(head.headers, b'server-limit'))
 
+    def read_pause(self, head: AnswerHead) -> float | None:
+        """Decode for how long a refusal says that no request may come.
+
+        The longest time counts. A date or a malformed time counts as absent.
+
+        :returns: seconds, ``None`` when not sent.
+        """
+        if head.status != UNAVAILABLE:
+            return None
+        fields = find_header_values(head.headers, _PAUSE_HEADER)
+        text = b','.join(fields).decode('ascii', 'replace')
+        times = map(_read_decimal, text.split(','))
+        return max((one for one in times if one is not None), default=None)
+
     def is_leaving(self, head: AnswerHead) -> bool:
         """Tell whether an answer says that the target is leaving."""
         fields = find_header_values(head.headers, _LEAVING_HEADER)
--- a/galenaswitch/platform/soak/faults.py
+++ b/galenaswitch/platform/soak/faults.py
@@ -27,6 +27,7 @@
 RESTORE_SECONDS = 0.3
 # Share of the soaks in which all machines are killed together once.
 HERD_KILL_SHARE = 0.3
+MAX_PAUSES = 3
 TARGET_MODES = ('slow', 'errors', 'hang', 'cut')
 
 
@@ -117,6 +118,7 @@
         faults.append(Fault(at, kind, subject, duration_seconds, variant))
     faults.extend(_draw_restores(seed, seconds))
     faults.extend(_draw_herd_kill(seed, seconds))
+    faults.extend(_draw_pauses(seed, seconds, runners))
     return sorted(faults)
 
 
@@ -141,6 +143,18 @@
     return [Fault(rng.uniform(0, seconds), 'herd_kill', -1, 0)]
 
 
+def _draw_pauses(seed: int, seconds: float, runners: int) -> list[Fault]:
+    """Return pauses that targets ask for, drawn apart from other faults."""
+    rng = random.Random(f'pauses/{seed}')
+    pauses = []
+    for _ in range(rng.randint(0, MAX_PAUSES)):
+        duration_seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        at = rng.uniform(0, seconds - duration_seconds)
+        subject = rng.randrange(runners)
+        pauses.append(Fault(at, 'pause', subject, duration_seconds))
+    return pauses
+
+
 class FaultInjector:
     """Injector that starts each fault at its time and records it."""
 
@@ -171,6 +185,7 @@
             'runner_link': self._degrade_target_link,
             'crash': self._crash,
             'leave': self._leave,
+            'pause': self._pause,
         }
 
     async def run(self, faults: Sequence[Fault]) -> None:
@@ -260,3 +275,8 @@
         target.says_leaving = True
         await asyncio.sleep(LEAVING_SECONDS)
         target.restart()
+
+    async def _pause(self, fault: Fault) -> None:
+        """Let a target refuse all requests and ask for none until it ends."""
+        self._subjects.runners[fault.subject].pause(fault.seconds)
+        await asyncio.sleep(fault.seconds)
--- a/galenaswitch/platform/soak/promises.py
+++ b/galenaswitch/platform/soak/promises.py
@@ -13,6 +13,7 @@
     WORK_ITEM_COUNTS_FIELD,
 )
 from galenaswitch.platform.soak.records import (
+    Arrival,
     InjectedFault,
     Records,
     SentRequest,
@@ -35,7 +36,11 @@
 # Time after a machine passed a leaving notice on, from which it sends the
 # target no further requests.
 DRAIN_SECONDS = 2.0
-# Faults of a machine after which it may have lost a notice.
+# Time after a refusal with a pause from which the pause counts, and the most
+# requests of a machine that may reach the target in it.
+PAUSE_SLACK_SECONDS = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+# Faults of a machine after which it may have lost a notice or a pause.
 MACHINE_FAULTS = frozenset(('kill', 'herd_kill', 'term', 'freeze'))
 WORK_ITEM_COUNTS = tuple(map(int, WORK_ITEM_COUNTS_FIELD.split(',')))
 _EVENT_PATTERN = re.compile(r'id: (\d+)\ndata: (\w+)(?:\.(\w+))?\n\n')
@@ -227,6 +232,30 @@
             yield f'{run.ident}: reached {run.target}, which had left'
 
 
+def check_pauses(records: Records) -> Iterator[str]:
+    """Check that machines keep the pauses that targets asked them for."""
+    machines = {request.ident: request.machine for request in records.sent}
+    arrivals: dict[tuple[int, str], list[Arrival]] = {}
+    for arrival in records.arrivals:
+        sender = machines.get(arrival.ident)
+        if sender is not None:
+            key = (sender, arrival.target)
+            arrivals.setdefault(key, []).append(arrival)
+    for (machine, target), reached in arrivals.items():
+        for refusal in filter(_asks_for_pause, reached):
+            since = refusal.at + PAUSE_SLACK_SECONDS
+            end = refusal.at + refusal.pause
+            count = sum(since < other.at < end for other in reached)
+            if count > MAX_REQUESTS_IN_PAUSE and not _was_disturbed(
+                records, machine, refusal.at, end
+            ):
+                yield f'{target}: {count} requests of {machine} in a pause'
+
+
+def _asks_for_pause(arrival: Arrival) -> bool:
+    return arrival.pause > PAUSE_SLACK_SECONDS
+
+
 def _was_disturbed(
     records: Records, machine: int, since: float, until: float
 ) -> bool:
@@ -266,4 +295,5 @@
     check_inputs,
     check_planned_work,
     check_leaving,
+    check_pauses,
 )
--- a/galenaswitch/platform/soak/records.py
+++ b/galenaswitch/platform/soak/records.py
@@ -88,6 +88,22 @@
     inputs: tuple[tuple[str, int, int], ...]
 
 
+class Arrival(NamedTuple):
+    """Request that reached a fake target.
+
+    :param ident: id of the caller's attempt.
+    :param target: name of the target.
+    :param at: seconds since the start of the soak.
+    :param pause: seconds for which the target's refusal asks for no further
+        request, 0 when the target took the request.
+    """
+
+    ident: str
+    target: str
+    at: float
+    pause: float
+
+
 class InjectedFault(NamedTuple):
     """Fault that was injected.
 
@@ -118,6 +134,7 @@
         fake engines read.
     :param faults: faults that were injected.
     :param violations: violated invariants that were detected during the soak.
+    :param arrivals: requests of callers that reached fake targets.
     """
 
     paths_by_ident: dict[str, str]
@@ -126,8 +143,9 @@
     work_item_runs: list[WorkItemRun]
     faults: list[InjectedFault]
     violations: list[str]
+    arrivals: list[Arrival]
 
 
 def open_records() -> Records:
     """Return empty records of a new soak."""
-    return Records({}, [], [], [], [], [])
+    return Records({}, [], [], [], [], [], [])
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -9,10 +9,15 @@
 from aiohttp import web
 
 from galenaswitch.platform.soak.proxy import Proxy
-from galenaswitch.platform.soak.records import Records, TargetRun, WorkItemRun
+from galenaswitch.platform.soak.records import (
+    Arrival,
+    Records,
+    TargetRun,
+    WorkItemRun,
+)
 from galenaswitch.platform.soak.store import Document, FakeStore
 
-CONFLICT, MISDIRECTED, SERVER_ERROR = 409, 421, 500
+CONFLICT, MISDIRECTED, SERVER_ERROR, UNAVAILABLE = 409, 421, 500, 503
 # Durations of a plain request, of a batch with its work items, and of the gap
 # between two events of a stream.
 PLAIN_REQUEST_SECONDS = 0.03
@@ -82,6 +87,7 @@
         self.harmful_part = ''
         self.rate_limit = 0.0
         self.says_leaving = False
+        self._paused_until = 0.0
         self._crash: asyncio.Task[None] | None = None
         self.address = ('', 0)
         self.proxy = Proxy(lambda: self.address)
@@ -111,6 +117,7 @@
         self._sequence = 0
         self.state = 'ready'
         self.says_leaving = False
+        self._paused_until = 0.0
         for handle in self._own_handles:
             self._handles.pop(handle, None)
         self._own_handles.clear()
@@ -138,6 +145,10 @@
         self.restart()
         await self.proxy.go_down(seconds)
 
+    def pause(self, seconds: float) -> None:
+        """Refuse all requests of callers for a time and ask for none."""
+        self._paused_until = self._now() + seconds
+
     async def register(self, store: FakeStore) -> None:
         """Keep the target's document in the store current until cancelled."""
         registered_name = ''
@@ -194,6 +205,14 @@
         if rejection:
             return rejection
         ident = request.headers.get('X-Attempt-Id', '')
+        pause = max(0, self._paused_until - self._now())
+        self._records.arrivals.append(
+            Arrival(ident, self.name, self._now(), pause)
+        )
+        if pause:
+            headers = {**NOT_RUN_HEADERS, 'X-Attempt-Id': ident}
+            headers['Retry-After'] = f'{pause:.2f}'
+            return web.Response(status=UNAVAILABLE, headers=headers)
         body = (await request.read()).decode()
         inputs = request.headers.get('X-Inputs', '')
         if inputs and self._has_lost_inputs(ident, inputs):
@@ -215,7 +234,7 @@
         headers = {
             'X-Attempt-Id': ident,
             'X-Server-Seal': f'{self.name}.1',
-            **self._make_limit_header(),
+            **_make_limit_header(self.rate_limit),
         }
         should_fail = self._should_fail()
         if should_fail and self.mode == 'errors':
@@ -268,9 +287,6 @@
         await answer.write_eof()
         return answer
 
-    def _make_limit_header(self) -> dict[str, str]:
-        return {'Server-Limit': str(self.rate_limit)} if self.rate_limit else {}
-
     def _is_harmful(self, request: web.Request) -> bool:
         prompt = request.headers.get('X-Prompt-Prefix', '')
         return bool(self.harmful_part) and f'{self.harmful_part}:' in prompt
@@ -299,7 +315,10 @@
             seconds = BATCH_OVERHEAD_SECONDS + WORK_ITEM_SECONDS * len(items)
             await asyncio.sleep(self._scale_seconds(seconds))
             outcomes = [self._run_work_item(item) for item in items]
-        headers = {'X-Server-Load': '1,0,1', **self._make_limit_header()}
+        headers = {
+            'X-Server-Load': '1,0,1',
+            **_make_limit_header(self.rate_limit),
+        }
         return web.json_response({'items': outcomes}, headers=headers)
 
     def _run_work_item(self, item: Document) -> Document:
@@ -335,3 +354,7 @@
 ) -> None:
     if target.says_leaving:
         answer.headers['Server-Leaving'] = '1'
+
+
+def _make_limit_header(rate: float) -> dict[str, str]:
+    return {'Server-Limit': str(rate)} if rate else {}
--- a/galenaswitch/platform/tests/test_batcher.py
+++ b/galenaswitch/platform/tests/test_batcher.py
@@ -1,6 +1,7 @@
 """Batches of work items at targets that are busy, full or broken."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -37,6 +38,12 @@
 BUSY = answer(b'', b'503 Service Unavailable', b'X-Not-Executed: 1\r\n')
 
 
+def make_refusal(retry_after):
+    """Return the refusal of a target that asks for a pause."""
+    headers = b'X-Not-Executed: 1\r\nRetry-After: %b\r\n' % retry_after
+    return answer(b'', b'503 Service Unavailable', headers)
+
+
 def make_query(left=3.0, **changes):
     """Return a query for one work item."""
     work_item = WorkItem('r', 0, 0, 'k', ())
@@ -107,6 +114,27 @@
     assert count_batches(target) == 1
 
 
+# Guards against batches to a target that asked for a pause.
+async def test_work_item_waits_for_the_pause_of_its_target(open_batcher):
+    batcher, target = await open_batcher(make_refusal(b'0.7'), MADE)
+    started_at = time.monotonic()
+    assert (await batcher.make_results(make_query())).handles
+    assert 0.6 < time.monotonic() - started_at < 1.5
+    assert count_batches(target) == 2
+
+
+# Guards against work items that wait for a pause which ends too late.
+async def test_work_item_is_refused_at_once_in_a_long_pause(open_batcher):
+    batcher, target = await open_batcher(make_refusal(b'30'))
+    for ident in ('r', 's'):
+        started_at = time.monotonic()
+        reply = await batcher.make_results(make_query(ident=ident))
+        assert time.monotonic() - started_at < 0.3
+        assert reply.failure == 'out-of-capacity'
+        assert reply.retry_after > 20
+    assert count_batches(target) == 1
+
+
 # Guards against batches that don't count towards the limit of their target.
 async def test_batches_keep_the_limit_of_their_target(open_batcher):
     limited = answer(
--- a/galenaswitch/platform/tests/test_headers.py
+++ b/galenaswitch/platform/tests/test_headers.py
@@ -132,3 +132,28 @@
 def test_leaving_notice_is_decoded(fields, is_leaving):
     headers = tuple((b'Server-Leaving', field) for field in fields)
     assert WIRE.is_leaving(AnswerHead(503, headers)) is is_leaving
+
+
+@pytest.mark.parametrize(
+    ('status', 'fields', 'seconds'),
+    [
+        (503, (b'2',), 2.0),
+        (503, (b' 0.25 ',), 0.25),
+        (503, (b'0',), 0.0),
+        (503, (b'1', b'3'), 3.0),
+        (503, (b'1, 3',), 3.0),
+        (503, (b'x', b'1'), 1.0),
+        (503, (b'9' * 400,), float('inf')),
+        (503, (b'-1',), None),
+        (503, (b'1e3',), None),
+        (503, (b'nan',), None),
+        (503, (b'\xb2',), None),
+        (503, (b'Sat, 05 Dec 2026 07:00:00 GMT',), None),
+        (503, (), None),
+        (429, (b'2',), None),
+        (200, (b'2',), None),
+    ],
+)
+def test_pause_of_a_refusal_is_decoded(status, fields, seconds):
+    headers = tuple((b'Retry-After', field) for field in fields)
+    assert WIRE.read_pause(AnswerHead(status, headers)) == seconds
--- a/galenaswitch/platform/tests/test_soak.py
+++ b/galenaswitch/platform/tests/test_soak.py
@@ -8,10 +8,12 @@
 from galenaswitch.platform.soak.promises import (
     CHECKS,
     check_leaving,
+    check_pauses,
     check_recovery,
 )
 from galenaswitch.platform.soak.proxy import Proxy
 from galenaswitch.platform.soak.records import (
+    Arrival,
     InjectedFault,
     SentRequest,
     TargetRun,
@@ -210,6 +212,26 @@
     assert len(list(check_leaving(records))) == found
 
 
+# Guards against machines that send to a target which asked for a pause.
+@pytest.mark.parametrize(
+    ('times', 'faults', 'found'),
+    [
+        ((1.2, 1.3, 1.4, 3.1), (), 0),
+        ((1.6, 1.7), (), 0),
+        ((1.6, 1.7, 2.9), (), 1),
+        ((1.6, 1.7, 2.9), (InjectedFault('freeze', 0, 1.5, 2.0),), 0),
+        ((1.6, 1.7, 2.9), (InjectedFault('freeze', 1, 1.5, 2.0),), 1),
+    ],
+)
+def test_requests_in_a_pause_are_a_violation(times, faults, found):
+    records = open_records()
+    records.sent.append(make_request('a4'))
+    records.arrivals.append(Arrival('a4', 'i-1', 1.0, 2.0))
+    records.arrivals.extend(Arrival('a4', 'i-1', at, 0) for at in times)
+    records.faults.extend(faults)
+    assert len(list(check_pauses(records))) == found
+
+
 def test_missing_recovery_is_a_violation(records):
     records.sent.extend([make_request('a1', status=503, complete=True)] * 2)
     assert len(list(check_recovery(records, 0))) == 1
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -258,6 +258,7 @@
         self.pool.close_expired()
         self.budgets.update_machine_count(len(self.members.machines()))
         self.turns.forget_ended()
+        self.notices.forget_ended()
 
     def reload(self) -> None:
         """Reload the settings file; invalid settings are logged and ignored."""
