Merge leaving notices and pauses of targets

A pause of 400 digits is a long pause, while a rate limit of 400 digits counts as absent; each test keeps its expectation. The time of a fake target's restart is private, as nothing else reads it.

--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -221,6 +221,18 @@
         :returns: ``None`` when not sent.
         """
 
+    def read_pause(self, head: AnswerHead) -> float | None:
+        """Decode for how long a refusal says that no request may come.
+
+        :returns: seconds, ``None`` when not sent.
+        """
+
+    def is_leaving(self, head: AnswerHead) -> bool:
+        """Tell whether an answer says that the target is leaving."""
+
+    def is_misdirected(self, head: AnswerHead) -> bool:
+        """Tell whether an answer is that of another target."""
+
     def is_not_run(self, head: AnswerHead) -> bool:
         """Tell whether an answer states that the target ran nothing."""
 
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -8,6 +8,7 @@
   target with another name answers 421.
 - ``X-Server-Seal``: mark of an answer that a target itself produced.
 - ``X-Not-Executed``: statement of a target that it ran nothing.
+- ``Server-Leaving``: notice that the target which answers is leaving.
 - ``Resumes``: id of the attempt that brought a stream's first event.
 - ``X-Pieces``: number of work items of each stage.
 - ``X-Piece-Key``: key of the input of stages without earlier stages.
@@ -15,6 +16,8 @@
 - ``free-mb``: free result memory of a target.
 """
 
+import math
+
 import orjson
 
 from galenaswitch.connections.heads import (
@@ -43,6 +46,7 @@
 DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 CONFLICT = 409
 MISDIRECTED = 421
+UNAVAILABLE = 503
 # Longest decimal number that is read. Every such number is an exact float.
 MAX_DIGITS = 15
 FIRST_SUCCESS = 200
@@ -57,6 +61,9 @@
 _LAST_EVENT_HEADER = b'Last-Event-Id'
 _SEAL_HEADER = b'x-server-seal'
 _NOT_RUN_HEADER = b'x-not-executed'
+_PAUSE_HEADER = b'retry-after'
+_LEAVING_HEADER = b'server-leaving'
+_SET = b'1'
 _JSON_CONTENT_TYPE = (b'Content-Type', b'application/json')
 # Headers that are removed from a caller's request before it goes to a target,
 # because only galenaswitch may set them.
@@ -151,7 +158,7 @@
             == request.ident,
             genuine=sealed and not encoded,
             not_run=self.is_not_run(head),
-            misdirected=head.status == MISDIRECTED,
+            misdirected=self.is_misdirected(head),
             inputs_lost=head.status == CONFLICT and self.is_not_run(head),
             load=self.read_load(head),
         )
@@ -168,12 +175,36 @@
 
         :returns: ``None`` when not sent.
         """
-        return _read_decimal(find_header_text(head.headers, b'server-limit'))
+        rate = _read_decimal(find_header_text(head.headers, b'server-limit'))
+        return None if rate == math.inf else rate
+
+    def read_pause(self, head: AnswerHead) -> float | None:
+        """Decode for how long a refusal says that no request may come.
+
+        The longest time counts. A date or a malformed time counts as absent.
+
+        :returns: seconds, ``None`` when not sent.
+        """
+        if head.status != UNAVAILABLE:
+            return None
+        fields = find_header_values(head.headers, _PAUSE_HEADER)
+        text = b','.join(fields).decode('ascii', 'replace')
+        times = map(_read_decimal, text.split(','))
+        return max((one for one in times if one is not None), default=None)
+
+    def is_leaving(self, head: AnswerHead) -> bool:
+        """Tell whether an answer says that the target is leaving."""
+        fields = find_header_values(head.headers, _LEAVING_HEADER)
+        return any(field.strip() == _SET for field in fields)
+
+    def is_misdirected(self, head: AnswerHead) -> bool:
+        """Tell whether an answer is that of another target."""
+        return head.status == MISDIRECTED
 
     def is_not_run(self, head: AnswerHead) -> bool:
         """Tell whether an answer states that the target ran nothing."""
         has_header = bool(find_header_values(head.headers, _NOT_RUN_HEADER))
-        return has_header or head.status == MISDIRECTED
+        return has_header or self.is_misdirected(head)
 
     def make_batch(
         self,
@@ -310,7 +341,7 @@
     (1.5, None, None)
     """
     whole, _, fraction = field.strip().partition('.')
-    is_decimal = _is_number(whole) and (fraction or '0').isdecimal()
+    is_decimal = whole.isdecimal() and (fraction or '0').isdecimal()
     return float(field) if is_decimal and field.isascii() else None
 
 
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -4,14 +4,20 @@
 import secrets
 import time
 from collections.abc import Callable
+from functools import partial
 
 from aiohttp import web
 
 from galenaswitch.platform.soak.proxy import Proxy
-from galenaswitch.platform.soak.records import Records, TargetRun, WorkItemRun
+from galenaswitch.platform.soak.records import (
+    Arrival,
+    Records,
+    TargetRun,
+    WorkItemRun,
+)
 from galenaswitch.platform.soak.store import Document, FakeStore
 
-CONFLICT, MISDIRECTED, SERVER_ERROR = 409, 421, 500
+CONFLICT, MISDIRECTED, SERVER_ERROR, UNAVAILABLE = 409, 421, 500, 503
 # Durations of a plain request, of a batch with its work items, and of the gap
 # between two events of a stream.
 PLAIN_REQUEST_SECONDS = 0.03
@@ -49,11 +55,11 @@
     :ivar state: state in the target's document, ``ready`` or ``draining``.
     :ivar name: name of the target, which changes with each restart.
     :ivar version: version of the target's software.
-    :ivar born: time of the last restart in milliseconds.
     :ivar harmful_part: id of the prompt part that ends the target when it
         begins to answer, empty for none.
     :ivar harmful_body: body of the request that ends the target when it
         begins to answer, empty for none.
+    :ivar says_leaving: whether all answers say that the target leaves.
     :ivar rate_limit: limit in requests per second that the answers name, 0
         for none.
     """
@@ -82,6 +88,8 @@
         self.harmful_part = ''
         self.harmful_body = ''
         self.rate_limit = 0.0
+        self.says_leaving = False
+        self._paused_until = 0.0
         self._crash: asyncio.Task[None] | None = None
         self.address = ('', 0)
         self.proxy = Proxy(lambda: self.address)
@@ -92,7 +100,7 @@
         self._batch_lock = asyncio.Lock()
         self._request_count = 0
         self.name = ''
-        self.born = 0
+        self._born = 0
         self._sequence = 0
         self._start_count = 0
         self.version = ''
@@ -104,12 +112,14 @@
         Its software has another version after each restart.
         """
         self.name = f'i-{self.number}-{secrets.token_hex(3)}'
-        self.born = int(time.time() * 1000)
+        self._born = int(time.time() * 1000)
         self._start_count += 1
         version_index = (self.number + self._start_count) % len(VERSIONS)
         self.version = VERSIONS[version_index]
         self._sequence = 0
         self.state = 'ready'
+        self.says_leaving = False
+        self._paused_until = 0.0
         for handle in self._own_handles:
             self._handles.pop(handle, None)
         self._own_handles.clear()
@@ -117,6 +127,7 @@
     async def start(self, host: str) -> web.AppRunner:
         """Start the target's server, and its proxy, which others connect to."""
         app = web.Application()
+        app.on_response_prepare.append(partial(_add_notice, self))
         app.router.add_get('/health', self._answer_health)
         app.router.add_get('/api/report', self._answer_report)
         app.router.add_post('/api/stage-run', self._handle_batch)
@@ -136,6 +147,10 @@
         self.restart()
         await self.proxy.go_down(seconds)
 
+    def pause(self, seconds: float) -> None:
+        """Refuse all requests of callers for a time and ask for none."""
+        self._paused_until = self._now() + seconds
+
     async def register(self, store: FakeStore) -> None:
         """Keep the target's document in the store current until cancelled."""
         registered_name = ''
@@ -165,7 +180,7 @@
             'state': self.state,
             'cold-left-ms': 0,
             'sequence': self._sequence,
-            'born': self.born,
+            'born': self._born,
         }
 
     def _check_instance(self, request: web.Request) -> web.Response | None:
@@ -192,6 +207,14 @@
         if rejection:
             return rejection
         ident = request.headers.get('X-Attempt-Id', '')
+        pause = max(0, self._paused_until - self._now())
+        self._records.arrivals.append(
+            Arrival(ident, self.name, self._now(), pause)
+        )
+        if pause:
+            headers = {**NOT_RUN_HEADERS, 'X-Attempt-Id': ident}
+            headers['Retry-After'] = f'{pause:.2f}'
+            return web.Response(status=UNAVAILABLE, headers=headers)
         body = (await request.read()).decode()
         inputs = request.headers.get('X-Inputs', '')
         if inputs and self._has_lost_inputs(ident, inputs):
@@ -213,7 +236,7 @@
         headers = {
             'X-Attempt-Id': ident,
             'X-Server-Seal': f'{self.name}.1',
-            **self._make_limit_header(),
+            **_make_limit_header(self.rate_limit),
         }
         should_fail = self._should_fail()
         if should_fail and self.mode == 'errors':
@@ -266,9 +289,6 @@
         await answer.write_eof()
         return answer
 
-    def _make_limit_header(self) -> dict[str, str]:
-        return {'Server-Limit': str(self.rate_limit)} if self.rate_limit else {}
-
     def _is_harmful(self, request: web.Request, body: str) -> bool:
         prompt = request.headers.get('X-Prompt-Prefix', '')
         return (self.harmful_body != '' and body == self.harmful_body) or (
@@ -299,7 +319,10 @@
             seconds = BATCH_OVERHEAD_SECONDS + WORK_ITEM_SECONDS * len(items)
             await asyncio.sleep(self._scale_seconds(seconds))
             outcomes = [self._run_work_item(item) for item in items]
-        headers = {'X-Server-Load': '1,0,1', **self._make_limit_header()}
+        headers = {
+            'X-Server-Load': '1,0,1',
+            **_make_limit_header(self.rate_limit),
+        }
         return web.json_response({'items': outcomes}, headers=headers)
 
     def _run_work_item(self, item: Document) -> Document:
@@ -328,3 +351,14 @@
             self._handles.pop(handle, None)
             self._own_handles.discard(handle)
         return web.json_response({})
+
+
+async def _add_notice(
+    target: FakeTarget, request: web.Request, answer: web.StreamResponse
+) -> None:
+    if target.says_leaving:
+        answer.headers['Server-Leaving'] = '1'
+
+
+def _make_limit_header(rate: float) -> dict[str, str]:
+    return {'Server-Limit': str(rate)} if rate else {}
--- a/galenaswitch/platform/tests/test_batcher.py
+++ b/galenaswitch/platform/tests/test_batcher.py
@@ -1,6 +1,7 @@
 """Batches of work items at targets that are busy, full or broken."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -15,7 +16,7 @@
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.limits.pacing import BURST_REQUESTS
 from galenaswitch.limits.retries import RetryBudgets
-from galenaswitch.membership.lists import MemberList, Members, Target
+from galenaswitch.membership.lists import MemberList, Target
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.pipelines import target_states
 from galenaswitch.platform.headers import PlatformWire
@@ -38,6 +39,12 @@
 BUSY = answer(b'', b'503 Service Unavailable', b'X-Not-Executed: 1\r\n')
 
 
+def make_refusal(retry_after):
+    """Return the refusal of a target that asks for a pause."""
+    headers = b'X-Not-Executed: 1\r\nRetry-After: %b\r\n' % retry_after
+    return answer(b'', b'503 Service Unavailable', headers)
+
+
 def make_query(left=3.0, **changes):
     """Return a query for one work item."""
     work_item = WorkItem('r', 0, 0, 'k', ())
@@ -46,19 +53,18 @@
 
 
 @pytest.fixture
-async def open_batcher(scripted, sender, containment):
+async def open_batcher(scripted, sender, listed, containment):
     """Return a function that opens a batcher for one scripted target."""
     tasks = TaskGroup()
 
     async def open_for(*answers, min_retries=10):
         target = await scripted([FREE_MEMORY, *answers], keep=True)
-        members = Members()
         member = Target('m', 'm/1', 'z', 'intake', target.address)
-        members.accept(MemberList(1, (), (member,)))
+        listed.accept(MemberList(1, (), (member,)))
         released = []
         batcher = Batcher(
             BatchedService('intake', lambda _: BATCHES),
-            members,
+            listed,
             sender,
             PlatformWire(),
             RetryBudgets(0, min_retries, 10),
@@ -67,7 +73,7 @@
             containment,
         )
         # The target's first answer reports its free result memory.
-        batcher._result_memory.query_new(members.usable('intake'), BATCHES)
+        batcher._result_memory.query_new(listed.usable('intake'), BATCHES)
         async with asyncio.timeout(5):
             while not target.requests:
                 await asyncio.sleep(0.005)
@@ -96,6 +102,40 @@
     assert count_batches(target) == 2
 
 
+# Guards against batches to a target whose answer said that it leaves.
+async def test_stage_target_that_leaves_gets_no_more_batches(open_batcher):
+    leaving = answer(
+        b'{"items":[{"handle":"127.0.0.1:1/h"}]}',
+        extra=b'Server-Leaving: 1\r\n',
+    )
+    batcher, target = await open_batcher(leaving, MADE_AGAIN)
+    assert (await batcher.make_results(make_query())).handles
+    reply = await batcher.make_results(make_query(ident='s'))
+    assert reply.failure == 'no-target'
+    assert count_batches(target) == 1
+
+
+# Guards against batches to a target that asked for a pause.
+async def test_work_item_waits_for_the_pause_of_its_target(open_batcher):
+    batcher, target = await open_batcher(make_refusal(b'0.7'), MADE)
+    started_at = time.monotonic()
+    assert (await batcher.make_results(make_query())).handles
+    assert 0.6 < time.monotonic() - started_at < 1.5
+    assert count_batches(target) == 2
+
+
+# Guards against work items that wait for a pause which ends too late.
+async def test_work_item_is_refused_at_once_in_a_long_pause(open_batcher):
+    batcher, target = await open_batcher(make_refusal(b'30'))
+    for ident in ('r', 's'):
+        started_at = time.monotonic()
+        reply = await batcher.make_results(make_query(ident=ident))
+        assert time.monotonic() - started_at < 0.3
+        assert reply.failure == 'out-of-capacity'
+        assert reply.retry_after > 20
+    assert count_batches(target) == 1
+
+
 # Guards against batches that don't count towards the limit of their target.
 async def test_batches_keep_the_limit_of_their_target(open_batcher):
     limited = answer(
