--- a/conftest.py
+++ b/conftest.py
@@ -23,7 +23,10 @@
 from standins.plans import Plan, plan_workers
 from standins.scripted import ScriptedTarget
 
-pytest_plugins = ('galenaswitch.platform.tests.driver',)
+pytest_plugins = (
+    'galenaswitch.platform.tests.driver',
+    'galenaswitch.platform.tests.scripts',
+)
 KNOWN_FAILURES_FILE = Path(__file__).parent / 'KNOWN-RED.txt'
 MAX_MODEL_STATES = 500_000
 UNAUTHORIZED = 401
--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -17,6 +17,13 @@
 )
 from galenaswitch.gateway.batch_answers import BatchAnswers
 from galenaswitch.gateway.calls import Wire, WorkItem, WorkItemResult
+from galenaswitch.gateway.failures import (
+    LATE,
+    LOST,
+    NO_MEMORY,
+    OUT_OF_CAPACITY,
+    may_retry,
+)
 from galenaswitch.gateway.inputs import InputReleases
 from galenaswitch.gateway.messages import (
     HeldResults,
@@ -25,7 +32,6 @@
     PiecesReply,
     ReleaseNote,
 )
-from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.gateway.questions import (
     BatchedService,
     acquire_budget,
@@ -55,14 +61,6 @@
 POLL_SECONDS = 0.05
 # Seconds for which a target with full result memory gets no batches.
 MEMORY_PAUSE_SECONDS = 0.1
-_LATE = 'late'
-_NO_MEMORY = 'room'
-# Failure of a work item whose inputs are lost at their producer.
-LOST = 'gone'
-_OUT_OF_CAPACITY = 'out-of-capacity'
-_FINAL_FAILURES = frozenset((_LATE, LOST, _OUT_OF_CAPACITY))
-# Failures of work items that are queued again without using retry budget.
-_FREE_RETRIES = frozenset((_NO_MEMORY, TargetClosedError.__name__))
 
 
 class Batcher:
@@ -140,7 +138,7 @@
             )
             return PiecesReply(
                 (),
-                _OUT_OF_CAPACITY,
+                OUT_OF_CAPACITY,
                 estimate_retry_after(
                     wait_seconds, query.left, drain_seconds + pause_seconds
                 ),
@@ -172,7 +170,7 @@
             async with asyncio.timeout(query.left):
                 await done.wait()
         except TimeoutError:
-            pending.failure = pending.failure or _LATE
+            pending.failure = pending.failure or LATE
         finally:
             if self._done_events.get(key) is done:
                 self._batch_queue.remove(key)
@@ -240,7 +238,7 @@
             targets, limits, resumed_at
         ):
             pending = self._batch_queue.pending_stages[key]
-            pending.failure = _OUT_OF_CAPACITY
+            pending.failure = OUT_OF_CAPACITY
             self._batch_queue.remove(key)
             get_logger().info(
                 'pieces_hopeless',
@@ -325,7 +323,7 @@
             if not outcome.handle:
                 self._batch_queue.release(batch.target, size_bytes)
                 self._retry_or_fail(pending, work_item, outcome.failure)
-                is_memory_full = is_memory_full or outcome.failure == _NO_MEMORY
+                is_memory_full = is_memory_full or outcome.failure == NO_MEMORY
                 continue
             self._stored_results.add(
                 outcome.handle,
@@ -380,25 +378,15 @@
         pending.retries += 1
         pause_seconds = self._notices.find_pause(self._service)
         if pause_seconds > max(0, pending.deadline - time.monotonic()):
-            failure = _OUT_OF_CAPACITY
+            failure = OUT_OF_CAPACITY
         if pending.inputs_released:
             failure = LOST
-        if self._may_retry(pending, failure):
+        if may_retry(pending, failure, self._budgets.of(self._service)):
             pending.queued.insert(0, work_item)
             return
         pending.failure = failure
         self._finish_stage(key)
 
-    def _may_retry(self, pending: PendingStage, failure: str) -> bool:
-        now = time.monotonic()
-        if now >= pending.deadline or failure in _FINAL_FAILURES:
-            return False
-        if failure in _FREE_RETRIES:
-            return True
-        if not pending.has_retries_left:
-            return False
-        return self._budgets.of(self._service).acquire(now)
-
     def _finish_stage(self, key: str) -> None:
         done = self._done_events.get(key)
         if done:
--- /dev/null
+++ b/galenaswitch/gateway/failures.py
@@ -0,0 +1,30 @@
+"""Failures of work items, and which of them are retried."""
+
+import time
+
+from galenaswitch.gateway.notices import TargetClosedError
+from galenaswitch.limits.retries import RetryBudget
+from galenaswitch.pipelines.pending import PendingStage
+
+LATE = 'late'
+NO_MEMORY = 'room'
+# Failure of a work item whose inputs are lost at their producer.
+LOST = 'gone'
+OUT_OF_CAPACITY = 'out-of-capacity'
+_FINAL = frozenset((LATE, LOST, OUT_OF_CAPACITY))
+# Failures after which a work item is retried without using retry budget.
+_FREE = frozenset((NO_MEMORY, TargetClosedError.__name__))
+
+
+def may_retry(pending: PendingStage, failure: str, budget: RetryBudget) -> bool:
+    """Tell whether a work item that failed is queued again.
+
+    :param pending: stage of the work item.
+    :param budget: retry budget of the service, which may be used.
+    """
+    now = time.monotonic()
+    if now >= pending.deadline or failure in _FINAL:
+        return False
+    if failure in _FREE:
+        return True
+    return pending.has_retries_left and budget.acquire(now)
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -26,9 +26,9 @@
     send_complete,
     send_events,
 )
-from galenaswitch.gateway.batcher import LOST
 from galenaswitch.gateway.calls import CallerRequest, Wire
 from galenaswitch.gateway.continuation import ContinuationPolicy
+from galenaswitch.gateway.failures import LOST
 from galenaswitch.gateway.jobs import (
     PlacementRecord,
     StreamJob,
--- a/galenaswitch/gateway/tests/test_state_sync.py
+++ b/galenaswitch/gateway/tests/test_state_sync.py
@@ -93,10 +93,15 @@
     monkeypatch.setattr(registry, 'FIRST_RETRY_SECONDS', 0.01)
     own = Machine('a', 'z', '127.0.0.1', 1)
     store = AsyncMock(**{'list_kind.side_effect': KeyError('odd')})
+
+    def count_listings(kind):
+        calls = store.list_kind.await_args_list
+        return sum(call.args[0] == kind for call in calls)
+
     tasks = TaskGroup()
     directory = Directory(Members(), own)
     StateSync(store, None, directory, own, tasks, 1.2).start()
-    await asyncio.sleep(0.1)
+    async with asyncio.timeout(5):
+        while min(map(count_listings, (CONFIGURATION_KIND, TARGET_KIND))) < 2:
+            await asyncio.sleep(0.01)
     await tasks.stop()
-    listed = [call.args[0] for call in store.list_kind.await_args_list]
-    assert min(listed.count(CONFIGURATION_KIND), listed.count(TARGET_KIND)) > 1
--- a/galenaswitch/programs/edge.py
+++ b/galenaswitch/programs/edge.py
@@ -10,7 +10,7 @@
     components. It reads its settings after that, so it ignores the signal.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from galenaswitch.programs.vm import run_command_line  # noqa: PLC0415
+    from galenaswitch.programs.vm_process import run_command_line  # noqa: PLC0415
 
     run_command_line()
 
