pauses: a probe isn't sent in a pause that began after it was chosen

A target that refuses with Retry-After wants nothing from this VM for so long. Cause: the check right before a send let the probe pass whatever the state of the target was. A probe that waits for its connection, up to 0.6 s, was sent although another answer had begun a new pause meanwhile. Ruled out: more than one such request for each target, since there is one probe at a time; so the bound of two requests in a pause was reached, not passed. Change: a probe passes only what keeps the other requests back for its sake, and not a pause in force. Evidence: test_probe_is_not_sent_in_a_later_pause fails on the code before (no TargetClosedError is raised) and passes now, with the other tests of notices and pauses.

--- a/galenaswitch/gateway/notices.py
+++ b/galenaswitch/gateway/notices.py
@@ -87,7 +87,9 @@
         """
         if self._members.is_leaving(target):
             raise TargetClosedError('the target is leaving')
-        if self.find_wait((target,)) and not is_probe:
+        now = time.monotonic()
+        incarnation = target.incarnation
+        if self._pauses.find_wait(incarnation, now, is_probe=is_probe):
             raise TargetClosedError('the target is paused')
 
     def find_wait(self, targets: Sequence[Target]) -> float:
--- a/galenaswitch/gateway/tests/test_notices.py
+++ b/galenaswitch/gateway/tests/test_notices.py
@@ -1,5 +1,6 @@
 """Notices of targets that leave: whose they are, and who learns of them."""
 
+import time
 from unittest.mock import Mock
 
 import pytest
@@ -99,3 +100,15 @@
     again = ONE._replace(incarnation='one/2')
     members.accept(MemberList(2, (), (again, TWO)))
     assert members.usable('desk') == (again, TWO)
+
+
+# Guards against a probe that is sent in a pause which began while its
+# connection was opened.
+def test_probe_is_not_sent_in_a_later_pause(notices):
+    observe(notices, ONE, 503, (b'Retry-After', b'0.001'))
+    time.sleep(0.01)
+    assert notices.start(ONE)
+    notices.check(ONE, is_probe=True)
+    observe(notices, ONE, 503, (b'Retry-After', b'30'))
+    with pytest.raises(TargetClosedError):
+        notices.check(ONE, is_probe=True)
--- a/galenaswitch/limits/pauses.py
+++ b/galenaswitch/limits/pauses.py
@@ -46,10 +46,18 @@
         self._probe_ends.pop(incarnation, None)
         return known_end <= now
 
-    def find_wait(self, incarnation: str, now: float) -> float:
-        """Return the seconds until a target takes a request, 0 for now."""
-        ends = (self._ends, self._probe_ends)
-        return max(0, *(one.get(incarnation, now) - now for one in ends))
+    def find_wait(
+        self, incarnation: str, now: float, *, is_probe: bool = False
+    ) -> float:
+        """Return the seconds until a target takes a request, 0 for now.
+
+        :param is_probe: whether the request is the probe, for which the others
+            wait.
+        """
+        end = self._ends.get(incarnation, now)
+        if not is_probe:
+            end = max(end, self._probe_ends.get(incarnation, now))
+        return max(0, end - now)
 
     def start(self, incarnation: str, now: float) -> bool:
         """Record a request that is sent now, while no pause is in force.
