pipelines: a request that crashed three targets is refused on all VMs

Callers of galena-entry saw 502 stage-failed, and with each return of the same request (same pipeline and body, at any VM) up to three more targets ended.

Cause: only the attempts of one request were bounded (Progress.check_harmless). Nothing was remembered from one request to the next, and nothing passed from one VM to another.

Change: CrashGuard (pipelines/crashes.py) names a request by a fingerprint for each stage, records crashes and answers in quarantine.evidence, and refuses a request with three crashes since its last answer as request-quarantined, before any stage is sent. One fingerprint for the whole request won't do: the answer of its first stage would clear the crashes of its last. After one crash a request isn't hedged, after two it isn't repeated. News goes entry, control (EvidenceKeeper), controls of other VMs, entries; an entry that starts gets the evidence of its control process. The check is made under the claim, so that a replay and an unknown outcome are still reported as such; the claim is then released.

Evidence: on the code before, the three new tests of targets/tests/test_faults.py fail: ..._comes_again_at_any_vm_spares_the_targets: assert 8 <= 6 (8 of 8 crashed) ..._claim_of_a_quarantined_request_is_released: At index 3 diff: ('stage-failed', 'unknown') != ('request-quarantined', 'not-run') ..._restarted_entry_keeps_a_quarantine: 'stage-failed' == 'request-quarantined' They pass with the change; pipelines/tests pass.

Failed try: the test of the restart first let one request crash two targets within 10 ms. The restarted entry then counted two of the three crashes and let the request crash a fourth target: two crashes within 0.1 s count as one when the delay of the messages hides which send came later. The test now sends calls that crash one target each, 0.2 s apart.

Remains: the trials are remembered by one process, crashes for ten minutes, so a restart may allow up to three further trials, and after ten minutes three further crashes. News of an entry without a link to its control process is lost to other VMs. Crashes after the first tokens of an answer, and after the caller has left, don't count.

--- a/galenaswitch/pipelines/attempts.py
+++ b/galenaswitch/pipelines/attempts.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import secrets
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from typing import Any
@@ -23,10 +22,11 @@
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.pipelines.budgets import Budgets
+from galenaswitch.pipelines.calls import find_first_success, make_call
 from galenaswitch.pipelines.dispatch import Dispatcher
 from galenaswitch.pipelines.first_token import FirstTokenTimeout
 from galenaswitch.pipelines.lengths import AnswerLengths
-from galenaswitch.pipelines.notices import LeavingSink
+from galenaswitch.pipelines.notices import FailureSinks
 from galenaswitch.pipelines.priorities import Priorities
 from galenaswitch.pipelines.requests import StageRun, name_token_latencies
 from galenaswitch.pipelines.streams import STALL_SECONDS, order_tokens
@@ -35,10 +35,9 @@
 from galenaswitch.routing.loads import LoadView
 from galenaswitch.routing.prefix import PrefixIndex
 from galenaswitch.targets.client import TargetClient
-from galenaswitch.targets.messages import StageCall, Token
+from galenaswitch.targets.messages import Token
 from galenaswitch.targets.sequence import TokenSequence
 
-ATTEMPT_ID_BYTES = 8
 MIN_HEDGE_DELAY_SECONDS = 0.03
 HEDGE_DELAY_FACTOR = 3
 MIN_TIMEOUT_SECONDS = 0.4
@@ -56,19 +55,20 @@
         ejector: Ejector,
         budgets: Budgets,
         prefixes: PrefixIndex,
-        notices: LeavingSink,
+        sinks: FailureSinks,
         metrics: Metrics,
     ) -> None:
         """Build a runner that sends to targets chosen by ``dispatcher``.
 
-        :param notices: receives notices of targets that are leaving.
+        :param sinks: receive notices of leaving targets, and crashes.
         """
+        self.guard = sinks.guard
         self._client = client
         self._dispatcher = dispatcher
         self._loads = loads
         self._ejector = ejector
         self._budgets = budgets
-        self._notices = notices
+        self._notices = sinks.notices
         self._prefixes = prefixes
         self._metrics = metrics
         self.lengths = AnswerLengths()
@@ -153,6 +153,12 @@
         if isinstance(error, (TargetLeavingError, TargetLateError)):
             return
         job.progress.check_harmless()
+        if not (not_run or self.guard.may_repeat(job)):
+            raise RefusedError(
+                Reason.stage_failed,
+                job.progress.run,
+                'the request crashed its targets',
+            )
         if asyncio.get_running_loop().time() >= job.request.deadline:
             raise RefusedError(Reason.deadline, job.progress.run)
         if not self._budgets.retries(job.stage.pool).acquire():
@@ -177,7 +183,7 @@
             if not first.done():
                 second = self._hedge(job, tried | {target.name})
                 tasks |= second
-            return await _first_success(tasks)
+            return await find_first_success(tasks)
         finally:
             for task in tasks:
                 task.cancel()
@@ -188,6 +194,8 @@
         job: StageRun,
         tried: frozenset[str],
     ) -> set[asyncio.Task[dict[str, Any]]]:
+        if self.guard.is_suspect(job):
+            return set()
         now = asyncio.get_running_loop().time()
         work = job.work._replace(now=now)
         other = self._dispatcher.choose(job.stage, work, tried)
@@ -207,7 +215,8 @@
         if job.stage.repeatable:
             timeout = min(timeout, self._find_timeout(target, timeout))
         weight = job.request.contract.weight
-        call = _make_call(job, job.payload, timeout, weight)
+        call = make_call(job, job.payload, timeout, weight)
+        self.guard.check_send(job)
         load = self._loads.get_load(target.name)
         sent = load.start(started_at, 0, 0)
         job.progress.record_sent(repeatable=job.stage.repeatable)
@@ -215,8 +224,9 @@
         try:
             output = await self._client.call(target, call, job.stage.repeatable)
             succeeded = True
+            self.guard.record_answer(job)
         except TargetError as error:
-            self._record_failure(job, target, error)
+            await self._record_failure(job, target, error, started_at)
             raise
         finally:
             load.finish(sent, loop.time())
@@ -242,11 +252,12 @@
         target: Target,
         sequence: TokenSequence,
     ) -> AsyncGenerator[list[Token], None]:
+        self.guard.check_send(job)
         loop = asyncio.get_running_loop()
         now = loop.time()
         resume = {'from': sequence.count, 'digest': sequence.digest()}
         payload = {**job.payload, **resume}
-        call = _make_call(
+        call = make_call(
             job,
             payload,
             job.request.deadline - now,
@@ -271,7 +282,9 @@
                 async for ready in order_tokens(stream, waits, sequence):
                     yield ready
         except TargetError as error:
-            self._record_failure(job, target, error)
+            await self._record_failure(
+                job, target, error, now, sequence.count - before
+            )
             raise
         else:
             self._ejector.record_success(target.name)
@@ -295,6 +308,8 @@
     ) -> None:
         """Count the tokens and the cost of an attempt that has ended."""
         job.progress.record_tokens(tokens_made)
+        if tokens_made:
+            self.guard.record_answer(job)
         self._metrics.count('tokens_doubled', sequence.pop_duplicate_count())
         cost = job.stage.cost + tokens_made * job.stage.cost_per_token
         self._count_cost(job, cost, tokens_made > 0)
@@ -332,11 +347,20 @@
             return
         self._ejector.record_success(target.name)
 
-    def _record_failure(
+    async def _record_failure(
         self,
         job: StageRun,
         target: Target,
         error: TargetError,
+        sent_at: float,
+        tokens_made: int = 0,
+    ) -> None:
+        self._judge_target(job, target, error)
+        if not tokens_made:
+            await self.guard.record_failure(job, target, error, sent_at)
+
+    def _judge_target(
+        self, job: StageRun, target: Target, error: TargetError
     ) -> None:
         now = asyncio.get_running_loop().time()
         job.progress.record_failure(error)
@@ -362,38 +386,3 @@
         if isinstance(error, MismatchedAnswerError):
             self._metrics.count('answer_mismatched')
         self._ejector.record_failure(target.name, now)
-
-
-def _make_call(
-    job: StageRun,
-    payload: dict[str, Any],
-    seconds_left: float,
-    priority: float,
-) -> StageCall:
-    kind = job.stage.kind.value
-    return StageCall(
-        request=job.request.ident,
-        stage=job.stage.name,
-        attempt=secrets.token_hex(ATTEMPT_ID_BYTES),
-        model=job.stage.model,
-        version=job.stage.version,
-        path=f'/{kind}/{job.stage.operation}'.rstrip('/'),
-        payload=payload,
-        left_ms=max(1, int(seconds_left * 1000)),
-        priority=priority,
-    )
-
-
-async def _first_success(
-    tasks: set[asyncio.Task[dict[str, Any]]],
-) -> dict[str, Any]:
-    """Return the first successful result, or raise the last failure."""
-    waiting = tasks
-    while True:
-        done, waiting = await asyncio.wait(
-            waiting,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        succeeded = [task for task in done if not task.exception()]
-        if succeeded or not waiting:
-            return (succeeded or list(done))[0].result()
--- a/galenaswitch/pipelines/execution.py
+++ b/galenaswitch/pipelines/execution.py
@@ -76,6 +76,7 @@
         :param sink: receives the tokens of generating stages.
         :raises RefusedError: when the request can't be completed in time.
         """
+        self._attempts.guard.admit(request, progress)
         outputs: dict[str, Any] = {}
         output: dict[str, Any] = {}
         for number, stage in enumerate(request.pipeline.stages):
--- a/galenaswitch/pipelines/requests.py
+++ b/galenaswitch/pipelines/requests.py
@@ -50,7 +50,10 @@
 
 
 class Progress:
-    """Attempts, costs and tokens of one request so far."""
+    """Attempts, costs and tokens of one request so far.
+
+    :ivar trial: fingerprint whose trial the request is, empty for none.
+    """
 
     def __init__(self) -> None:
         """Build the progress of a request without attempts."""
@@ -58,6 +61,7 @@
         self.wasted_cost = 0.0
         self.attempts = 0
         self.tokens = 0
+        self.trial = ''
         self._sent = 0
         self._broken = 0
         self._outcome_unknown = False
--- a/galenaswitch/pipelines/tests/test_attempts.py
+++ b/galenaswitch/pipelines/tests/test_attempts.py
@@ -7,18 +7,22 @@
     Pipeline,
     parse_document,
 )
-from galenaswitch.errors import TargetBrokenError
+from galenaswitch.errors import TargetBrokenError, TargetUnreachableError
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.operations.metrics import LocalMetrics
+from galenaswitch.operations.process import TaskGroup
 from galenaswitch.pipelines.attempts import AttemptRunner
 from galenaswitch.pipelines.budgets import Budgets
+from galenaswitch.pipelines.crashes import CrashGuard
 from galenaswitch.pipelines.dispatch import Dispatcher
+from galenaswitch.pipelines.notices import FailureSinks
 from galenaswitch.pipelines.requests import (
     PipelineRequest,
     Progress,
     StageRun,
 )
-from galenaswitch.refusals import Reason, RefusedError
+from galenaswitch.quarantine.fingerprints import Fingerprints
+from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 from galenaswitch.routing.choice import RoundRobin, WorkEstimate
 from galenaswitch.routing.ejection import Ejector
 from galenaswitch.routing.loads import LoadView
@@ -48,13 +52,37 @@
         raise TargetBrokenError(target.name)
 
 
+class CrashingClient(RecordingClient):
+    """Records the targets that it crashes; they stay down."""
+
+    async def call(self, target, call, repeatable):
+        """Fail as a target does that crashes under a call, or has crashed."""
+        if target.name in self.calls:
+            raise TargetUnreachableError(target.name)
+        self.calls.append(target.name)
+        raise TargetBrokenError(target.name)
+
+
 @pytest.fixture
 def open_attempts():
     """Return a function that opens attempts at encoders with a budget."""
+    news = []
+
+    def open_for(client, targets, *, crash=False):
+        async def is_listening(url):
+            return not crash
 
-    def open_for(client, targets):
         members, loads, ejector = Members(), LoadView(), Ejector()
         members.accept(MemberList(1, (), targets))
+        guard = CrashGuard(
+            'north-1',
+            members,
+            Fingerprints('secret'),
+            TaskGroup(),
+            LocalMetrics(),
+            is_listening,
+            news.append,
+        )
         return AttemptRunner(
             client,
             Dispatcher(members, loads, ejector, RoundRobin(), 'north'),
@@ -62,13 +90,22 @@
             ejector,
             Budgets(10, 10),
             PrefixIndex(),
-            None,
+            FailureSinks(None, guard),
             LocalMetrics(),
         )
 
     return open_for
 
 
+@pytest.fixture
+def encoders():
+    """Return nine encoders."""
+    return tuple(
+        ENCODER._replace(name=f'encoder{number}', incarnation=str(number))
+        for number in range(9)
+    )
+
+
 @pytest.fixture
 def stage_run():
     """Return the run of a repeatable stage."""
@@ -100,3 +137,54 @@
         await attempts.run(stage_run)
     assert caught.value.reason is Reason.stage_failed
     assert len(set(client.calls)) == 3
+
+
+# Guards against a request that comes again and again and crashes further
+# targets each time.
+async def test_request_that_comes_again_crashes_three_targets_at_most(
+    open_attempts, stage_run, encoders
+):
+    client = CrashingClient()
+    attempts = open_attempts(client, encoders, crash=True)
+    for _ in range(5):
+        with pytest.raises(RefusedError) as caught:
+            await attempts.run(stage_run._replace(progress=Progress()))
+    assert len(client.calls) == 3
+    assert caught.value.reason is Reason.request_quarantined
+    assert caught.value.run is ExecutionState.not_run
+
+
+# Guards against a refusal that claims a request has not run whose earlier
+# stage has.
+async def test_quarantine_after_an_earlier_stage_is_a_failed_stage(
+    open_attempts, stage_run, encoders
+):
+    attempts = open_attempts(CrashingClient(), encoders, crash=True)
+    for _ in range(2):
+        with pytest.raises(RefusedError):
+            await attempts.run(stage_run._replace(progress=Progress()))
+    progress = Progress()
+    progress.record_sent(repeatable=True)
+    progress.record_success(repeatable=True)
+    with pytest.raises(RefusedError) as caught:
+        await attempts.run(stage_run._replace(progress=progress))
+    assert caught.value.reason is Reason.stage_failed
+    assert caught.value.run is ExecutionState.partial
+
+
+# Guards against a quarantine that keeps other requests away.
+async def test_quarantine_of_a_request_spares_others(
+    open_attempts, stage_run, encoders
+):
+    client = CrashingClient()
+    attempts = open_attempts(client, encoders, crash=True)
+    for _ in range(3):
+        with pytest.raises(RefusedError):
+            await attempts.run(stage_run._replace(progress=Progress()))
+    other = stage_run.request._replace(prompt='other')
+    with pytest.raises(RefusedError) as caught:
+        await attempts.run(
+            stage_run._replace(request=other, progress=Progress())
+        )
+    assert caught.value.reason is Reason.stage_failed
+    assert len(client.calls) > 3
--- a/galenaswitch/programs/control.py
+++ b/galenaswitch/programs/control.py
@@ -27,12 +27,12 @@
 from galenaswitch.configuration.relay import Relay
 from galenaswitch.configuration.status import REPORT_SECONDS, ZoneStatus
 from galenaswitch.configuration.watch import StoreWatch
-from galenaswitch.errors import DutyError, PeerClosedError
+from galenaswitch.errors import DutyError
 from galenaswitch.limits.shared import SharedLimits
 from galenaswitch.membership.links import Identity, Link, LinkService, listen
 from galenaswitch.membership.lists import LeavingSign, MemberChange, Members
 from galenaswitch.membership.loads import LoadCollector
-from galenaswitch.membership.mesh import Mesh, Ping, answer_ping, push
+from galenaswitch.membership.mesh import Mesh, Ping, answer_ping
 from galenaswitch.membership.messages import (
     ListNotice,
     ListQuestion,
@@ -59,7 +59,9 @@
 )
 from galenaswitch.orders.lease import Lease
 from galenaswitch.orders.reconciler import CYCLE_SECONDS, ModelReconciler
+from galenaswitch.programs.subscribers import Subscribers
 from galenaswitch.programs.vocabulary import VOCABULARY
+from galenaswitch.quarantine.keeper import EvidenceKeeper
 from galenaswitch.store.client import StoreClient
 
 DUMP_TIMEOUT_SECONDS = 2
@@ -87,44 +89,6 @@
     metrics: MetricSettings = MetricSettings()
 
 
-class Subscribers:
-    """Links to the entry processes that this control process serves."""
-
-    def __init__(self) -> None:
-        """Build the set of links, without an entry process connected."""
-        self._links: set[Link] = set()
-        self.digest = ''
-
-    def add(self, link: Link) -> bool:
-        """Subscribe ``link`` to pushes; return False if it already was."""
-        new = link not in self._links
-        self._links.add(link)
-        return new
-
-    @property
-    def connected(self) -> bool:
-        """Whether an entry process is connected."""
-        return any(not link.closed for link in self._links)
-
-    def first(self) -> Link:
-        """Return the link to the machine's entry process.
-
-        :raises PeerClosedError: when no entry process is connected.
-        """
-        for link in self._links:
-            if not link.closed:
-                return link
-        raise PeerClosedError('no entry process is connected')
-
-    def publish(self, message: Any) -> None:
-        """Push a message to all entry processes; drop closed links."""
-        for link in tuple(self._links):
-            if link.closed:
-                self._links.discard(link)
-                continue
-            push(link, message)
-
-
 class Control:
     """Connects the components of one control process."""
 
@@ -159,6 +123,7 @@
         publish = self._publish
         self.mesh = Mesh(self.service, self.members, tasks)
         self.relay = Relay(self.catalog, self.mesh, publish)
+        self.evidence = EvidenceKeeper(self.mesh, publish)
         self.membership_sync = MembershipSync(
             self.members, self.store, self.mesh, publish
         )
@@ -272,8 +237,13 @@
         The snapshot leaves out the configuration and the member list if the
         entry process has their current version.
         """
-        if self.subscribers.add(link):
-            push(link, self.loads.reports.full_reports())
+        self.subscribers.add(
+            link,
+            lambda: (
+                self.loads.reports.full_reports(),
+                *self.evidence.list_news(),
+            ),
+        )
         self.subscribers.digest = message.digest
         up_to_date = message.digest == self.catalog.digest()
         members = self.members.member_list
@@ -321,6 +291,7 @@
     async def _on_link_open(self, link: Link) -> None:
         self.membership_sync.on_link_open(link)
         self.loads.on_link_open(link)
+        await self.evidence.exchange.on_link_open(link)
         await self.relay.on_link_open(link)
 
     def _handlers(self) -> dict[type[Any], Any]:
@@ -340,6 +311,7 @@
             ClaimRequest: self.answer_claim,
             SettleRequest: self.answer_claim,
             **self.limits.handlers(),
+            **self.evidence.exchange.handlers(),
         }
 
 
--- a/galenaswitch/programs/entry.py
+++ b/galenaswitch/programs/entry.py
@@ -13,11 +13,9 @@
 import defopt
 from sanic import Sanic
 
-from galenaswitch.callers.access import ContractDirectory
 from galenaswitch.callers.handling import PipelineRequestHandler
 from galenaswitch.callers.server import CallerApi
 from galenaswitch.claims.client import Claims
-from galenaswitch.configuration.catalog import Catalog, Item
 from galenaswitch.configuration.messages import Items
 from galenaswitch.errors import PeerError
 from galenaswitch.limits.admission import Admission
@@ -25,16 +23,13 @@
 from galenaswitch.membership.lists import (
     LeavingSign,
     MemberChange,
-    MemberList,
-    Members,
     apply_change,
 )
 from galenaswitch.membership.messages import Loads, Snapshot, Subscribe
-from galenaswitch.membership.reports import LoadReports
 from galenaswitch.operations.dump import DumpReply, DumpRequest
 from galenaswitch.operations.exposition import serve_metrics
 from galenaswitch.operations.logs import configure_logs, get_logger
-from galenaswitch.operations.metrics import PrometheusMetrics, open_metrics
+from galenaswitch.operations.metrics import open_metrics
 from galenaswitch.operations.process import (
     TaskGroup,
     run_every,
@@ -49,21 +44,24 @@
 )
 from galenaswitch.pipelines.attempts import AttemptRunner
 from galenaswitch.pipelines.budgets import HEDGE_SHARE, RETRY_SHARE, Budgets
+from galenaswitch.pipelines.crashes import CrashGuard, News
 from galenaswitch.pipelines.dispatch import Dispatcher
 from galenaswitch.pipelines.execution import Executor
+from galenaswitch.pipelines.notices import FailureSinks
+from galenaswitch.programs.entry_state import EntryState
 from galenaswitch.programs.http import serve_http
 from galenaswitch.programs.uplink import Uplink
 from galenaswitch.programs.vocabulary import VOCABULARY
+from galenaswitch.quarantine.fingerprints import Fingerprints
+from galenaswitch.quarantine.messages import CrashReport, PartAnswered
 from galenaswitch.routing.choice import (
     Chooser,
     LeastOutstanding,
     PredictedFinish,
     RoundRobin,
 )
-from galenaswitch.routing.ejection import Ejector
-from galenaswitch.routing.loads import LoadView
-from galenaswitch.routing.prefix import PrefixIndex
 from galenaswitch.targets.client import TargetClient
+from galenaswitch.targets.listening import is_listening
 
 SUBSCRIBE_INTERVAL_SECONDS = 1
 REPORT_INTERVAL_SECONDS = 1
@@ -109,53 +107,6 @@
     metrics: MetricSettings = MetricSettings()
 
 
-class EntryState:
-    """State that the entry process receives from its control process."""
-
-    def __init__(self, metrics: PrometheusMetrics) -> None:
-        """Build an empty state that is not ready.
-
-        :param metrics: counters and histograms of the process.
-        """
-        self.catalog = Catalog()
-        self.directory = ContractDirectory(self.catalog)
-        self.members = Members()
-        self.loads = LoadView()
-        self.reports = LoadReports()
-        self.prefixes = PrefixIndex()
-        self.ejector = Ejector()
-        self.metrics = metrics
-        self.ready = False
-
-    def is_ready(self) -> bool:
-        """Tell whether a configuration and a usable target are known."""
-        return self.ready and any(
-            self.members.usable(pool) for pool in self.directory.pools()
-        )
-
-    def apply_items(self, items: tuple[Item, ...]) -> None:
-        """Bring newer configuration items into force."""
-        self.directory.refresh(self.catalog.accept(items))
-
-    def apply_members(self, member_list: MemberList) -> None:
-        """Apply a member list if it is newer than the current one."""
-        if self.members.accept(member_list):
-            self.loads.keep_only(member_list.targets)
-            self.reports.keep_only(
-                target.name for target in member_list.targets
-            )
-
-    def apply_loads(self, loads: Loads) -> None:
-        """Apply load reports and changes of the targets' prefix caches."""
-        now = asyncio.get_running_loop().time()
-        for report in self.reports.apply(loads):
-            self.loads.get_load(report.target).accept(report, now)
-            if report.models is not None:
-                self.members.record_models(report.target, report.models)
-        for change in loads.changes:
-            self.prefixes.apply_change(change)
-
-
 class Entry:
     """Connects the components of one entry process."""
 
@@ -175,6 +126,8 @@
                 MemberChange: self.receive_members,
                 LeavingSign: self.receive_leaving_notice,
                 Loads: self.receive_loads,
+                CrashReport: self.receive_crash,
+                PartAnswered: self.receive_answer,
                 DumpRequest: self.answer_dump,
             },
             traffic=Counter(),
@@ -191,6 +144,15 @@
             node.zone,
             shedding=settings.routing.shedding,
         )
+        self.guard = CrashGuard(
+            node.name,
+            self.state.members,
+            Fingerprints(settings.peers.secret),
+            tasks,
+            self.state.metrics,
+            is_listening,
+            self.send_news,
+        )
         self.handling = PipelineRequestHandler(
             self._make_executor(), self.claims, self.admission
         )
@@ -222,6 +184,21 @@
         except PeerError as error:
             get_logger().info('sign_not_sent', reason=str(error))
 
+    def send_news(self, news: News) -> None:
+        """Send news about crashes to the control process."""
+        try:
+            self.uplink.send(news)
+        except PeerError as error:
+            get_logger().info('evidence_not_sent', reason=str(error))
+
+    async def receive_crash(self, link: Link, message: CrashReport) -> None:
+        """Merge a crash that another VM saw."""
+        self.guard.add_crash(message)
+
+    async def receive_answer(self, link: Link, message: PartAnswered) -> None:
+        """Merge an answer that another VM saw."""
+        self.guard.add_answer(message)
+
     async def receive_items(self, link: Link, message: Items) -> None:
         """Apply configuration that the control process pushed."""
         self.state.apply_items(message.items)
@@ -265,6 +242,7 @@
                 'ejected': state.ejector.dump(),
                 'limits': self.admission.dump(),
                 'queues': self.dispatcher.dump(),
+                'quarantines': self.guard.dump(),
                 'leaving': [
                     notice.target for notice in state.members.leaving_notices()
                 ],
@@ -334,7 +312,7 @@
             self.state.ejector,
             Budgets(RETRY_SHARE, self._settings.routing.hedge_share),
             self.state.prefixes,
-            self,
+            FailureSinks(self, self.guard),
             self.state.metrics,
         )
         return Executor(
--- a/galenaswitch/programs/vocabulary.py
+++ b/galenaswitch/programs/vocabulary.py
@@ -31,14 +31,23 @@
     Subscribe,
 )
 from galenaswitch.operations.dump import DumpReply, DumpRequest
+from galenaswitch.quarantine.messages import (
+    CrashReport,
+    EvidenceQuery,
+    EvidenceReply,
+    PartAnswered,
+)
 
 VOCABULARY = Vocabulary(
     ClaimReply,
     ClaimRequest,
     SettleRequest,
+    CrashReport,
     Digest,
     DumpReply,
     DumpRequest,
+    EvidenceQuery,
+    EvidenceReply,
     Items,
     LeavingSign,
     ListNotice,
@@ -47,6 +56,7 @@
     MemberChange,
     MemberList,
     NodeStatus,
+    PartAnswered,
     PermitReply,
     PermitRequest,
     Ping,
--- a/galenaswitch/targets/tests/test_faults.py
+++ b/galenaswitch/targets/tests/test_faults.py
@@ -2,6 +2,7 @@
 import json
 import signal
 from hashlib import sha256
+from itertools import cycle
 
 import aiohttp
 import pytest
@@ -139,3 +140,86 @@
             fields={'tour': 'noon'},
         )
         assert (status, found['output']) == (200, {'done': {'tour': 'noon'}})
+
+
+# Guards against a request that comes again at any VM and crashes three targets
+# each time.
+async def test_request_that_comes_again_at_any_vm_spares_the_targets(
+    deploy, call
+):
+    workers = (WorkerPlan('north', 'bookings'),) * 8
+    plan = PLAN._replace(entries_per_zone=2, engines=(), workers=workers)
+    deployment = await deploy(plan)
+    for name in deployment.targets:
+        await deployment.set_faults(name, deadly_order='poison')
+    urls = [node.url for node in deployment.nodes.values()]
+    refusals = []
+    for number in range(7):
+        status, found = await call(
+            deployment,
+            'seats',
+            url=urls[number % len(urls)],
+            fields={'order': 'poison'},
+        )
+        assert status in {502, 503}
+        refusals.append((found['error']['type'], found['error']['run']))
+        await asyncio.sleep(0.2)
+    crashed = [
+        name
+        for name in deployment.targets
+        if deployment.processes[name].poll() is not None
+    ]
+    assert 3 <= len(crashed) <= 6
+    assert refusals[-2:] == [('request-quarantined', 'not-run')] * 2
+    for url in urls:
+        status, _ = await call(
+            deployment, 'seats', url=url, fields={'order': 'sound'}
+        )
+        assert status == 200
+
+
+# Guards against a claim that says a quarantined request may have run, and
+# against a VM that doesn't know of the crashes that another one saw.
+async def test_claim_of_a_quarantined_request_is_released(deploy, call):
+    workers = (WorkerPlan('north', 'orders'),) * 5
+    plan = PLAN._replace(entries_per_zone=2, engines=(), workers=workers)
+    deployment = await deploy(plan)
+    for name in deployment.targets:
+        await deployment.set_faults(name, deadly_order='poison')
+    urls = cycle([node.url for node in deployment.nodes.values()])
+    outcomes = []
+    for key in ('key-1', 'key-2', 'key-3', 'key-4', 'key-4', 'key-1'):
+        _, found = await call(
+            deployment,
+            'rescan',
+            key,
+            url=next(urls),
+            fields={'order': 'poison'},
+        )
+        outcomes.append((found['error']['type'], found['error']['run']))
+        await asyncio.sleep(0.2)
+    assert outcomes == [
+        *[('stage-failed', 'unknown')] * 3,
+        *[('request-quarantined', 'not-run')] * 2,
+        ('outcome-unknown', 'unknown'),
+    ]
+
+
+# Guards against an entry process that forgets at a restart which requests
+# crash targets.
+async def test_restarted_entry_keeps_a_quarantine(deploy, call):
+    workers = (WorkerPlan('north', 'orders'),) * 5
+    deployment = await deploy(PLAN._replace(engines=(), workers=workers))
+    for name in deployment.targets:
+        await deployment.set_faults(name, deadly_order='poison')
+    fields = {'order': 'poison'}
+    for _ in range(3):
+        await call(deployment, 'rescan', fields=fields)
+        await asyncio.sleep(0.2)
+    (node,) = deployment.nodes.values()
+    entry = f'entry-{node.name}'
+    await deployment.kill(entry)
+    deployment.run(entry, deployment.commands[entry])
+    await deployment.wait_ready()
+    _, found = await call(deployment, 'rescan', url=node.url, fields=fields)
+    assert found['error']['type'] == 'request-quarantined'
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import random
 import secrets
 import sys
@@ -104,6 +105,8 @@
             echo(call, refused='busy', ran=False),
             status=REFUSED_STATUS,
         )
+    if find_order_id(call) == worker.faults.get('deadly_order', '-'):
+        os._exit(0)
     worker.busy += 1
     worker.ledger.append(
         echo(call, operation=operation, key=find_order_id(call))
@@ -148,7 +151,8 @@
 async def set_faults(request: Request) -> HTTPResponse:
     """Handle a request that sets faults.
 
-    With ``leaving`` set, the worker rejects new calls.
+    With ``leaving`` set, the worker rejects new calls. It ends when it begins
+    to run a call for the order ``deadly_order``.
     """
     worker: Worker = request.app.ctx.worker
     worker.faults.update(request.json)
