Tests: each test with machines has a network of its own

Change: tests of leaving targets have 91 to 93, those of pauses 94 to 96; 81 to 85 are those of harmful requests alone. No expectation changes.

--- a/galenaswitch/platform/tests/test_leaving.py
+++ b/galenaswitch/platform/tests/test_leaving.py
@@ -77,7 +77,7 @@
 # Guards against machines that reach a target after its notice passed them.
 @pytest.mark.timeout(90)
 @pytest.mark.parametrize(
-    ('route', 'network'), [('plain', 81), ('once', 82), ('chat', 83)]
+    ('route', 'network'), [('plain', 91), ('once', 92), ('chat', 93)]
 )
 async def test_machines_stop_sending_to_a_target_that_says_it_leaves(
     open_driver, route, network
--- a/galenaswitch/platform/tests/test_pauses.py
+++ b/galenaswitch/platform/tests/test_pauses.py
@@ -135,7 +135,7 @@
 # Guards against machines that reach a target which asked them for a pause.
 @pytest.mark.timeout(90)
 @pytest.mark.parametrize(
-    ('route', 'network'), [('plain', 84), ('once', 85), ('chat', 86)]
+    ('route', 'network'), [('plain', 94), ('once', 95), ('chat', 96)]
 )
 async def test_machines_keep_the_pause_that_a_target_asks_for(
     open_driver, route, network
