Callers' connections: a stop closes none whose request waits to be read

What callers saw: a connection reset right after a whole request, while the VM stops. The request had no answer, no refusal and no log line. Cause: a stop closes idle connections right after a timer. The event loop runs timers that are due before it reads; if it was held up, a request that has arrived meanwhile waits in the kernel, and the connection counts as idle. The idle timeout left a turn to read before it closes, the stop didn't. Change: a connection is closed as idle only if the kernel holds no byte of it. That is asked right before the close, for the timeout and the stop alike. Ruled out by reading: closing at the second of two passes without a read. The loop may be held up between the two passes as well. Evidence: the new test fails on the code before with "ConnectionResetError: [Errno 104] Connection reset by peer"; with the change the tests of connections pass. Conclusion: what remains is a request that is still on its way when the connection closes, which no server can tell.

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -22,7 +22,10 @@
     RequestParser,
 )
 from galenaswitch.connections.responses import ConnectionWriter
-from galenaswitch.connections.sockets import enable_dead_peer_detection
+from galenaswitch.connections.sockets import (
+    enable_dead_peer_detection,
+    has_unread_bytes,
+)
 from galenaswitch.connections.timers import RequestTimer
 from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.metrics import Metrics
@@ -191,7 +194,10 @@
         """Close the connection unless a request has begun to arrive on it."""
         has_input = self._parser.requests or self._rejection
         has_begun = self._parser.begun_at is not None
-        if not (self._serving or has_input or has_begun):
+        if self._serving or has_input or has_begun:
+            return
+        # Timers that are due may run before the loop reads what has arrived.
+        if self._closed or not has_unread_bytes(self._transport):
             self._disconnect()
 
     async def drain(self) -> None:
--- a/galenaswitch/connections/sockets.py
+++ b/galenaswitch/connections/sockets.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import re
 import socket
+import termios
 
 # Longest time in milliseconds that sent bytes may stay unacknowledged. It is
 # shorter than the 3 s within which a partitioned peer must be detected.
@@ -19,6 +21,8 @@
 # Number of unanswered keep-alive probes after which a connection is closed.
 MAX_LOST_PROBES = 2
 MAX_PORT = 65_535
+# Size of the C integer in which the kernel returns a number of bytes.
+COUNT_BYTES = 4
 # Longest host name, and a port.
 MAX_ADDRESS_LENGTH = 260
 _ADDRESS = re.compile(r'([^\s:]{1,253}):([1-9][0-9]{0,4})')
@@ -61,3 +65,14 @@
     with contextlib.suppress(OSError):
         for option in options:
             raw_socket.setsockopt(*option)
+
+
+def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
+    """Tell whether bytes of the peer wait in the kernel to be read."""
+    raw_socket = transport.get_extra_info('socket')
+    if raw_socket is None or raw_socket.fileno() < 0:
+        return False
+    count = fcntl.ioctl(
+        raw_socket.fileno(), termios.FIONREAD, bytes(COUNT_BYTES)
+    )
+    return any(count)
--- a/galenaswitch/connections/tests/test_timers.py
+++ b/galenaswitch/connections/tests/test_timers.py
@@ -48,7 +48,13 @@
 
 async def open_server(limits):
     """Return a server on a free port, and its address."""
-    listener = Listener(ChangingHandler(limits), limits, LocalMetrics())
+    return await serve(
+        Listener(ChangingHandler(limits), limits, LocalMetrics())
+    )
+
+
+async def serve(listener):
+    """Return a server of a listener on a free port, and its address."""
     loop = asyncio.get_running_loop()
     server = await loop.create_server(listener.open_connection, '127.0.0.1', 0)
     return server, server.sockets[0].getsockname()
@@ -115,3 +121,27 @@
         server.close()
         for one in (caller, mine, theirs):
             one.close()
+
+
+# Guards against a stop that closes a connection whose request has arrived while
+# the process stood still.
+def test_stop_keeps_a_connection_whose_request_waits_to_be_read(limits):
+    limits.set_idle_timeout(5)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        listener = Listener(ChangingHandler(limits), limits, LocalMetrics())
+        server, address = runner.run(serve(listener))
+        caller = socket.create_connection(address)
+        caller.settimeout(2)
+        runner.run(asyncio.sleep(0.05))
+
+        async def stop():
+            listener.draining = True
+            caller.sendall(GET)
+            while listener.connections:
+                listener.close_idle()
+                await asyncio.sleep(0.01)
+
+        runner.run(asyncio.wait_for(stop(), 2))
+        assert caller.recv(99).startswith(b'HTTP/1.1 200')
+        server.close()
+        caller.close()
