Gateway: a failure after a complete answer doesn't reset its connection

What callers would see: a connection reset instead of an answer that was complete, if its request fails afterwards, as in a cleanup, and bytes of the answer still wait to be sent. Found by reading; no such failure is known. Cause: the refusal of a failed request aborts an answer that has started, and didn't ask whether it is complete. An abort discards unsent bytes. Change: the writer of an answer tells whether it is complete, and a complete one is left alone. The failure is logged and counted as before, so a log may name an internal error for a request whose caller has its answer. Evidence: the new test fails on the code before with "assert not True", where True is that the answer was aborted; with the change, the tests of handling, plain requests, streams, connections and the gateway pass. Conclusion: what was answered completely stays so.

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -63,6 +63,10 @@
     def started(self) -> bool:
         """Whether the response head was sent."""
 
+    @property
+    def finished(self) -> bool:
+        """Whether the response is complete."""
+
 
 class Handler(Protocol):
     """Responds to the requests of a listener."""
--- a/galenaswitch/gateway/answers.py
+++ b/galenaswitch/gateway/answers.py
@@ -134,7 +134,12 @@
     ident: str,
     error: RefusedError,
 ) -> None:
-    """Send a refusal, or abort an answer that has already started."""
+    """Send a refusal, or abort an answer that has already started.
+
+    A complete answer stays, since its last bytes may not be sent yet.
+    """
+    if writer.finished:
+        return
     if writer.started:
         writer.abort()
         return
--- a/galenaswitch/platform/tests/test_handling.py
+++ b/galenaswitch/platform/tests/test_handling.py
@@ -8,6 +8,7 @@
 from structlog.testing import capture_logs
 
 from galenaswitch.connections.errors import CallerGoneError
+from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.requests import InboundRequest
 from galenaswitch.errors import StoreUnavailableError
 from galenaswitch.gateway.handling import Gateway
@@ -225,3 +226,32 @@
     with pytest.raises(asyncio.CancelledError):
         await task
     assert metrics.dump() == {event: 1}
+
+
+async def answer_and_fail(request, writer):
+    """Send a complete answer, and fail while cleaning up."""
+    writer.start(AnswerHead(OK, ()), 0)
+    writer.finish()
+    raise KeyError('a')
+
+
+# Guards against a complete answer that a later failure of its request breaks
+# off while it's being sent.
+async def test_complete_answer_is_kept_when_its_request_fails(
+    make_route, make_caller_request, make_table, writer
+):
+    route = make_route(CallKind.once)
+    table = make_table(route)
+    plain = Mock(run=answer_and_fail)
+    gateway = Gateway(
+        lambda: table, PlatformWire(), plain, None, LocalMetrics()
+    )
+    head = make_caller_request(route).head
+    with capture_logs() as lines:
+        await gateway.handle(
+            InboundRequest(head, b'', time.monotonic(), True), writer
+        )
+    assert writer.head.status == OK
+    assert writer.finished
+    assert not writer.aborted
+    assert lines[0]['event'] == 'request_failed'
