Callers' connections: a connection closes when its task fails

What callers would see: a connection that stays open after a failure of its own task, so that the next request gets neither an answer nor a refusal. Found by reading; no such failure is known beyond those that were mended. Cause: the failure of a connection's task was logged only. The connection went on reading and parsing requests, which nobody takes. Change: the connection closes. It isn't reset, as an answer that is complete may wait to be sent; one that isn't complete can be told by its framing. Evidence: the new test, whose timeout fails to start after an answer, ends in "TimeoutError" on the code before, as the connection stays open. Conclusion: a connection without a task ends, and its caller sees that at once.

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -150,7 +151,7 @@
         enable_dead_peer_detection(transport)
         self.listener.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
-        self._task.add_done_callback(_log_failure)
+        self._task.add_done_callback(partial(_handle_task_end, self._close))
         self._start_timer()
 
     def data_received(self, chunk: bytes) -> None:
@@ -320,7 +321,11 @@
             )
 
 
-def _log_failure(task: asyncio.Task[None]) -> None:
+def _handle_task_end(
+    close: Callable[[], None], task: asyncio.Task[None]
+) -> None:
+    """Close a connection whose task failed, as no other one serves it."""
     error = None if task.cancelled() else task.exception()
     if error:
         get_logger().error('connection_failed', **describe_error(error))
+        close()
--- a/galenaswitch/connections/tests/test_inbound.py
+++ b/galenaswitch/connections/tests/test_inbound.py
@@ -1,6 +1,7 @@
 """Tests of the connections that callers open."""
 
 import asyncio
+from unittest.mock import Mock
 
 import pytest
 from structlog.testing import capture_logs
@@ -225,3 +226,21 @@
     writer.write(GET)
     response = await reader.read()
     assert response.startswith(b'HTTP/1.1 500')
+
+
+# Guards against a connection that stays open without a task, so that its caller
+# waits for ever.
+async def test_connection_ends_with_its_task(listen):
+    async def respond_and_break(writer):
+        (connection,) = listener.connections
+        connection.timer.start = Mock(side_effect=KeyError('limits'))
+        await respond_ok(writer)
+
+    _, listener, reader, writer = await listen(respond_and_break)
+    writer.write(GET)
+    with capture_logs() as lines:
+        async with asyncio.timeout(1):
+            response = await reader.read()
+    assert response.startswith(b'HTTP/1.1 200')
+    assert lines[0]['event'] == 'connection_failed'
+    assert not listener.connections
