--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -22,7 +23,10 @@
     RequestParser,
 )
 from galenaswitch.connections.responses import ConnectionWriter
-from galenaswitch.connections.sockets import enable_dead_peer_detection
+from galenaswitch.connections.sockets import (
+    enable_dead_peer_detection,
+    has_unread_bytes,
+)
 from galenaswitch.connections.timers import RequestTimer
 from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.metrics import Metrics
@@ -60,6 +64,10 @@
     def started(self) -> bool:
         """Whether the response head was sent."""
 
+    @property
+    def finished(self) -> bool:
+        """Whether the response is complete."""
+
 
 class Handler(Protocol):
     """Responds to the requests of a listener."""
@@ -143,7 +151,7 @@
         enable_dead_peer_detection(transport)
         self.listener.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
-        self._task.add_done_callback(_log_failure)
+        self._task.add_done_callback(partial(_handle_task_end, self._close))
         self._start_timer()
 
     def data_received(self, chunk: bytes) -> None:
@@ -191,7 +199,10 @@
         """Close the connection unless a request has begun to arrive on it."""
         has_input = self._parser.requests or self._rejection
         has_begun = self._parser.begun_at is not None
-        if not (self._serving or has_input or has_begun):
+        if self._serving or has_input or has_begun:
+            return
+        # Timers that are due may run before the loop reads what has arrived.
+        if self._closed or not has_unread_bytes(self._transport):
             self._disconnect()
 
     async def drain(self) -> None:
@@ -310,7 +321,11 @@
             )
 
 
-def _log_failure(task: asyncio.Task[None]) -> None:
+def _handle_task_end(
+    close: Callable[[], None], task: asyncio.Task[None]
+) -> None:
+    """Close a connection whose task failed, as no other one serves it."""
     error = None if task.cancelled() else task.exception()
     if error:
         get_logger().error('connection_failed', **describe_error(error))
+        close()
