plain: an error of a target doesn't show that a request is sound

Callers saw a harmful plain request go on for more than three sends after its third crash when one target of the pool answered each request with 500 or 504: such an answer cleared all crashes of the request and ended its quarantine on every VM, and the next quarantine began with three fresh trials.

Cause: PlainRunner.run recorded an answer before it looked at the status. Found by reading. Streams were ruled out: they record an answer at the first event of a success only. Batches record none. 408, 421, 429 and 503 were ruled out, too: check_answer takes none of them as an answer.

Change: an answer is recorded only below 500. A complete 2xx, 3xx or 4xx that a target wrote itself shows that it ran the request and lived.

Evidence: test_error_of_a_target_does_not_clear_a_request (500 and 504) failed on the code before with "AssertionError: assert 1 == 0" for record_answer, and passes now; its cases 200 and 404 passed before and pass now.

Conclusion: a target in trouble doesn't free a request that ends the others.

--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -110,7 +110,9 @@
                     request, target, progress, error, len(tried), screening
                 )
                 continue
-            screening.record_answer()
+            # An error of the target doesn't show that it ran the request.
+            if head.status < MIN_SERVER_ERROR_STATUS:
+                screening.record_answer()
             if self._should_retry(request, head, progress):
                 continue
             await send_complete(writer, head, body)
--- a/galenaswitch/platform/tests/test_plain.py
+++ b/galenaswitch/platform/tests/test_plain.py
@@ -1,6 +1,7 @@
 """Plain requests: forwarded headers, retries and refusals."""
 
 import asyncio
+from unittest.mock import Mock
 
 import pytest
 
@@ -265,3 +266,28 @@
     with pytest.raises(RefusedError) as caught:
         await make_plain_runner(target).run(request, writer)
     assert caught.value.response.status == 504
+
+
+# Guards against a harmful request that a target's own error shows as sound.
+@pytest.mark.parametrize(
+    ('status', 'clears'),
+    [(b'200', 1), (b'404', 1), (b'500', 0), (b'504', 0)],
+)
+async def test_error_of_a_target_does_not_clear_a_request(
+    make_plain_runner,
+    scripted,
+    make_route,
+    make_caller_request,
+    writer,
+    make_answer,
+    containment,
+    status,
+    clears,
+):
+    containment.record_answer = Mock()
+    answer = make_answer().replace(b' 200 ', b' %b ' % status, 1)
+    target = await scripted([answer])
+    request = make_caller_request(make_route(CallKind.once))
+    await make_plain_runner(target).run(request, writer)
+    assert writer.head.status == int(status)
+    assert containment.record_answer.call_count == clears
