evidence: prompt parts don't push a crash's requests out of its record

Callers saw a harmful request go on when its targets also ran requests with many prompt parts: a crash was recorded with its first 256 parts. Fingerprints stand last in each request, so they were cut off first. A later report that named the request was no news then, and was not spread to other VMs either.

Cause: one room for prompt parts and whole requests. Found by reading. The bound on all implicated parts together was ruled out: it drops whole crashes, the oldest first, and is unchanged.

Change: a crash has room for 512 requests and, apart from it, for 256 prompt parts. The detector reports within the same bounds, requests first; its report and log line had none. A full record still learns that a known part was answered before, which the cut also prevented.

Conclusion: every VM learns of each request in a crash, up to 512 of them.

--- a/galenaswitch/quarantine/detector.py
+++ b/galenaswitch/quarantine/detector.py
@@ -12,7 +12,11 @@
 from galenaswitch.membership.lists import Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
-from galenaswitch.quarantine.messages import CrashReport, ImplicatedPart
+from galenaswitch.quarantine.messages import (
+    CrashReport,
+    ImplicatedPart,
+    limit_parts,
+)
 
 
 class BrokenTarget:
@@ -81,17 +85,18 @@
             broken = self._broken.pop(target.incarnation)
         if is_listening:
             return False
+        parts = limit_parts(broken.parts.values())
         get_logger().warning(
             'target_crashed',
             target=target.name,
             incarnation=target.incarnation,
             requests=broken.requests,
-            parts=tuple(broken.parts),
+            parts=tuple(part.ident for part in parts),
         )
         self._report(
             CrashReport(
                 target.incarnation,
-                tuple(broken.parts.values()),
+                parts,
                 time.monotonic() - broken.broken_at,
             ),
         )
--- a/galenaswitch/quarantine/evidence.py
+++ b/galenaswitch/quarantine/evidence.py
@@ -12,7 +12,6 @@
 
 import math
 from collections.abc import Iterable, Iterator, Mapping
-from itertools import islice
 from typing import NamedTuple
 
 from galenaswitch.quarantine.fingerprints import is_fingerprint
@@ -21,6 +20,7 @@
     EvidenceReply,
     ImplicatedPart,
     PartAnswered,
+    limit_parts,
 )
 
 # Crashes without an answer in between after which a request is harmful, and a
@@ -39,10 +39,9 @@
 # Time in which requests end that were under way when a quarantine began.
 UNDERWAY_SECONDS = 2.0
 RETENTION_SECONDS = 600.0
-# Most crashes, most implicated parts of each, and most of all crashes together,
-# that are kept and sent.
+# Most crashes, and most implicated parts of all crashes together, that are kept
+# and sent.
 MAX_CRASHES = 1024
-MAX_PARTS_PER_CRASH = 256
 MAX_IMPLICATED_PARTS = 32768
 # Crashes, whether there was no answer, position in the prompt, and id.
 Rank = tuple[int, bool, int, str]
@@ -81,15 +80,20 @@
         :param at: monotonic time of the crash by the report.
         """
         self.at = min(self.at, at)
+        merged = dict(self.parts)
+        for part in report.parts:
+            known = merged.get(part.ident)
+            merged[part.ident] = known.merge(part) if known else part
         is_news = False
-        room = MAX_PARTS_PER_CRASH - len(self.parts)
-        for part in islice(report.parts, room):
+        for part in limit_parts(merged.values()):
             known = self.parts.get(part.ident)
             is_news |= known is None or part.answered > known.answered
-            self.parts[part.ident] = known.merge(part) if known else part
-            self.sent_at[part.ident] = max(
-                self.sent_at.get(part.ident, -math.inf), at - part.sent_age
-            )
+            self.parts[part.ident] = part
+        for part in report.parts:
+            if part.ident in self.parts:
+                self.sent_at[part.ident] = max(
+                    self.sent_at.get(part.ident, -math.inf), at - part.sent_age
+                )
         return is_news
 
     def find_moment(self, part: str) -> Moment:
--- a/galenaswitch/quarantine/messages.py
+++ b/galenaswitch/quarantine/messages.py
@@ -3,8 +3,16 @@
 Times in messages are ages in seconds, never clock times.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
+from galenaswitch.quarantine.fingerprints import is_fingerprint
+
+# Most whole requests and most prompt parts that one crash implicates. Prompt
+# parts of some requests don't push out other requests.
+MAX_REQUESTS_PER_CRASH = 512
+MAX_PARTS_PER_CRASH = 256
+
 
 class ImplicatedPart(NamedTuple):
     """Prompt part of a request that had no answer when its target crashed.
@@ -64,3 +72,23 @@
 
     crashes: tuple[CrashReport, ...]
     answers: tuple[PartAnswered, ...]
+
+
+def limit_parts(parts: Iterable[ImplicatedPart]) -> tuple[ImplicatedPart, ...]:
+    """Return the parts of one crash that are kept, whole requests first.
+
+    >>> parts = [ImplicatedPart(f'p{one}', 0, False) for one in range(900)]
+    >>> parts.append(ImplicatedPart('request-a', 1, False))
+    >>> kept = limit_parts(parts)
+    >>> kept[0].ident, len(kept)
+    ('request-a', 257)
+    """
+    requests: list[ImplicatedPart] = []
+    shared: list[ImplicatedPart] = []
+    for part in parts:
+        group = requests if is_fingerprint(part.ident) else shared
+        group.append(part)
+    return (
+        *requests[:MAX_REQUESTS_PER_CRASH],
+        *shared[:MAX_PARTS_PER_CRASH],
+    )
--- a/galenaswitch/quarantine/tests/test_requests.py
+++ b/galenaswitch/quarantine/tests/test_requests.py
@@ -274,3 +274,21 @@
     assert len(late) <= MAX_LATE_SENDS
     await cluster.settle()
     assert all(vm.quarantined <= {HARMFUL} for vm in cluster.vms)
+
+
+# Guards against a report whose prompt parts push out its requests.
+async def test_report_of_a_crash_is_bounded_and_names_its_requests(
+    open_cluster,
+):
+    cluster = open_cluster(2)
+    vm = cluster.vms[0]
+    for number in range(5):
+        await vm.break_request(
+            't1/1', *(f'p{number}x{one}' for one in range(300)), HARMFUL
+        )
+    sent = [message for _, _, message in cluster.messages]
+    assert sent
+    for message in sent:
+        idents = [part.ident for part in message.parts]
+        assert HARMFUL in idents
+        assert len(idents) <= 257
