gateway: a change of a target's list entry doesn't hide its crash

Callers saw a harmful request go on for more than three sends after its third crash when the member list changed while it ran: a target whose entry had a new zone, capacity or incarnation, or was gone, was taken for one that is leaving, so its crash implicated nothing.

Cause: three places (plain requests, streams, batches) asked whether the entry is among the usable ones, and that compares all its fields. Found by reading. Ruled out: to count each broken target, as one that is leaving ends by itself.

Change: one function, failures.may_have_crashed, leaves out only targets that are known to be leaving by a notice or a list, compared by name and incarnation. A target that a list marked as leaving stays so once it is removed, until a list has it again; without that its planned end would count now.

Changed test: test_engine_that_is_leaving_has_not_crashed emptied the usable targets, which stands for a removed entry as well. It marks the engine as leaving in three ways now (notice, list, list and then removed), none of which may count, and checks four others that must count. One test each for plain and batches.

Conclusion: only a target that is known to be leaving ends without suspicion.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -266,9 +266,9 @@
                 reason=str(error),
                 seconds=round(time.monotonic() - started_at, 3),
             )
-            # A target that is leaving ends by itself.
-            if batch.target in self._members.usable(self._service):
-                await count_crash(batch, error, self._containment, started_at)
+            await count_crash(
+                batch, error, self._members, self._containment, started_at
+            )
             self._handle_failure(batch, error, limits)
         else:
             seconds = time.monotonic() - started_at
--- a/galenaswitch/gateway/failures.py
+++ b/galenaswitch/gateway/failures.py
@@ -1,9 +1,11 @@
-"""Failures of work items, and which of them are retried."""
+"""Failures at targets: which may be crashes, and which are retried."""
 
 import time
 
+from galenaswitch.errors import GalenaError, TargetBrokenError
 from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.limits.retries import RetryBudget
+from galenaswitch.membership.lists import Members, Target
 from galenaswitch.pipelines.pending import PendingStage
 
 LATE = 'late'
@@ -28,3 +30,17 @@
     if failure in _FREE:
         return True
     return pending.has_retries_left and budget.acquire(now)
+
+
+def may_have_crashed(
+    target: Target, error: GalenaError, members: Members
+) -> bool:
+    """Tell whether a request may have ended the target that broke it.
+
+    A target that is leaving ends by itself. One that is missing in the newest
+    list, or has another entry there, may have crashed.
+
+    :param target: entry of the target when the request was sent.
+    """
+    is_broken = isinstance(error, TargetBrokenError)
+    return is_broken and not members.is_leaving(target)
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -12,7 +12,6 @@
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.errors import (
-    TargetBrokenError,
     TargetBusyError,
     TargetError,
     TargetUnreachableError,
@@ -23,6 +22,7 @@
     send_complete,
 )
 from galenaswitch.gateway.calls import CallerRequest, Wire
+from galenaswitch.gateway.failures import may_have_crashed
 from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.gateway.routes import CallKind
 from galenaswitch.gateway.sending import Sender
@@ -105,7 +105,7 @@
             except TargetError as error:
                 if isinstance(error, TargetClosedError):
                     tried.discard(target.name)
-                await self._examine_failure(request, target, error, screening)
+                await self._examine_failure(target, error, screening)
                 self._check_retry(
                     request, target, progress, error, len(tried), screening
                 )
@@ -299,18 +299,12 @@
 
     async def _examine_failure(
         self,
-        request: CallerRequest,
         target: Target,
         error: TargetError,
         screening: Screening,
     ) -> None:
-        """Find out whether a request may have ended its target.
-
-        A target that is leaving ends by itself.
-        """
-        if isinstance(
-            error, TargetBrokenError
-        ) and target in self._members.usable(request.service):
+        """Find out whether a request has ended its target."""
+        if may_have_crashed(target, error, self._members):
             await screening.record_broken(target)
 
     def _check_retry(
--- a/galenaswitch/gateway/questions.py
+++ b/galenaswitch/gateway/questions.py
@@ -9,10 +9,12 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from galenaswitch.errors import GalenaError, TargetBrokenError
+from galenaswitch.errors import GalenaError
+from galenaswitch.gateway.failures import may_have_crashed
 from galenaswitch.gateway.messages import PiecesQuestion
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.limits.retries import RetryBudget
+from galenaswitch.membership.lists import Members
 from galenaswitch.pipelines.arrivals import WINDOW_SECONDS
 from galenaswitch.pipelines.batch_queue import Batch
 from galenaswitch.pipelines.pending import PendingStage, Urgency
@@ -50,7 +52,11 @@
 
 
 async def count_crash(
-    batch: Batch, error: GalenaError, containment: Containment, sent_at: float
+    batch: Batch,
+    error: GalenaError,
+    members: Members,
+    containment: Containment,
+    sent_at: float,
 ) -> None:
     """Count a crash of a batch's target against all stages in the batch.
 
@@ -58,7 +64,7 @@
 
     :param sent_at: monotonic time in seconds of the send to the target.
     """
-    if not isinstance(error, TargetBrokenError):
+    if not may_have_crashed(batch.target, error, members):
         return
     stages = list({id(one): one for one, _ in batch.work_items}.values())
     crashed = await asyncio.gather(
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -28,7 +28,7 @@
 )
 from galenaswitch.gateway.calls import CallerRequest, Wire
 from galenaswitch.gateway.continuation import ContinuationPolicy
-from galenaswitch.gateway.failures import LOST
+from galenaswitch.gateway.failures import LOST, may_have_crashed
 from galenaswitch.gateway.jobs import (
     PlacementRecord,
     StreamJob,
@@ -330,13 +330,10 @@
         target: Target,
         error: TargetError,
     ) -> None:
-        """Find out whether a request may have ended its target.
-
-        A target that is leaving ends by itself.
-        """
-        if not isinstance(error, TargetBrokenError) or job.has_first_event:
+        """Find out whether a request has ended its target."""
+        if job.has_first_event:
             return
-        if target in self._members.usable(job.request.service):
+        if may_have_crashed(target, error, self._members):
             await job.screening.record_broken(target)
 
     def _check_retry(
--- a/galenaswitch/membership/lists.py
+++ b/galenaswitch/membership/lists.py
@@ -200,6 +200,7 @@
         self._usable_targets: dict[str, tuple[Target, ...]] = {}
         self._leaving_notices: dict[LeavingSign, None] = {}
         self._listed_leaving: frozenset[LeavingSign] = frozenset()
+        self._removed_leaving: dict[LeavingSign, None] = {}
         self._loaded_models: dict[str, tuple[str, ...]] = {}
 
     def accept(self, member_list: MemberList) -> bool:
@@ -226,6 +227,7 @@
             pool: tuple(one for one in member_list.targets if one.pool == pool)
             for pool in pools
         }
+        self._removed_leaving.update(dict.fromkeys(self._listed_leaving))
         self._listed_leaving = frozenset(
             LeavingSign(target.name, target.incarnation)
             for target in member_list.targets
@@ -269,12 +271,18 @@
     def is_leaving(self, target: Target) -> bool:
         """Tell whether the list or a notice marks a target as leaving.
 
+        A target that the list marked before it was removed stays leaving.
+
         :param target: an entry of this list or of an earlier one.
         """
         if target.state == LEAVING:
             return True
         notice = LeavingSign(target.name, target.incarnation)
-        return notice in self._leaving_notices or notice in self._listed_leaving
+        return (
+            notice in self._leaving_notices
+            or notice in self._listed_leaving
+            or notice in self._removed_leaving
+        )
 
     def record_models(self, target: str, models: tuple[str, ...]) -> None:
         """Record the loaded models that a target has reported."""
@@ -320,3 +328,5 @@
         unlisted = [one for one in self._leaving_notices if one not in listed]
         for notice in unlisted[:-MAX_UNLISTED_NOTICES]:
             self._leaving_notices.pop(notice)
+        removed = [one for one in self._removed_leaving if one not in listed]
+        self._removed_leaving = dict.fromkeys(removed[-MAX_UNLISTED_NOTICES:])
--- a/galenaswitch/platform/tests/test_batcher.py
+++ b/galenaswitch/platform/tests/test_batcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest.mock import AsyncMock
 
 import pytest
 
@@ -346,3 +347,20 @@
     assert first.result().failure == 'replaced'
     assert second.result().handles
     assert batcher.dump()['demands'] == 0
+
+
+# Guards against crashes under batches that a change of the list hides.
+async def test_stage_target_that_is_no_longer_listed_may_have_crashed(
+    open_batcher, containment, listed
+):
+    containment.record_broken = AsyncMock(return_value=True)
+    batcher, _ = await open_batcher(BROKEN)
+    send = batcher._send_batch
+
+    async def unlist_and_send(batch):
+        listed.accept(MemberList(2, (), ()))
+        return await send(batch)
+
+    batcher._send_batch = unlist_and_send
+    await batcher.make_results(make_query(left=0.5, fingerprint='request-a'))
+    assert containment.record_broken.await_count == 1
--- a/galenaswitch/platform/tests/test_plain.py
+++ b/galenaswitch/platform/tests/test_plain.py
@@ -1,11 +1,12 @@
 """Plain requests: forwarded headers, retries and refusals."""
 
 import asyncio
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 import pytest
 
 from galenaswitch.gateway.routes import CallKind
+from galenaswitch.membership.lists import MemberList
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 from standins.scripted import find_header
 
@@ -291,3 +292,27 @@
     await make_plain_runner(target).run(request, writer)
     assert writer.head.status == int(status)
     assert containment.record_answer.call_count == clears
+
+
+# Guards against crashes of plain targets that a change of the list hides.
+async def test_target_that_is_no_longer_listed_may_have_crashed(
+    make_plain_runner,
+    scripted,
+    make_route,
+    make_caller_request,
+    writer,
+    containment,
+    listed,
+):
+    containment.record_broken = AsyncMock()
+    target = await scripted([b''])
+
+    async def end(reader, stream_writer):
+        await target.read_request(reader)
+        listed.accept(MemberList(listed.member_list.revision + 1, (), ()))
+
+    target._script = end
+    request = make_caller_request(make_route(CallKind.once))
+    with pytest.raises(RefusedError):
+        await make_plain_runner(target).run(request, writer)
+    assert containment.record_broken.await_count == 1
--- a/galenaswitch/platform/tests/test_streams.py
+++ b/galenaswitch/platform/tests/test_streams.py
@@ -6,7 +6,7 @@
 import pytest
 
 from galenaswitch.gateway.routes import CallKind
-from galenaswitch.membership.lists import Members
+from galenaswitch.membership.lists import LEAVING, LeavingSign, MemberList
 from galenaswitch.quarantine.messages import CrashReport, ImplicatedPart
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 from standins.scripted import find_header
@@ -201,18 +201,47 @@
     assert sum(len(target.requests) for target in targets) == send_count
 
 
-# Guards against parts that are blamed for the planned end of an engine.
-@pytest.mark.parametrize('is_leaving', [False, True])
+def list_changed(listed, **changes):
+    """Let the next member list have changed entries."""
+    known = listed.member_list
+    targets = tuple(one._replace(**changes) for one in known.targets)
+    listed.accept(MemberList(known.revision + 1, (), targets))
+
+
+def list_none(listed):
+    """Let the next member list have no entries."""
+    listed.accept(MemberList(listed.member_list.revision + 1, (), ()))
+
+
+def list_leaving_and_none(listed):
+    """Let a member list mark its entries, and the next one have none."""
+    list_changed(listed, state=LEAVING)
+    list_none(listed)
+
+
+# Guards against parts that are blamed for the planned end of an engine, and
+# against crashes that a change of the member list hides.
+@pytest.mark.parametrize(
+    ('change', 'is_leaving'),
+    [
+        (lambda listed: listed.record_leaving(LeavingSign('t0', 't0/1')), True),
+        (lambda listed: list_changed(listed, state=LEAVING), True),
+        (list_leaving_and_none, True),
+        (lambda listed: None, False),
+        (list_none, False),
+        (lambda listed: list_changed(listed, incarnation='t0/2'), False),
+        (lambda listed: list_changed(listed, zone='y'), False),
+    ],
+)
 async def test_engine_that_is_leaving_has_not_crashed(
-    run_stream, make_route, scripted, containment, monkeypatch, is_leaving
+    run_stream, make_route, scripted, containment, listed, change, is_leaving
 ):
     containment.record_broken = AsyncMock()
     target = await scripted([BROKEN])
 
     async def end(reader, stream_writer):
         await target.read_request(reader)
-        if is_leaving:
-            monkeypatch.setattr(Members, 'usable', lambda listed, pool: ())
+        change(listed)
 
     target._script = end
     with pytest.raises(RefusedError):
