--- a/galenaswitch/platform/tests/test_plain.py
+++ b/galenaswitch/platform/tests/test_plain.py
@@ -1,10 +1,12 @@
 """Plain requests: forwarded headers, retries and refusals."""
 
 import asyncio
+from unittest.mock import AsyncMock, Mock
 
 import pytest
 
 from galenaswitch.gateway.routes import CallKind
+from galenaswitch.membership.lists import MemberList
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 from standins.scripted import find_header
 
@@ -265,3 +267,52 @@
     with pytest.raises(RefusedError) as caught:
         await make_plain_runner(target).run(request, writer)
     assert caught.value.response.status == 504
+
+
+# Guards against a harmful request that a target's own error shows as sound.
+@pytest.mark.parametrize(
+    ('status', 'clears'),
+    [(b'200', 1), (b'404', 1), (b'500', 0), (b'504', 0)],
+)
+async def test_error_of_a_target_does_not_clear_a_request(
+    make_plain_runner,
+    scripted,
+    make_route,
+    make_caller_request,
+    writer,
+    make_answer,
+    containment,
+    status,
+    clears,
+):
+    containment.record_answer = Mock()
+    answer = make_answer().replace(b' 200 ', b' %b ' % status, 1)
+    target = await scripted([answer])
+    request = make_caller_request(make_route(CallKind.once))
+    await make_plain_runner(target).run(request, writer)
+    assert writer.head.status == int(status)
+    assert containment.record_answer.call_count == clears
+
+
+# Guards against crashes of plain targets that a change of the list hides.
+async def test_target_that_is_no_longer_listed_may_have_crashed(
+    make_plain_runner,
+    scripted,
+    make_route,
+    make_caller_request,
+    writer,
+    containment,
+    listed,
+):
+    containment.record_broken = AsyncMock()
+    target = await scripted([b''])
+
+    async def end(reader, stream_writer):
+        await target.read_request(reader)
+        listed.accept(MemberList(listed.member_list.revision + 1, (), ()))
+
+    target._script = end
+    request = make_caller_request(make_route(CallKind.once))
+    with pytest.raises(RefusedError):
+        await make_plain_runner(target).run(request, writer)
+    assert containment.record_broken.await_count == 1
