--- a/galenaswitch/quarantine/detector.py
+++ b/galenaswitch/quarantine/detector.py
@@ -18,6 +18,9 @@
     limit_parts,
 )
 
+# Most requests that the log line of a crash names.
+MAX_LOGGED_REQUESTS = 64
+
 
 class BrokenTarget:
     """Target that broke requests; it may have crashed.
@@ -90,7 +93,7 @@
             'target_crashed',
             target=target.name,
             incarnation=target.incarnation,
-            requests=broken.requests,
+            requests=broken.requests[:MAX_LOGGED_REQUESTS],
             parts=tuple(part.ident for part in parts),
         )
         self._report(
