--- a/galenaswitch/connections/tests/test_odd_heads.py
+++ b/galenaswitch/connections/tests/test_odd_heads.py
@@ -9,7 +9,7 @@
 
 GET = RequestHead(b'GET', b'/', ((b'Host', b'h'),))
 STATUS = b'HTTP/1.1 200 OK\r\n'
-SEALED = STATUS + b'X-Attempt-Id: a1\r\nX-Server-Seal: s\r\n'
+SEALED = STATUS + b'X-Id: a1\r\nX-Seal: s\r\n'
 KEPT = STATUS + b'Content-Length: 2\r\n\r\nok'
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
 COMPLETE = {
