--- a/galenaswitch/administration/objects.py
+++ b/galenaswitch/administration/objects.py
@@ -16,7 +16,8 @@
 )
 from galenaswitch.contracts.documents import parse_document
 from galenaswitch.errors import GalenaError, InvalidInputError
-from galenaswitch.store.client import ABSENT, StoreClient, StoredObject
+from galenaswitch.store.client import StoreClient
+from galenaswitch.store.objects import ABSENT, StoredObject
 from galenaswitch.store.writes import Lost, Undecided, write_once
 
 WRITE_TIMEOUT_SECONDS = 5
--- a/galenaswitch/administration/server.py
+++ b/galenaswitch/administration/server.py
@@ -29,7 +29,7 @@
 )
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
-from galenaswitch.store.client import ABSENT
+from galenaswitch.store.objects import ABSENT
 
 BEARER_PREFIX = 'Bearer '
 STATUS_CODES: dict[type[Exception], int] = {
--- a/galenaswitch/claims/owner.py
+++ b/galenaswitch/claims/owner.py
@@ -33,7 +33,8 @@
 )
 from galenaswitch.errors import StoreError
 from galenaswitch.operations.logs import get_logger
-from galenaswitch.store.client import ABSENT, StoreClient, StoredObject
+from galenaswitch.store.client import StoreClient
+from galenaswitch.store.objects import ABSENT, StoredObject
 from galenaswitch.store.writes import Lost, Written, write_once
 
 CLAIMS_KIND = 'claims'
--- a/galenaswitch/claims/tests/test_owner.py
+++ b/galenaswitch/claims/tests/test_owner.py
@@ -11,7 +11,7 @@
 )
 from galenaswitch.claims.owner import ShardOwner
 from galenaswitch.errors import StoreConflictError, StoreUnavailableError
-from galenaswitch.store.client import StoredObject
+from galenaswitch.store.objects import StoredObject
 
 
 class LossyStore:
--- a/galenaswitch/configuration/catalog.py
+++ b/galenaswitch/configuration/catalog.py
@@ -16,7 +16,7 @@
     parse_document,
 )
 from galenaswitch.errors import InvalidInputError
-from galenaswitch.store.client import StoredObject
+from galenaswitch.store.objects import StoredObject
 
 CONTRACTS = 'contracts'
 PIPELINES = 'pipelines'
--- a/galenaswitch/configuration/status.py
+++ b/galenaswitch/configuration/status.py
@@ -11,7 +11,8 @@
 from galenaswitch.errors import StoreConflictError
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.mesh import Mesh
-from galenaswitch.store.client import ABSENT, StoreClient
+from galenaswitch.store.client import StoreClient
+from galenaswitch.store.objects import ABSENT
 
 STATUS = 'status'
 REPORT_SECONDS = 1
--- a/galenaswitch/gateway/machine_sync.py
+++ b/galenaswitch/gateway/machine_sync.py
@@ -10,7 +10,7 @@
 from galenaswitch.membership.directory import Directory
 from galenaswitch.membership.lists import Machine
 from galenaswitch.operations.logs import get_logger
-from galenaswitch.store.client import ABSENT, Listing, StoredObject
+from galenaswitch.store.objects import ABSENT, Listing, StoredObject
 from galenaswitch.store.registry import WritableRegistry
 from galenaswitch.store.unreadable import UnreadableLog
 
--- a/galenaswitch/gateway/tests/test_state_sync.py
+++ b/galenaswitch/gateway/tests/test_state_sync.py
@@ -17,7 +17,7 @@
 from galenaswitch.operations import process
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.store import registry
-from galenaswitch.store.client import StoredObject
+from galenaswitch.store.objects import StoredObject
 
 # Seconds within which a new configuration has to be in force.
 APPLY_SECONDS = 2.0
--- a/galenaswitch/gateway/tests/test_version_records.py
+++ b/galenaswitch/gateway/tests/test_version_records.py
@@ -15,7 +15,7 @@
 )
 from galenaswitch.gateway.version_records import VERSION_KIND
 from galenaswitch.membership.lists import Target
-from galenaswitch.store.client import StoredObject
+from galenaswitch.store.objects import StoredObject
 
 pytestmark = pytest.mark.usefixtures('no_pauses')
 
--- a/galenaswitch/gateway/tests/version_fakes.py
+++ b/galenaswitch/gateway/tests/version_fakes.py
@@ -6,7 +6,7 @@
 from galenaswitch.errors import StoreConflictError, StoreUnavailableError
 from galenaswitch.gateway.version_records import VersionRecords
 from galenaswitch.membership.lists import Target
-from galenaswitch.store.client import ABSENT, Listing, StoredObject
+from galenaswitch.store.objects import ABSENT, Listing, StoredObject
 from galenaswitch.store.versions import Revision, find_era, join_version
 
 SERVICE = 'llm'
--- a/galenaswitch/gateway/version_records.py
+++ b/galenaswitch/gateway/version_records.py
@@ -23,7 +23,7 @@
 from galenaswitch.membership.lists import Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
-from galenaswitch.store.client import ABSENT, StoredObject
+from galenaswitch.store.objects import ABSENT, StoredObject
 from galenaswitch.store.registry import WritableRegistry
 from galenaswitch.store.unreadable import UnreadableLog
 from galenaswitch.store.versions import find_era
--- a/galenaswitch/limits/costs.py
+++ b/galenaswitch/limits/costs.py
@@ -17,7 +17,8 @@
 from galenaswitch.limits.ledger import UsageLedger
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
-from galenaswitch.store.client import ABSENT, StoreClient, StoredObject
+from galenaswitch.store.client import StoreClient
+from galenaswitch.store.objects import ABSENT, StoredObject
 from galenaswitch.store.writes import Written, write_once
 
 COSTS = 'costs'
--- a/galenaswitch/operations/metrics.py
+++ b/galenaswitch/operations/metrics.py
@@ -1,14 +1,11 @@
 """Metrics of a process: counters of events and histograms of durations."""
 
+import bisect
 import collections
-from typing import Protocol
-
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Histogram,
-    generate_latest,
-)
+import itertools
+import math
+from collections.abc import Mapping
+from typing import Any, Protocol
 
 MILLISECONDS = 1000
 # Upper bounds of the histogram buckets in seconds. They range from one call
@@ -62,36 +59,38 @@
         return dict(sorted(self._counts.items()))
 
 
+class Distribution:
+    """Durations of one name, counted by the buckets of a histogram.
+
+    :ivar counts: durations in each bucket, the last one without a bound.
+    :ivar total: sum of all durations in seconds.
+    """
+
+    def __init__(self) -> None:
+        """Build a distribution of no durations."""
+        self.counts = [0 for _ in (*BUCKET_BOUNDS_SECONDS, math.inf)]
+        self.total = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Add one duration."""
+        self.counts[bisect.bisect_left(BUCKET_BOUNDS_SECONDS, seconds)] += 1
+        self.total += seconds
+
+
 class PrometheusMetrics(LocalMetrics):
     """Counters and histograms exported in the Prometheus text format."""
 
     def __init__(self) -> None:
-        """Build the metrics in a new Prometheus registry."""
+        """Build empty metrics."""
         super().__init__()
-        self._registry = CollectorRegistry()
-        self._events = Counter(
-            'galena_events',
-            'Events since the start of the process, by name.',
-            ('event',),
-            registry=self._registry,
-        )
-        self._durations = Histogram(
-            'galena_duration_seconds',
-            'Durations of what ended, by name.',
-            ('name',),
-            buckets=BUCKET_BOUNDS_SECONDS,
-            registry=self._registry,
+        self._durations: collections.defaultdict[str, Distribution] = (
+            collections.defaultdict(Distribution)
         )
 
-    def count(self, name: str, amount: int = 1) -> None:
-        """Add ``amount`` to an event counter."""
-        super().count(name, amount)
-        self._events.labels(name).inc(amount)
-
     def time(self, name: str, milliseconds: float) -> None:
         """Count the event and add its duration to a histogram."""
         super().time(name, milliseconds)
-        self._durations.labels(name).observe(milliseconds / MILLISECONDS)
+        self._durations[name].observe(milliseconds / MILLISECONDS)
 
     def render(self) -> bytes:
         """Return all counters and histograms in the Prometheus text format.
@@ -101,8 +100,59 @@
         >>> b'galena_events_total{event="hedged"} 1.0' in metrics.render()
         True
         """
-        page: bytes = generate_latest(self._registry)
-        return page
+        return render_page(self.dump(), self._durations)
+
+
+def render_page(
+    counts: Mapping[str, int], durations: Mapping[str, Distribution]
+) -> bytes:
+    """Return metrics in the Prometheus text format.
+
+    The library is imported at the first scrape, since most processes that
+    start and stop again are never scraped.
+    """
+    from prometheus_client import (  # noqa: PLC0415
+        CollectorRegistry,
+        generate_latest,
+    )
+    from prometheus_client.core import (  # noqa: PLC0415
+        CounterMetricFamily,
+        HistogramMetricFamily,
+    )
+
+    events = CounterMetricFamily(
+        'galena_events',
+        'Events since the start of the process, by name.',
+        labels=('event',),
+    )
+    for event, count in counts.items():
+        events.add_metric((event,), count)
+    histograms = HistogramMetricFamily(
+        'galena_duration_seconds',
+        'Durations of what ended, by name.',
+        labels=('name',),
+    )
+    bounds = (*map(str, map(float, BUCKET_BOUNDS_SECONDS)), '+Inf')
+    for name, found in sorted(durations.items()):
+        sums = itertools.accumulate(found.counts)
+        histograms.add_metric(
+            (name,), list(zip(bounds, sums, strict=True)), found.total
+        )
+    registry = CollectorRegistry()
+    registry.register(_Families(events, histograms))
+    page: bytes = generate_latest(registry)
+    return page
+
+
+class _Families:
+    """Collector of families that are already filled."""
+
+    def __init__(self, *families: Any) -> None:
+        self._families = families
+
+    def collect(self) -> tuple[Any, ...]:
+        """Return the families."""
+        return self._families
 
 
 def open_metrics() -> PrometheusMetrics:
--- a/galenaswitch/orders/lease.py
+++ b/galenaswitch/orders/lease.py
@@ -13,7 +13,8 @@
 import time
 from typing import NamedTuple
 
-from galenaswitch.store.client import ABSENT, StoreClient, StoredObject
+from galenaswitch.store.client import StoreClient
+from galenaswitch.store.objects import ABSENT, StoredObject
 from galenaswitch.store.writes import Written, write_once
 
 LEASES = 'leases'
--- a/galenaswitch/pipelines/crashes.py
+++ b/galenaswitch/pipelines/crashes.py
@@ -34,7 +34,7 @@
     Quarantine,
     make_refusal,
 )
-from galenaswitch.store.client import ABSENT
+from galenaswitch.store.objects import ABSENT
 
 News = CrashReport | PartAnswered
 
--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -37,7 +37,7 @@
     read_metadata,
 )
 from galenaswitch.store.cache import Change, Changes
-from galenaswitch.store.client import ABSENT, Listing, StoredObject
+from galenaswitch.store.objects import ABSENT, Listing, StoredObject
 from galenaswitch.store.versions import (
     Revision,
     find_era,
--- a/galenaswitch/platform/pages.py
+++ b/galenaswitch/platform/pages.py
@@ -13,7 +13,7 @@
 
 import orjson
 
-from galenaswitch.store.client import StoredObject
+from galenaswitch.store.objects import StoredObject
 from galenaswitch.store.versions import (
     REVISION_BITS,
     Revision,
--- a/galenaswitch/platform/tests/test_objects.py
+++ b/galenaswitch/platform/tests/test_objects.py
@@ -13,7 +13,7 @@
     StoreUnavailableError,
 )
 from galenaswitch.platform.objects import PlatformStore
-from galenaswitch.store.client import ABSENT
+from galenaswitch.store.objects import ABSENT
 from galenaswitch.store.versions import Revision, join_version, split_version
 
 
--- a/galenaswitch/platform/tests/test_odd_entries.py
+++ b/galenaswitch/platform/tests/test_odd_entries.py
@@ -29,7 +29,7 @@
 )
 from galenaswitch.quarantine.records import QuarantineRecords
 from galenaswitch.store.cache import ObjectCache
-from galenaswitch.store.client import Listing, StoredObject
+from galenaswitch.store.objects import Listing, StoredObject
 
 
 # Guards against an unreadable entry that hides all entries of its page.
--- a/galenaswitch/programs/vm_process.py
+++ b/galenaswitch/programs/vm_process.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import signal
+import sys
 from functools import partial
 from pathlib import Path
 
-import defopt
-
 from galenaswitch.operations.logs import configure_logs, get_logger
 from galenaswitch.operations.process import TaskGroup, run_loop, wait_for_stop
 from galenaswitch.operations.sink import open_sink
@@ -51,5 +50,14 @@
 
 
 def run_command_line() -> None:
-    """Parse the command line of ``galena-edge`` and run the process."""
+    """Parse the command line of ``galena-edge`` and run the process.
+
+    The platform starts it without arguments; the parser, with all that it
+    needs to print its help, is imported only where there are some.
+    """
+    if len(sys.argv) == 1:
+        serve()
+        return
+    import defopt  # noqa: PLC0415
+
     defopt.run(serve)
--- a/galenaswitch/quarantine/records.py
+++ b/galenaswitch/quarantine/records.py
@@ -19,7 +19,7 @@
 from galenaswitch.quarantine.fingerprints import is_fingerprint
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 from galenaswitch.store.cache import ObjectCache
-from galenaswitch.store.client import ABSENT
+from galenaswitch.store.objects import ABSENT
 from galenaswitch.store.registry import WritableRegistry
 from galenaswitch.store.versions import find_era
 
--- a/galenaswitch/quarantine/tests/conftest.py
+++ b/galenaswitch/quarantine/tests/conftest.py
@@ -15,7 +15,7 @@
 from galenaswitch.quarantine.records import QUARANTINE_KIND
 from galenaswitch.refusals import RefusedError
 from galenaswitch.store.cache import ObjectCache
-from galenaswitch.store.client import ABSENT, Listing, StoredObject
+from galenaswitch.store.objects import ABSENT, Listing, StoredObject
 
 
 class MemoryStore:
--- a/galenaswitch/quarantine/tests/test_containment.py
+++ b/galenaswitch/quarantine/tests/test_containment.py
@@ -6,7 +6,7 @@
 
 from galenaswitch.quarantine.records import TRIAL_INTERVALS_SECONDS
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
-from galenaswitch.store.client import Listing, StoredObject
+from galenaswitch.store.objects import Listing, StoredObject
 
 CONTACT_SECONDS = 3.0
 MAX_CRASHES = 5
--- a/galenaswitch/store/cache.py
+++ b/galenaswitch/store/cache.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from galenaswitch.store.client import Listing, StoredObject
+from galenaswitch.store.objects import Listing, StoredObject
 from galenaswitch.store.versions import find_era
 
 # Time after the end of a store outage, or after a restore, during which missing
--- a/galenaswitch/store/client.py
+++ b/galenaswitch/store/client.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections import Counter
-from typing import Any, NamedTuple
+from typing import Any
 
 import aiohttp
 import orjson
@@ -16,8 +16,8 @@
     StoreError,
     StoreUnavailableError,
 )
+from galenaswitch.store.objects import Listing, StoredObject
 
-ABSENT = 0
 MAX_BODY_BYTES = 1_000_000
 _OK = 200
 _NOT_MODIFIED = 304
@@ -25,29 +25,6 @@
 _CONFLICT = 412
 
 
-class StoredObject(NamedTuple):
-    """One version of an object in the store.
-
-    :param kind: kind of the object.
-    :param name: name of the object, unique within its kind.
-    :param version: number of the object's last write; the numbers grow across
-        the whole store.
-    :param body: JSON document of the object.
-    """
-
-    kind: str
-    name: str
-    version: int
-    body: dict[str, Any]
-
-
-class Listing(NamedTuple):
-    """Objects of some kinds at one revision of the store."""
-
-    revision: int
-    objects: tuple[StoredObject, ...]
-
-
 class StoreClient:
     """HTTP client of the store; each call has a timeout and is counted."""
 
--- a/galenaswitch/store/registry.py
+++ b/galenaswitch/store/registry.py
@@ -11,7 +11,7 @@
 )
 from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.store.cache import Changes, ObjectCache
-from galenaswitch.store.client import Listing
+from galenaswitch.store.objects import Listing
 from galenaswitch.store.versions import format_version
 
 # Default for the longest wait of one watch call. The wait is long because each
--- a/galenaswitch/store/tests/test_registry.py
+++ b/galenaswitch/store/tests/test_registry.py
@@ -11,7 +11,7 @@
     Changes,
     ObjectCache,
 )
-from galenaswitch.store.client import Listing, StoredObject
+from galenaswitch.store.objects import Listing, StoredObject
 from galenaswitch.store.registry import FIRST_RETRY_SECONDS, Follower
 
 
--- a/galenaswitch/store/tests/test_restores.py
+++ b/galenaswitch/store/tests/test_restores.py
@@ -12,7 +12,7 @@
     Changes,
     ObjectCache,
 )
-from galenaswitch.store.client import Listing, StoredObject
+from galenaswitch.store.objects import Listing, StoredObject
 from galenaswitch.store.versions import Revision, find_era, join_version
 
 VM_COUNT = 3
--- a/galenaswitch/store/unreadable.py
+++ b/galenaswitch/store/unreadable.py
@@ -1,7 +1,7 @@
 """Log of store entries that can't be read, with one line for each version."""
 
 from galenaswitch.operations.logs import get_logger
-from galenaswitch.store.client import StoredObject
+from galenaswitch.store.objects import StoredObject
 from galenaswitch.store.versions import format_version
 
 # Entries whose last line is remembered. Beyond that, the oldest are forgotten.
--- a/galenaswitch/store/writes.py
+++ b/galenaswitch/store/writes.py
@@ -24,7 +24,7 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from galenaswitch.store.client import StoredObject
+from galenaswitch.store.objects import StoredObject
 
 RETRY_SECONDS = 0.05
 _WRITE_ID_BYTES = 8
