Callers' parser: trailers are dropped, heads and bodies end in time

Cause: the HTTP parser reports trailers like headers, so those of a chunked body joined a head that was already checked (a second Host, any name of the platform's). A transfer coding under HTTP/1.0 was taken, on answers too. The timeout of a head began anew with each chunk and a body had none, so a request that trickles in, or stops, held its connection for ever; framing between two parts of a body had no bound. Change: trailers count to the size of the head and are dropped; HTTP/1.0 with a transfer coding is refused; the timeout of a head counts from its first byte, that of a body is the idle timeout and more by 1000 bytes a second; both end with 408, as the request has not run. Framing is bounded like an endless header.

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -20,6 +20,7 @@
 from galenaswitch.connections.requests import (
     InboundLimits,
     InboundRequest,
+    ReadPhase,
     RequestParser,
 )
 from galenaswitch.connections.responses import ConnectionWriter
@@ -176,7 +177,7 @@
         if self._parser.requests or self._rejection:
             self._request_arrived.set()
         if not self._serving:
-            self._start_timer()
+            self.timer.observe(self._parser.phase, self._parser.body_bytes)
 
     def eof_received(self) -> bool:
         """Disconnect; a half-closed connection counts as closed."""
@@ -307,16 +308,16 @@
         self._transport.close()
 
     def _start_timer(self) -> None:
-        self.timer.start(request_begun=self._parser.begun_at is not None)
+        self.timer.start(self._parser.phase, self._parser.body_bytes)
 
-    def _handle_timeout(self, request_begun: bool) -> None:
-        if not request_begun:
+    def _handle_timeout(self, phase: ReadPhase) -> None:
+        if phase is ReadPhase.idle:
             self.close_if_idle()
-        elif not self._serving and not self._parser.head_complete:
+        elif not self._serving and self._parser.phase is phase:
             self._reject(
                 RequestRejectedError(
                     HTTPStatus.REQUEST_TIMEOUT,
-                    'the request head did not arrive in time',
+                    f'the {phase.name} of the request did not arrive in time',
                 ),
             )
 
--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -21,6 +21,7 @@
     find_header_text,
     find_header_values,
 )
+from galenaswitch.connections.requests import HTTP_VERSION
 from galenaswitch.connections.sockets import (
     MAX_ADDRESS_LENGTH,
     enable_dead_peer_detection,
@@ -198,7 +199,9 @@
         if status < FIRST_FINAL_STATUS or self._exchange is None:
             return
         codings = find_header_values(self._headers, b'transfer-encoding')
-        if codings and [one.lower() for one in codings] != [b'chunked']:
+        is_chunked = [one.lower() for one in codings] == [b'chunked']
+        is_current = self._parser.get_http_version() == HTTP_VERSION
+        if codings and not (is_chunked and is_current):
             self._fail('the target sent a body with an unknown coding')
             self.close()
             return
--- a/galenaswitch/connections/requests.py
+++ b/galenaswitch/connections/requests.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from enum import Enum, auto
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -18,16 +19,27 @@
     find_header_values,
 )
 
+# The version of HTTP that has transfer codings.
+HTTP_VERSION = '1.1'
+
+
+class ReadPhase(Enum):
+    """What a connection waits for while no response is in progress."""
+
+    idle = auto()
+    head = auto()
+    body = auto()
+
 
 class InboundLimits(NamedTuple):
     """Size limits and timeouts for the requests of one connection.
 
     :param max_header_bytes: most bytes in a request head.
     :param max_body_bytes: most bytes in a request body.
-    :param header_timeout_seconds: longest time without new bytes while a
-        request head arrives.
+    :param header_timeout_seconds: longest time from the first byte of a
+        request to the end of its head.
     :param idle_timeout_seconds: longest time in which no request begins on an
-        idle connection.
+        idle connection, or in which nothing of a body arrives.
     """
 
     max_header_bytes: int = 16_384
@@ -72,6 +84,18 @@
         self._unparsed_bytes = 0
         self._body = bytearray()
 
+    @property
+    def phase(self) -> ReadPhase:
+        """What the next bytes belong to."""
+        if self.begun_at is None:
+            return ReadPhase.idle
+        return ReadPhase.body if self.head_complete else ReadPhase.head
+
+    @property
+    def body_bytes(self) -> int:
+        """Number of bytes of an incomplete body that have arrived."""
+        return len(self._body)
+
     def feed(self, chunk: bytes, now: float) -> None:
         """Parse bytes that arrived at the monotonic time ``now``.
 
@@ -79,6 +103,7 @@
             may be forwarded.
         """
         self._fed_at = now
+        earlier_body_bytes = self.body_bytes
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade as error:
@@ -94,7 +119,9 @@
             raise _make_bad_request(
                 f'the bytes are not HTTP: {error}'
             ) from error
-        if self.begun_at is not None and not self.head_complete:
+        if self.body_bytes > earlier_body_bytes:
+            self._unparsed_bytes = 0
+        elif self.begun_at is not None:
             self._add_unparsed_bytes(len(chunk))
 
     def on_message_begin(self) -> None:
@@ -113,16 +140,23 @@
         self._add_head_bytes(len(url))
 
     def on_header(self, name: bytes, header_value: bytes) -> None:
-        """Check and store a header; called by the HTTP parser."""
+        """Check and store a header; called by the HTTP parser.
+
+        The trailers of a chunked body are checked and dropped (RFC 9112,
+        section 7.1.2): the head that was checked is what is passed on.
+        """
         self._add_head_bytes(len(name) + len(header_value))
         if b'\n' in header_value or b'\r' in header_value:
             raise _make_bad_request('a header is folded over several lines')
+        if self.head_complete:
+            return
         self._headers.append((name, header_value))
 
     def on_headers_complete(self) -> None:
         """Check the complete request head; called by the HTTP parser."""
         self.head_complete = True
-        _check_head(self._headers)
+        self._unparsed_bytes = 0
+        _check_head(self._headers, self._parser.get_http_version())
         for length in find_header_values(self._headers, b'content-length'):
             if int(length) > self.limits.max_body_bytes:
                 raise RequestRejectedError(
@@ -165,17 +199,17 @@
         self._body = bytearray()
 
     def _add_unparsed_bytes(self, count: int) -> None:
-        """Bound the bytes of a header that the parser has not reported yet.
+        """Bound the bytes that the parser has not reported yet.
 
-        The HTTP parser reports a header only once it is complete, so the
-        limit on the head does not apply to an endless header. The bound is
-        twice that limit.
+        The HTTP parser reports a header only once it is complete, and the
+        framing of a chunk not at all, so that the limit on the head does not
+        apply to an endless one. The bound is twice that limit.
         """
         self._unparsed_bytes += count
         if self._unparsed_bytes > 2 * self.limits.max_header_bytes:
             raise RequestRejectedError(
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                'the request head does not end',
+                'the request head, or the framing of its body, does not end',
             )
 
     def _add_head_bytes(self, count: int) -> None:
@@ -187,9 +221,11 @@
             )
 
 
-def _check_head(headers: list[Header]) -> None:
+def _check_head(headers: list[Header], version: str) -> None:
     """Reject a head that two parsers could read differently.
 
+    :param version: version of HTTP; 1.0 has no transfer codings (RFC 9112,
+        section 6.1).
     :raises RequestRejectedError: when the length of the body is ambiguous or
         the request has not exactly one Host header.
     """
@@ -201,6 +237,8 @@
         raise _make_bad_request('Content-Length is not a number')
     if codings and codings != [b'chunked']:
         raise _make_bad_request('the transfer coding is not chunked alone')
+    if codings and version != HTTP_VERSION:
+        raise _make_bad_request('HTTP/1.0 has no transfer coding')
     if len(find_header_values(headers, b'host')) != 1:
         raise _make_bad_request('there is not exactly one Host header')
 
--- a/galenaswitch/connections/tests/test_outbound.py
+++ b/galenaswitch/connections/tests/test_outbound.py
@@ -79,6 +79,8 @@
         b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort',
         b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhe',
         b'HTTP/1.1 200 OK\r\nContent-Le',
+        b'HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'1\r\na\r\n0\r\n\r\n',
         b'no answer at all\r\n\r\n',
     ],
 )
@@ -133,3 +135,19 @@
 async def test_odd_host_raises_target_unreachable(pool, host):
     with pytest.raises(TargetUnreachableError):
         await pool.acquire(f'{host}:8080', 3)
+
+
+# Guards against trailers of an answer that join its head.
+async def test_trailers_of_a_response_are_dropped(pool, scripted):
+    target = await scripted(
+        [
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'1\r\na\r\n0\r\nConnection: close\r\nX-Any: 1\r\n\r\n'
+        ]
+    )
+    connection = await pool.acquire(target.address, 3)
+    exchange = connection.send(GET, b'')
+    assert await read_all(exchange) == b'a'
+    names = [name for name, _ in exchange.head.headers]
+    assert names == [b'Transfer-Encoding']
+    connection.close()
--- a/galenaswitch/connections/tests/test_requests.py
+++ b/galenaswitch/connections/tests/test_requests.py
@@ -109,3 +109,45 @@
     except RequestRejectedError:
         return
     assert all(request.head.method for request in parser.requests)
+
+
+CHUNKED_POST = (
+    b'POST / HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'2\r\nab\r\n0\r\n'
+)
+
+
+# Guards against trailers that join a head which was already checked.
+@pytest.mark.parametrize(
+    'trailers',
+    [b'Host: other.example\r\n', b'X-Any: 1\r\nAuthorization: k\r\n'],
+)
+def test_trailers_are_dropped(trailers):
+    (request,) = parse(CHUNKED_POST + trailers + b'\r\n')
+    assert [name for name, _ in request.head.headers] == [
+        b'Host',
+        b'Transfer-Encoding',
+    ]
+    assert request.body == b'ab'
+
+
+# Guards against trailers, or the framing of a chunk, that never end.
+@pytest.mark.parametrize(
+    'begin',
+    [CHUNKED_POST + b'X: ', CHUNKED_POST[:-3] + b'1;x='],
+)
+def test_endless_framing_is_rejected(begin):
+    parser = RequestParser()
+    parser.limits = InboundLimits(max_header_bytes=100)
+    parser.feed(begin, 0)
+    for _ in range(20):
+        parser.feed(b'a' * 9, 0)
+    with pytest.raises(RequestRejectedError) as caught:
+        parser.feed(b'a' * 99, 0)
+    assert caught.value.status == 431
+
+
+# Guards against a body that HTTP/1.0 readers take to have no end.
+def test_transfer_coding_in_http_1_0_is_rejected():
+    with pytest.raises(RequestRejectedError):
+        parse(CHUNKED_POST.replace(b'HTTP/1.1', b'HTTP/1.0') + b'\r\n')
--- a/galenaswitch/connections/tests/test_timers.py
+++ b/galenaswitch/connections/tests/test_timers.py
@@ -145,3 +145,56 @@
         assert caller.recv(99).startswith(b'HTTP/1.1 200')
         server.close()
         caller.close()
+
+
+async def trickle(writer, begin, part):
+    """Send the begin of a request, and then a part again and again."""
+    writer.write(begin)
+    while not writer.is_closing():
+        await asyncio.sleep(0.04)
+        writer.write(part)
+
+
+# Guards against a head or a body whose parts trickle in without an end, each of
+# which would begin the timeout anew.
+@pytest.mark.parametrize(
+    ('begin', 'part'),
+    [
+        (GET[:-2], b'X: 1\r\n'),
+        (b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n', b'a'),
+    ],
+)
+async def test_request_that_trickles_in_is_rejected(
+    connect, limits, begin, part
+):
+    limits.current = InboundLimits(
+        header_timeout_seconds=0.2, idle_timeout_seconds=0.2
+    )
+    reader, writer = await connect()
+    sending = asyncio.create_task(trickle(writer, begin, part))
+    async with asyncio.timeout(2):
+        head = await reader.readuntil(b'\r\n\r\n')
+    sending.cancel()
+    assert head.startswith(b'HTTP/1.1 408')
+
+
+# Guards against a body that stops: its connection would stay open for ever.
+async def test_body_that_stops_is_rejected(connect, limits):
+    limits.current = InboundLimits(idle_timeout_seconds=0.2)
+    reader, writer = await connect()
+    writer.write(b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab')
+    async with asyncio.timeout(2):
+        head = await reader.readuntil(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 408')
+
+
+# Guards against a timeout that cuts a body which is long and arrives steadily.
+async def test_body_at_a_sound_rate_is_taken(connect, limits):
+    limits.current = InboundLimits(idle_timeout_seconds=0.2)
+    reader, writer = await connect()
+    writer.write(b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\n')
+    for _ in range(10):
+        writer.write(b'a' * 400)
+        await asyncio.sleep(0.05)
+    head = await reader.readuntil(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200')
--- a/galenaswitch/connections/timers.py
+++ b/galenaswitch/connections/timers.py
@@ -3,15 +3,22 @@
 import asyncio
 from collections.abc import Callable
 
-from galenaswitch.connections.requests import InboundLimits
+from galenaswitch.connections.requests import InboundLimits, ReadPhase
 
 # Time to read what arrived while the event loop was held up, which runs timers
 # that are due before it reads.
 LAST_READ_SECONDS = 0.01
+# Slowest rate at which a body may arrive, in bytes per second. The time that
+# it allows comes on top of the idle timeout.
+MIN_BODY_RATE = 1000
 
 
 class RequestTimer:
-    """Reports that no request begins, or that the head of one doesn't end.
+    """Reports that no request begins, or that one doesn't end.
+
+    The timeouts of a head and of a body count from its begin, so that bytes
+    that trickle in don't extend them; a body gets more time with each byte, as
+    much as the slowest rate gives.
 
     The limits may change meanwhile. The longest one that was in force or was
     announced counts, since the caller may rely on it.
@@ -22,31 +29,42 @@
     def __init__(
         self,
         limits: Callable[[], InboundLimits],
-        on_timeout: Callable[[bool], None],
+        on_timeout: Callable[[ReadPhase], None],
     ) -> None:
         """Build a timer that is stopped.
 
         :param limits: returns the limits now in force.
-        :param on_timeout: receives whether a request had begun.
+        :param on_timeout: receives what the connection waited for.
         """
         self.announced_idle_seconds = 0
         self._limits = limits
         self._on_timeout = on_timeout
-        self._request_begun = False
+        self._phase = ReadPhase.idle
+        self._body_bytes = 0
         self._started_at = 0.0
         self._handle: asyncio.TimerHandle | None = None
 
-    def start(self, *, request_begun: bool) -> None:
-        """Start the timeout anew, after a response or after some bytes.
+    def start(self, phase: ReadPhase, body_bytes: int = 0) -> None:
+        """Start the timeout of a phase anew.
 
-        :param request_begun: whether the bytes of a request have begun.
+        :param body_bytes: number of bytes of the body that have arrived.
         """
         loop = asyncio.get_running_loop()
         self.stop()
-        self._request_begun = request_begun
+        self._phase = phase
+        self._body_bytes = body_bytes
         self._started_at = loop.time()
         self._handle = loop.call_later(self._find_timeout(), self._check)
 
+    def observe(self, phase: ReadPhase, body_bytes: int) -> None:
+        """Start the timeout anew unless the phase goes on.
+
+        :param body_bytes: number of bytes of the body that have arrived.
+        """
+        if phase is not self._phase or self._handle is None:
+            self.start(phase, body_bytes)
+        self._body_bytes = body_bytes
+
     def stop(self) -> None:
         """Cancel the timeout."""
         if self._handle:
@@ -55,17 +73,33 @@
 
     def _check(self) -> None:
         loop = asyncio.get_running_loop()
-        left = self._started_at + self._find_timeout() - loop.time()
+        left = self._find_end() - loop.time()
         self._handle = (
             loop.call_later(left, self._check)
             if left > 0
             else loop.call_later(
-                LAST_READ_SECONDS, self._on_timeout, self._request_begun
+                LAST_READ_SECONDS, self._report, self._started_at
             )
         )
 
+    def _report(self, started_at: float) -> None:
+        """Report the timeout, unless what arrived last has extended it."""
+        if started_at != self._started_at:
+            return
+        if self._find_end() > asyncio.get_running_loop().time():
+            self._check()
+            return
+        self._handle = None
+        self._on_timeout(self._phase)
+
+    def _find_end(self) -> float:
+        return self._started_at + self._find_timeout()
+
     def _find_timeout(self) -> float:
         limits = self._limits()
-        if self._request_begun:
-            return limits.header_timeout_seconds
-        return max(limits.idle_timeout_seconds, self.announced_idle_seconds)
+        idle = max(limits.idle_timeout_seconds, self.announced_idle_seconds)
+        return {
+            ReadPhase.idle: idle,
+            ReadPhase.head: limits.header_timeout_seconds,
+            ReadPhase.body: idle + self._body_bytes / MIN_BODY_RATE,
+        }[self._phase]
