Two VMs follow the store for all, and pass on what it shows

Change: galenaswitch/following/. All VMs rank the listed ones alike; a VM follows while it hears fewer than two others. Followers pass changes on, and send signs of life with revision and digest, by which others find what they missed. Only what continues a copy is applied; a gap or another digest is queried. A process that starts reads stale listings; none calls at full price before a cheap probe was answered. A follower that the store doesn't answer counts no more. Targets, VMs, quarantines and records of versions go through it; each VM's own polling of VMs ends while it hears a follower; other VMs leave it to followers to record a version. Configurations keep their relay, which is fed by the same two VMs. Watches end in time for bounds.contact-ms. Calls are counted by purpose and kind. Ruled out: two followers a zone (nearly all VMs of a small deployment), longer watches alone. Tests: a model whose four guards are each needed; a property test of copies; duties of 7, 18, 64 and 195 VMs; six VMs with real links and a store that fails.

--- a/conftest.py
+++ b/conftest.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 import struct
 from pathlib import Path
@@ -221,3 +222,20 @@
     with socket.socket() as probe:
         probe.bind(('127.0.0.1', 0))
         return probe.getsockname()[1]
+
+
+@pytest.fixture
+def free_ports():
+    """Return a function that returns a TCP port on which no process listens.
+
+    All ports that one test gets are different ones.
+    """
+    with contextlib.ExitStack() as probes:
+
+        def find():
+            probe = probes.enter_context(socket.socket())
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind(('127.0.0.1', 0))
+            return probe.getsockname()[1]
+
+        yield find
--- a/galenaswitch/configuration/relay.py
+++ b/galenaswitch/configuration/relay.py
@@ -30,16 +30,20 @@
         catalog: Catalog,
         mesh: Mesh,
         publish: Callable[[Items], None],
+        spread: Callable[[Items, Link | None], None] | None = None,
     ) -> None:
         """Create the relay of one process.
 
         :param catalog: configuration of the process.
         :param mesh: links to other machines.
         :param publish: passes newer items on within this machine.
+        :param spread: sends newer items to peers, with the link that they
+            came from; by default the relays of a zone send them to all peers.
         """
         self._catalog = catalog
         self._mesh = mesh
         self._publish = publish
+        self._spread = spread or self._relay
         self.has_read_store = False
         self._queried_peers: set[str] = set()
         self._synced_peers: set[str] = set()
@@ -63,11 +67,6 @@
             and self._mesh.has_tried_peers(self._mesh.zone)
         )
 
-    @property
-    def relays(self) -> bool:
-        """Whether this machine relays newer items to its zone."""
-        return self._mesh.is_relay()
-
     def accept(
         self,
         items: Iterable[Item],
@@ -75,7 +74,7 @@
     ) -> tuple[Item, ...]:
         """Store newer items and publish them on this machine.
 
-        A relay also sends them to its peers.
+        They are also sent to peers.
 
         :param source: link that the items came from, which does not get them
             back.
@@ -86,8 +85,7 @@
             return ()
         message = Items(newer)
         self._publish(message)
-        if self._mesh.is_relay():
-            self._mesh.broadcast(message, source=source)
+        self._spread(message, source)
         for item in newer:
             get_logger().info(
                 'configuration_in_force',
@@ -142,6 +140,10 @@
         except GalenaError as error:
             get_logger().info('exchange_failed', reason=str(error))
 
+    def _relay(self, message: Items, source: Link | None) -> None:
+        if self._mesh.is_relay():
+            self._mesh.broadcast(message, source=source)
+
     async def _sync(self, link: Link, theirs: Versions) -> None:
         """Send newer items to a peer and request its newer items."""
         missing = self._catalog.newer_than(theirs.versions)
--- /dev/null
+++ b/galenaswitch/following/following.py
@@ -0,0 +1,246 @@
+"""Follows the store where that is this VM's duty, and tells all others.
+
+A VM that follows the store lists and watches each kind of object and sends
+signs of life, which name the revision and the digest of each kind. One that
+hears no such VM follows the store itself.
+"""
+
+import asyncio
+import random
+import time
+from typing import Any
+
+from galenaswitch.errors import StoreError
+from galenaswitch.following.copies import FollowedStore, SharedCopies
+from galenaswitch.following.duty import (
+    START_SECONDS,
+    FollowingDuty,
+    rank_followers,
+)
+from galenaswitch.following.messages import FollowerSign
+from galenaswitch.membership.links import Link
+from galenaswitch.membership.lists import Members
+from galenaswitch.membership.mesh import Mesh
+from galenaswitch.operations.logs import describe_error, get_logger
+from galenaswitch.operations.process import TaskGroup
+from galenaswitch.store.registry import Follower
+
+SIGN_SECONDS = 0.4
+TICK_SECONDS = 0.2
+# Kind with few objects, whose stale listing tells whether the store answers.
+PROBE_KIND = 'galena-versions'
+PROBE_SECONDS = 1.0
+PROBE_TIMEOUT_SECONDS = 0.8
+# Share by which the pauses between two probes vary.
+PROBE_SPREAD = 0.5
+
+
+class Following:
+    """Keeps the caches of this VM up to date from the store or from peers."""
+
+    def __init__(
+        self,
+        store: FollowedStore,
+        mesh: Mesh,
+        members: Members,
+        tasks: TaskGroup,
+        incarnation: str,
+        start_seconds: float = START_SECONDS,
+    ) -> None:
+        """Build a following of no kinds.
+
+        :param members: list of VMs, which share the duty to follow.
+        :param incarnation: id of this process.
+        :param start_seconds: time for which a new process waits for others
+            that follow the store.
+        """
+        self.is_leaving = False
+        self._store = store
+        self._mesh = mesh
+        self._members = members
+        self._tasks = tasks
+        self._incarnation = incarnation
+        self._duty = FollowingDuty(mesh.node, time.monotonic(), start_seconds)
+        self._followers: dict[str, Follower] = {}
+        self._copies = SharedCopies(store, mesh)
+        self._follow_tasks: list[asyncio.Task[Any]] = []
+        self._sequence = 0
+        self._signed_at = 0.0
+        self._probe_at = 0.0
+        self._probe: asyncio.Task[None] | None = None
+        self._answers = False
+        self._sequences: dict[str, tuple[str, int]] = {}
+        self._ranked: tuple[int, tuple[str, ...]] = (-1, (mesh.node,))
+
+    @property
+    def is_active(self) -> bool:
+        """Whether this VM follows the store."""
+        return self._duty.is_active
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the store answers all calls of this VM that follows it."""
+        return (
+            self.is_active
+            and self._answers
+            and all(one.is_current for one in self._followers.values())
+        )
+
+    def add(self, follower: Follower, *, is_shared: bool = True) -> None:
+        """Keep the cache of a follower up to date.
+
+        :param is_shared: whether VMs pass the objects on by this mechanism.
+        """
+        self._followers[follower.kind] = follower
+        if is_shared:
+            self._copies.add(follower)
+
+    def start(self) -> None:
+        """Start the background tasks."""
+        for follower in self._followers.values():
+            self._tasks.start_lasting(follower.load)
+        self._tasks.start_lasting(self._run)
+
+    def restart(self) -> None:
+        """Follow the store anew, after a suspension of the VM."""
+        if self.is_active:
+            self._end()
+            self._begin()
+
+    def leave(self) -> None:
+        """Tell the others that this process is about to stop."""
+        self.is_leaving = True
+        if self.is_active:
+            self._send_sign()
+
+    def handlers(self) -> dict[type[Any], Any]:
+        """Return the handlers of the messages from other VMs."""
+        return {FollowerSign: self._receive_sign, **self._copies.handlers()}
+
+    async def on_link_open(self, link: Link) -> None:
+        """Query a peer for the kinds of which this VM knows nothing yet."""
+        await self._copies.query_missing(link)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                self._tick(time.monotonic())
+            except Exception as error:
+                get_logger().error('following_failed', **describe_error(error))
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _tick(self, now: float) -> None:
+        for follower in self._followers.values():
+            follower.drop_expired()
+            if not self.is_active:
+                follower.record_contact(is_lost=not self._duty.find_live(now))
+        ranked = self._rank()
+        if self._duty.should_end(now, ranked, is_current=self.is_current):
+            self._end()
+        elif self._may_begin(now, ranked):
+            self._start_probe(now)
+        if self.is_active and now >= self._probe_at:
+            self._start_probe(now)
+        if self.is_active and now - self._signed_at >= SIGN_SECONDS:
+            self._send_sign()
+
+    def _may_begin(self, now: float, ranked: tuple[str, ...]) -> bool:
+        reachable = set(self._mesh.reachable())
+        reached = [node for node in ranked if node in reachable]
+        return (
+            self._duty.should_begin(now, ranked, reached)
+            and now >= self._probe_at
+        )
+
+    def _rank(self) -> tuple[str, ...]:
+        """Return the listed VMs in the order in which they follow."""
+        revision, ranked = self._ranked
+        if revision != self._members.member_list.revision:
+            revision = self._members.member_list.revision
+            ranked = rank_followers(self._members.machines())
+            if self._mesh.node not in ranked:
+                ranked = (*ranked, self._mesh.node)
+            self._ranked = (revision, ranked)
+        return ranked
+
+    def _start_probe(self, now: float) -> None:
+        self._probe_at = now + PROBE_SECONDS * random.uniform(
+            1 - PROBE_SPREAD, 1 + PROBE_SPREAD
+        )
+        if self._probe is None:
+            self._probe = self._tasks.start(self._run_probe())
+
+    async def _run_probe(self) -> None:
+        """Find by a cheap call whether the store answers this VM.
+
+        A VM begins to follow only then, so that an outage of the store doesn't
+        let all VMs call it at full price.
+        """
+        had_answer = self._answers
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                await self._store.list_kind(PROBE_KIND, stale=True)
+        except (StoreError, TimeoutError) as error:
+            self._answers = False
+            get_logger().info('store_silent', reason=repr(error))
+        else:
+            self._answers = True
+        finally:
+            self._probe = None
+        if self._answers and not self.is_active:
+            self._begin()
+        elif self._answers and not had_answer:
+            self.restart()
+        elif had_answer and not self._answers and self.is_active:
+            self._send_sign()
+
+    def _begin(self) -> None:
+        self._duty.is_active = True
+        get_logger().info(
+            'following_began', heard=self._duty.find_live(time.monotonic())
+        )
+        self._follow_tasks = [
+            self._tasks.start_lasting(follower.follow)
+            for follower in self._followers.values()
+        ]
+
+    def _end(self) -> None:
+        self._duty.is_active = False
+        get_logger().info(
+            'following_ended', heard=self._duty.find_live(time.monotonic())
+        )
+        for task in self._follow_tasks:
+            task.cancel()
+        self._follow_tasks = []
+
+    def _send_sign(self) -> None:
+        self._signed_at = time.monotonic()
+        self._sequence += 1
+        sign = FollowerSign(
+            self._mesh.node,
+            self._incarnation,
+            self._sequence,
+            self.is_current,
+            self.is_leaving,
+            self._copies.describe(),
+        )
+        self._mesh.spread(sign, None)
+
+    async def _receive_sign(self, link: Link, sign: FollowerSign) -> None:
+        """Record a sign of life, and query its sender for what it shows.
+
+        A sign may come on several ways; only the first one counts.
+        """
+        known = self._sequences.get(sign.node, ('', 0))
+        is_repeated = known[0] == sign.incarnation and known[1] >= sign.sequence
+        if is_repeated or sign.node == self._mesh.node:
+            return
+        self._sequences[sign.node] = (sign.incarnation, sign.sequence)
+        self._mesh.spread(sign, link)
+        self._duty.observe(
+            sign.node,
+            time.monotonic(),
+            counts=sign.is_current and not sign.is_leaving,
+        )
+        if sign.is_current:
+            await self._copies.compare(link, sign)
--- a/galenaswitch/gateway/machine_sync.py
+++ b/galenaswitch/gateway/machine_sync.py
@@ -10,18 +10,26 @@
 from galenaswitch.membership.directory import Directory
 from galenaswitch.membership.lists import Machine
 from galenaswitch.operations.logs import get_logger
+from galenaswitch.store.cache import ObjectCache
 from galenaswitch.store.objects import ABSENT, Listing, StoredObject
-from galenaswitch.store.registry import WritableRegistry
+from galenaswitch.store.registry import Follower, WritableRegistry
 from galenaswitch.store.unreadable import UnreadableLog
 
 MACHINE_KIND = 'galena-vms'
-# Seconds between two reads of the list of VMs, which changes rarely.
+# Seconds between two reads of the list of VMs while no VM tells of it, and the
+# same in the first seconds of a process, as many VMs may start together.
 POLL_SECONDS = 3.0
+FIRST_POLL_SECONDS = 0.7
+FIRST_SECONDS = 4.0
+# Longest wait of one watch for VMs, whose list changes rarely.
+WATCH_SECONDS = 10.0
 # Seconds between two attempts to enter this VM in the store.
 RETRY_PAUSE_SECONDS = 0.5
 # Share by which the pauses vary, so that VMs that started together don't call
 # the store together.
 PAUSE_SPREAD = 0.3
+# Changes of the list are collected for this many seconds and applied together.
+COALESCE_SECONDS = 0.4
 # Time in seconds for which a VM is kept that the store's list lacks. After a
 # restore of the store, each VM enters itself again at its next poll.
 GRACE_SECONDS = 3 * POLL_SECONDS
@@ -43,25 +51,51 @@
         :param directory: receives the list of VMs.
         :param own: entry of this VM in the store.
         """
+        self.follower = Follower(
+            store,
+            MACHINE_KIND,
+            self._apply_cache,
+            COALESCE_SECONDS,
+            find_watch_seconds=lambda: WATCH_SECONDS,
+        )
+        self._started_at = time.monotonic()
         self._store = store
         self._directory = directory
         self._own = own
         self._registered_era: int | None = None
         self._seen: dict[str, tuple[Machine, float]] = {}
+        self._shown: tuple[StoredObject, ...] = ()
+        self._conflicts = False
         self._unreadable = UnreadableLog('machine')
 
     async def poll(self) -> None:
-        """Enter this VM and read the list of VMs at regular intervals."""
+        """Enter this VM, and read the list of VMs while no VM tells of it."""
         while True:
             try:
-                await self._read()
+                await self._read_if_needed()
             except StoreError as error:
                 get_logger().info('machines_unknown', reason=str(error))
-            pause = POLL_SECONDS if self._is_registered else RETRY_PAUSE_SECONDS
             await asyncio.sleep(
-                pause * random.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
+                self._find_pause()
+                * random.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
             )
 
+    def _find_pause(self) -> float:
+        if not self._is_registered:
+            return RETRY_PAUSE_SECONDS
+        age = time.monotonic() - self._started_at
+        return FIRST_POLL_SECONDS if age < FIRST_SECONDS else POLL_SECONDS
+
+    async def _read_if_needed(self) -> None:
+        """Read the list of VMs unless it is known and this VM is in it.
+
+        :raises StoreError: when the store doesn't answer.
+        """
+        if self._is_registered and self.follower.reachable:
+            self._forget_missing()
+        else:
+            await self._read()
+
     @property
     def _is_registered(self) -> bool:
         """Whether this VM is entered in the store's current era.
@@ -76,12 +110,12 @@
         :raises StoreError: when the store doesn't answer.
         """
         listing = await self._store.list_kind(
-            MACHINE_KIND, stale=self._is_registered
+            MACHINE_KIND, stale=not self._conflicts
         )
         era = self._store.era
         if not self._is_registered and await self._register(listing):
             self._registered_era = era
-        self._apply(listing)
+        self._apply(listing.objects)
 
     async def _register(self, listing: Listing) -> bool:
         """Write this VM's store entry if it is missing or out of date.
@@ -103,20 +137,33 @@
             # An earlier write took effect, but its answer was lost. The next
             # list shows the entry.
             get_logger().info('entry_changed', reason=str(error))
+            self._conflicts = True
             return False
+        self._conflicts = False
         return True
 
-    def _apply(self, listing: Listing) -> None:
+    def _apply_cache(self, cache: ObjectCache) -> None:
+        """Apply the list of VMs that the followers of the store show."""
+        self._shown = tuple(cache.objects.values())
+        self._apply(self._shown)
+
+    def _apply(self, objects: tuple[StoredObject, ...]) -> None:
         """Apply the list of VMs, and keep those that were in it recently."""
         now = time.monotonic()
-        for stored in listing.objects:
+        for stored in objects:
             machine = read_machine(stored, self._unreadable)
             if machine:
                 self._seen[machine.name] = (machine, now)
+        self._forget_missing()
+
+    def _forget_missing(self) -> None:
+        """Forget the VMs that no list has shown for some time."""
+        now = time.monotonic()
+        shown = {stored.name for stored in self._shown}
         self._seen = {
-            name: (machine, seen_at)
+            name: (machine, now if name in shown else seen_at)
             for name, (machine, seen_at) in self._seen.items()
-            if now - seen_at < GRACE_SECONDS
+            if name in shown or now - seen_at < GRACE_SECONDS
         }
         self._directory.apply_machines(
             [machine for machine, _ in self._seen.values()]
--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -1,8 +1,8 @@
 """State sync of a VM: configuration, targets and the list of VMs.
 
-Each VM follows the store itself, so that no VM depends on another. An update
-that the store delivers to only some VMs reaches the others through the exchange
-between peers, where the newer version always wins.
+Few VMs follow the store and pass on what it shows, see
+:mod:`galenaswitch.following`. Configurations also reach VMs through the
+exchange between peers, where the newer version always wins.
 
 Configurations are ordered by the operator's own version, since the revisions of
 a store that was restored say nothing about those of an earlier era.
@@ -18,6 +18,7 @@
     InvalidInputError,
     PeerError,
 )
+from galenaswitch.following.following import Following
 from galenaswitch.gateway.machine_sync import MachineSync
 from galenaswitch.gateway.routes import EMPTY_TABLE, RouteTable
 from galenaswitch.gateway.version_records import VersionRecords
@@ -45,12 +46,14 @@
 # Changes of targets are collected for this many seconds and applied together.
 # A leaving target may receive work for several times as long.
 COALESCE_SECONDS = 0.4
-# Longest duration in seconds of one watch for configurations. A VM that relays
-# configurations in its zone uses less than the time within which a new
-# configuration has to be in force. All other VMs receive configurations from
-# the relays.
-RELAY_WATCH_SECONDS = 1.5
-NON_RELAY_WATCH_SECONDS = 20.0
+# Time in seconds that a watch may take beyond the wait that it asks for, and to
+# bring into force what the listing after it shows.
+WATCH_MARGIN_SECONDS = 1.0
+# Longest duration in seconds of a watch for configurations, however long a VM
+# may be out of touch.
+MAX_WATCH_SECONDS = 10.0
+# Time in seconds for which a VM isn't in touch after a disruption, by default.
+CONTACT_SECONDS = 3.0
 # Most services of former configurations whose limits are kept for requests
 # that began under them.
 MAX_FORMER_SERVICES = 256
@@ -155,6 +158,7 @@
         heartbeat_seconds: float,
         *,
         first_start: bool = False,
+        contact_seconds: float = CONTACT_SECONDS,
     ) -> None:
         """Build a state sync that updates ``directory`` and a route table.
 
@@ -162,10 +166,14 @@
         :param tasks: runs the background tasks.
         :param heartbeat_seconds: interval at which targets write their entries.
         :param first_start: whether the deployment starts for the first time.
+        :param contact_seconds: time after the end of a disruption within which
+            this VM has to notice that its watch was lost.
         """
+        self._contact_seconds = contact_seconds
         self.route_table = ActiveRouteTable(documents)
         self.catalog = Catalog({CONFIGURATION_ITEM_KIND})
         self.relay: Relay | None = None
+        self.following: Following | None = None
         self._store = store
         self._documents = documents
         self._directory = directory
@@ -188,6 +196,7 @@
                 TARGET_KIND,
                 self._apply_targets,
                 COALESCE_SECONDS,
+                find_watch_seconds=self._find_watch_seconds,
                 cache=ObjectCache(
                     lambda stored: documents.read_target_order(stored.body),
                     find_doubt_seconds(heartbeat_seconds),
@@ -201,8 +210,8 @@
             self._publish_targets,
             directory.count_machines,
             first_start=first_start,
+            is_follower=self._is_following,
         )
-        self._follow_tasks: list[asyncio.Task[None]] = []
         self._unreadable = UnreadableLog('target')
 
     @property
@@ -216,11 +225,26 @@
         """Exchange configurations with peers through ``relay``."""
         self.relay = relay
 
+    def use_following(self, following: Following) -> None:
+        """Keep up to date through ``following``.
+
+        Peers pass configurations on as versions of the operator, by the relay;
+        all else they pass on as the store shows it.
+        """
+        self.following = following
+        configurations, targets = self._followers
+        following.add(configurations, is_shared=False)
+        for follower in (
+            targets,
+            self._machines.follower,
+            self.versions.follower,
+        ):
+            following.add(follower)
+
     def start(self) -> None:
         """Start the background tasks that follow the store."""
-        self._restart_followers()
-        for follower in self._followers:
-            self._tasks.start_lasting(follower.run_expiry)
+        if self.following:
+            self.following.start()
         self._tasks.start_lasting(self._machines.poll)
         self._tasks.start_lasting(self.versions.review)
         self._tasks.start_lasting(self._detect_suspension)
@@ -250,13 +274,8 @@
                     )
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
-    def _restart_followers(self) -> None:
-        for task in self._follow_tasks:
-            task.cancel()
-        self._follow_tasks = [
-            self._tasks.start_lasting(follower.follow)
-            for follower in self._followers
-        ]
+    def _is_following(self) -> bool:
+        return self.following is None or self.following.is_active
 
     async def _query_seed(
         self,
@@ -275,10 +294,14 @@
             self._directory.apply_peer_list(listed)
 
     def _find_watch_seconds(self) -> float:
-        """Return the longest duration of one watch for configurations."""
-        if self.relay and not self.relay.relays:
-            return NON_RELAY_WATCH_SECONDS
-        return RELAY_WATCH_SECONDS
+        """Return the longest duration of one watch.
+
+        A store that loses the answer to a watch says nothing more on it. The
+        VM has to notice that before it counts as in touch again.
+        """
+        return min(
+            MAX_WATCH_SECONDS, self._contact_seconds - WATCH_MARGIN_SECONDS
+        )
 
     def _apply_configuration(self, held: ObjectCache) -> None:
         items = self._read_items(held)
@@ -350,7 +373,8 @@
                 get_logger().warning(
                     'suspended', seconds=round(now - before, 3)
                 )
-                self._restart_followers()
+                if self.following:
+                    self.following.restart()
             before = now
 
 
--- a/galenaswitch/gateway/version_records.py
+++ b/galenaswitch/gateway/version_records.py
@@ -15,16 +15,15 @@
 import random
 import time
 from collections.abc import Callable, Collection, Iterable
-from typing import Any, NamedTuple
-
-from pydantic import TypeAdapter, ValidationError
 
 from galenaswitch.errors import StoreConflictError, StoreError
+from galenaswitch.gateway.version_documents import VersionRecord, read_record
 from galenaswitch.membership.lists import Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
-from galenaswitch.store.objects import ABSENT, StoredObject
-from galenaswitch.store.registry import WritableRegistry
+from galenaswitch.store.cache import ObjectCache
+from galenaswitch.store.objects import ABSENT
+from galenaswitch.store.registry import Follower, WritableRegistry
 from galenaswitch.store.unreadable import UnreadableLog
 from galenaswitch.store.versions import find_era
 
@@ -34,6 +33,11 @@
 PAUSE_SECONDS_PER_VM = 0.003
 FIRST_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
+# Longest wait of one watch for records, which change rarely.
+WATCH_SECONDS = 10.0
+# Time in seconds that the VMs which follow the store have to record a version,
+# before all others do.
+FOLLOWER_WRITE_SECONDS = 1.5
 # Time in seconds for which a version without targets stays admitted.
 KEEP_SECONDS = 60.0
 # Time in seconds after which no caller takes up a stream that began at a
@@ -48,27 +52,6 @@
 ServiceVersion = tuple[str, str]
 
 
-class VersionRecord(NamedTuple):
-    """Record of one service, as it stands in the store.
-
-    :param versions: versions at which streams of the service may have begun.
-    :param era: era of the store in which the record was written.
-    :param complete: whether no stream that a caller may take up began at
-        another version.
-    :param retiring: versions that are dropped unless a VM admits one again.
-    """
-
-    versions: tuple[str, ...]
-    era: int
-    complete: bool
-    retiring: tuple[str, ...] = ()
-
-
-_RECORD = TypeAdapter(VersionRecord)
-# Stands for a record that can't be read.
-UNREADABLE = VersionRecord((), -1, complete=False)
-
-
 class VersionRecords:
     """Records of the versions of services, and the targets they admit."""
 
@@ -80,6 +63,7 @@
         count_machines: Callable[[], int],
         *,
         first_start: bool,
+        is_follower: Callable[[], bool] | None = None,
     ) -> None:
         """Build records that haven't been read yet.
 
@@ -87,7 +71,16 @@
         :param count_machines: returns the number of VMs of the deployment.
         :param first_start: whether the deployment starts for the first time,
             so that no stream began before this process.
+        :param is_follower: whether this VM follows the store. Other VMs leave
+            it to those that do to record a version, for a time.
         """
+        self.follower = Follower(
+            store,
+            VERSION_KIND,
+            self._apply_records,
+            find_watch_seconds=lambda: WATCH_SECONDS,
+        )
+        self._is_follower = is_follower or _is_always_follower
         self._store = store
         self._tasks = tasks
         self._publish = publish
@@ -238,12 +231,47 @@
             one: self._retiring_since.get(one, now) for one in retiring
         }
 
-    async def _record_missing(self) -> None:
-        """Record the versions of listed targets until all are admitted."""
+    def _apply_records(self, cache: ObjectCache) -> None:
+        """Admit the targets whose versions a record in the store names.
+
+        The record has to be of the current era, as one that this VM reads.
+        """
+        era = find_era(cache.revision)
+        records = {
+            stored.name: read_record(stored, self._unreadable)
+            for stored in cache.objects.values()
+        }
+        admitted = {
+            (service, version)
+            for service, version in self._missing
+            if service in records
+            and records[service].era == era
+            and version in records[service].versions
+        }
+        if admitted:
+            self._admitted |= admitted
+            self._missing -= admitted
+            self._publish()
+
+    async def _wait_for_followers(self) -> None:
+        """Wait until the VMs that follow the store have recorded versions.
+
+        They write at different times, so that one VM writes and the others
+        read that.
+        """
         longest_pause = PAUSE_SECONDS_PER_VM * self._count_machines()
         await asyncio.sleep(random.uniform(0, longest_pause))
+        end = time.monotonic() + FOLLOWER_WRITE_SECONDS
+        while (
+            self._missing and not self._is_follower() and time.monotonic() < end
+        ):
+            await asyncio.sleep(FIRST_RETRY_SECONDS)
+
+    async def _record_missing(self) -> None:
+        """Record the versions of listed targets until all are admitted."""
         pause = FIRST_RETRY_SECONDS
         try:
+            await self._wait_for_followers()
             while not await self._try_record():
                 await asyncio.sleep(pause)
                 pause = min(2 * pause, MAX_RETRY_SECONDS)
@@ -252,6 +280,8 @@
 
     async def _try_record(self) -> bool:
         """Record the missing versions and return whether none is left."""
+        if not self._missing:
+            return True
         try:
             await self._record_once()
         except StoreError as error:
@@ -307,23 +337,14 @@
             listing = await self._store.list_kind(VERSION_KIND)
             self._observe_era(find_era(listing.revision))
             self._records = {
-                stored.name: (self._read_record(stored), stored.version)
+                stored.name: (
+                    read_record(stored, self._unreadable),
+                    stored.version,
+                )
                 for stored in listing.objects
             }
             self._read_at = started_at
 
-    def _read_record(self, stored: StoredObject) -> VersionRecord:
-        """Return the record of a store entry, whose new fields are ignored."""
-        body: Any = stored.body if isinstance(stored.body, dict) else {}
-        fields = {
-            name: body[name] for name in VersionRecord._fields if name in body
-        }
-        try:
-            return _RECORD.validate_python(fields)
-        except ValidationError as error:
-            self._unreadable.report(stored, str(error))
-            return UNREADABLE
-
     async def _write(
         self, service: str, record: VersionRecord, replaces: int
     ) -> None:
@@ -354,3 +375,8 @@
             self._first_start = False
             self._observed_since = time.monotonic()
         self._era = era
+
+
+def _is_always_follower() -> bool:
+    """Stand for the duty of a VM that shares it with no other."""
+    return True
--- a/galenaswitch/gateway/vocabulary.py
+++ b/galenaswitch/gateway/vocabulary.py
@@ -1,6 +1,13 @@
 """Message types that the edge processes of all VMs exchange."""
 
 from galenaswitch.configuration.messages import Digest, Items, Versions
+from galenaswitch.following.messages import (
+    FollowerSign,
+    ListingQuery,
+    ListingReply,
+    ObjectChanges,
+    ObjectListing,
+)
 from galenaswitch.gateway.messages import (
     LimitsQuery,
     LimitsReply,
@@ -37,13 +44,18 @@
     Digest,
     EvidenceQuery,
     EvidenceReply,
+    FollowerSign,
     Items,
     Leaving,
     LeavingSign,
     LimitsQuery,
     LimitsReply,
     ListQuestion,
+    ListingQuery,
+    ListingReply,
     MemberList,
+    ObjectChanges,
+    ObjectListing,
     OriginQuery,
     OriginReply,
     PartAnswered,
--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any, NamedTuple
+from typing import Any
 from urllib.parse import quote, urlencode
 
 import orjson
@@ -28,20 +28,26 @@
     TargetError,
 )
 from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.metrics import LocalMetrics, Metrics
 from galenaswitch.platform.headers import CONFLICT, MILLISECONDS
 from galenaswitch.platform.pages import (
-    decode_in_parts,
     decode_object,
     decode_objects,
-    is_revision,
-    read_metadata,
+)
+from galenaswitch.platform.store_answers import (
+    NOT_FOUND,
+    Document,
+    StoreAnswer,
+    decode_answer,
+    decode_store_version,
+    decode_version,
+    find_purpose,
+    read_list,
 )
 from galenaswitch.store.cache import Change, Changes
 from galenaswitch.store.objects import ABSENT, Listing, StoredObject
 from galenaswitch.store.versions import (
-    Revision,
     find_era,
-    join_version,
     split_version,
 )
 
@@ -53,26 +59,9 @@
 WATCH_MARGIN_SECONDS = 1.0
 # Longest time for which a pooled connection to the store may have been idle.
 MAX_IDLE_SECONDS = 20.0
-OK = 200
-CREATED = 201
-NOT_FOUND = 404
-GONE = 410
-_EXPECTED_STATUSES = frozenset((OK, CREATED, NOT_FOUND, CONFLICT))
 # Longest era that fits beside a revision in a version.
 MAX_ERA_DIGITS = 4
 _ERA_HEADER = b'store-era'
-Document = dict[str, Any]
-
-
-class StoreAnswer(NamedTuple):
-    """Answer of the store to one call.
-
-    :param era: era of the revisions in the document.
-    """
-
-    status: int
-    document: Document
-    era: int
 
 
 class PlatformStore:
@@ -81,11 +70,18 @@
     :ivar era: highest era that an answer has named, 0 for none.
     """
 
-    def __init__(self, pool: ConnectionPool, address: str) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        address: str,
+        metrics: Metrics | None = None,
+    ) -> None:
         """Build a client of the store at ``address``.
 
         :param pool: connections that the client uses.
+        :param metrics: counts the calls by purpose and kind.
         """
+        self._metrics = metrics or LocalMetrics()
         self._pool = pool
         self._address = address
         self.era = 0
@@ -112,9 +108,9 @@
             answer = await self._call('GET', kind, query=query)
             if revision and find_era(revision) != answer.era:
                 raise StoreHistoryLostError('the store was restored meanwhile')
-            version = _decode_store_version(answer)
+            version = decode_store_version(answer)
             revision = revision or version
-            entries = _read_list(answer, 'items')
+            entries = read_list(answer, 'items')
             page = decode_objects(kind, entries, version)
             stored.extend(page)
             entry_count += len(entries)
@@ -150,10 +146,10 @@
         )
         if answer.era != era:
             raise StoreHistoryLostError('the store was restored meanwhile')
-        version = _decode_store_version(answer)
+        version = decode_store_version(answer)
         events = [
             event if isinstance(event, dict) else {}
-            for event in _read_list(answer, 'events')
+            for event in read_list(answer, 'events')
         ]
         found = [
             (decode_object(kind, event.get('object'), version), event)
@@ -196,10 +192,10 @@
             document={'metadata': metadata, 'spec': body},
         )
         if answer.status == CONFLICT:
-            raise StoreConflictError(_decode_version(answer))
+            raise StoreConflictError(decode_version(answer))
         if answer.status == NOT_FOUND:
             raise StoreConflictError(ABSENT)
-        return _decode_version(answer)
+        return decode_version(answer)
 
     async def remove(self, kind: str, name: str, revision: int) -> None:
         """Remove an object if its current revision is the expected one.
@@ -218,7 +214,16 @@
             query={'revision': str(number)},
         )
         if answer.status == CONFLICT:
-            raise StoreConflictError(_decode_version(answer))
+            raise StoreConflictError(decode_version(answer))
+
+    def observe_era(self, era: int) -> None:
+        """Record an era of the store, and end all watches if it is new."""
+        if era <= self.era:
+            return
+        get_logger().warning('store_era_began', era=era, before=self.era)
+        self.era = era
+        for watch in self._watches - {asyncio.current_task()}:
+            watch.cancel()
 
     def _report_unnamed(self, kind: str, count: int) -> None:
         """Log how many entries of a listing have no name, if that changed."""
@@ -256,18 +261,14 @@
         return task.result()
 
     def _observe_era(self, answer: AnswerHead) -> int:
-        """Return the era of an answer and end all watches if it is new.
+        """Return the era of an answer.
 
         An answer without a readable era is taken to be of the current one.
         """
         field = find_header_text(answer.headers, _ERA_HEADER)
         is_era = field.isdecimal() and len(field) <= MAX_ERA_DIGITS
         era = int(field) if is_era else self.era
-        if era > self.era:
-            get_logger().warning('store_era_began', era=era, before=self.era)
-            self.era = era
-            for watch in self._watches - {asyncio.current_task()}:
-                watch.cancel()
+        self.observe_era(era)
         return era
 
     async def _call(
@@ -285,6 +286,7 @@
             path = f'{path}/{quote(name)}'
         if query:
             path = f'{path}?{urlencode(query)}'
+        self._metrics.count(f'store_{find_purpose(method, query)}_{kind}')
         head = RequestHead(
             method.encode(),
             path.encode(),
@@ -302,7 +304,7 @@
                 f'the store does not answer: {type(error).__name__}',
             ) from error
         era = self._observe_era(answer)
-        document = await _decode_answer(answer, content)
+        document = await decode_answer(answer, content)
         return StoreAnswer(answer.status, document, era)
 
     async def _exchange(
@@ -325,26 +327,6 @@
         return answer, bytes(content)
 
 
-async def _decode_answer(answer: AnswerHead, content: bytes) -> Document:
-    if answer.status == GONE:
-        raise StoreHistoryLostError(
-            'the store no longer has the changes after the watched revision',
-        )
-    if answer.status not in _EXPECTED_STATUSES:
-        raise StoreUnavailableError(
-            f'the store answers with status {answer.status}',
-        )
-    if not content:
-        return {}
-    try:
-        document = orjson.loads(content)
-    except ValueError:
-        document = await _decode_in_parts(content)
-    if not isinstance(document, dict):
-        raise StoreError('the store answers with JSON that is not an object')
-    return document
-
-
 def _find_next(page: list[StoredObject], query: dict[str, str]) -> str:
     """Return the name after which a listing continues.
 
@@ -354,37 +336,3 @@
     if name in {'', query.get('after')}:
         raise StoreError('no name to continue a listing from')
     return name
-
-
-async def _decode_in_parts(content: bytes) -> Any:
-    """Decode what can be read, in a thread, since it may take a second."""
-    try:
-        return await asyncio.to_thread(decode_in_parts, content)
-    except ValueError as error:
-        raise StoreError('the store answers with invalid JSON') from error
-
-
-def _decode_store_version(answer: StoreAnswer) -> int:
-    number = answer.document.get('store-revision')
-    if not is_revision(number):
-        raise StoreError('the store answers without its revision')
-    return join_version(Revision(answer.era, number))
-
-
-def _decode_version(answer: StoreAnswer) -> int:
-    """Return the version of the object in an answer, ``ABSENT`` for none."""
-    revision = read_metadata(answer.document).get('revision')
-    if not is_revision(revision):
-        return ABSENT
-    return join_version(Revision(answer.era, revision))
-
-
-def _read_list(answer: StoreAnswer, name: str) -> list[Any]:
-    """Return a list of an answer.
-
-    :raises StoreError: when the answer has no such list.
-    """
-    entries = answer.document.get(name)
-    if not isinstance(entries, list):
-        raise StoreError(f'the store answers without a list of {name}')
-    return entries
--- a/galenaswitch/platform/settings.py
+++ b/galenaswitch/platform/settings.py
@@ -24,6 +24,7 @@
 
     :param drain: time after which a leaving target gets no new requests.
     :param grace: time between SIGTERM and SIGKILL.
+    :param contact: time for which a VM isn't in touch after a disruption.
     :param apply: time within which a new configuration takes effect.
     :param retry_ratio: retries allowed for each request of a service.
     :param retry_window: period over which retries and requests are counted.
@@ -32,6 +33,7 @@
     """
 
     drain: Positive = 2
+    contact: Positive = 3
     grace: Positive = 8
     apply: Positive = 2
     retry_ratio: Annotated[float, Field(ge=0)] = 0.2
@@ -144,6 +146,7 @@
 
 _BOUND_ENTRIES = (
     ('drain', 'drain-ms', MILLISECONDS),
+    ('contact', 'contact-ms', MILLISECONDS),
     ('grace', 'grace-s', 1),
     ('apply', 'config-apply-ms', MILLISECONDS),
     ('retry_ratio', 'retry-budget-ratio', 1),
--- a/galenaswitch/platform/soak/callers.py
+++ b/galenaswitch/platform/soak/callers.py
@@ -40,7 +40,10 @@
 
 
 class Balancer:
-    """Balancer that picks machines whose readiness probes succeed."""
+    """Balancer that picks machines whose readiness probes succeed.
+
+    :ivar excluded: numbers of machines that it doesn't pick.
+    """
 
     def __init__(self, addresses: Sequence[str]) -> None:
         """Build a balancer for which no machine is ready yet.
@@ -48,6 +51,7 @@
         :param addresses: addresses to probe, in the order of the machines.
         """
         self._addresses = addresses
+        self.excluded: set[int] = set()
         self._failed_probes = [MAX_FAILED_PROBES for _ in addresses]
 
     def pick(self, rng: random.Random) -> int | None:
@@ -55,7 +59,7 @@
         ready = [
             number
             for number, failed in enumerate(self._failed_probes)
-            if failed < MAX_FAILED_PROBES
+            if failed < MAX_FAILED_PROBES and number not in self.excluded
         ]
         return rng.choice(ready) if ready else None
 
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -16,6 +16,7 @@
 from galenaswitch.connections.outbound import ConnectionPool
 from galenaswitch.connections.requests import InboundLimits
 from galenaswitch.errors import SettingsError
+from galenaswitch.following.following import Following
 from galenaswitch.gateway.batcher import Batcher
 from galenaswitch.gateway.continuation import ContinuationPolicy
 from galenaswitch.gateway.handling import Gateway
@@ -105,7 +106,7 @@
         self.directory = Directory(self.members, own)
         self.service = make_link_service(settings)
         self.mesh = Mesh(self.service, self.members, tasks)
-        store = PlatformStore(self.pool, settings.store)
+        store = PlatformStore(self.pool, settings.store, self.metrics)
         self.state_sync = StateSync(
             store,
             PlatformDocuments(),
@@ -114,11 +115,23 @@
             tasks,
             settings.heartbeat,
             first_start=settings.first_start,
+            contact_seconds=settings.bounds.contact,
         )
         self.relay = Relay(
-            self.state_sync.catalog, self.mesh, self.state_sync.apply_items
+            self.state_sync.catalog,
+            self.mesh,
+            self.state_sync.apply_items,
+            self.mesh.spread,
         )
         self.state_sync.use_relay(self.relay)
+        self.following = Following(
+            store,
+            self.mesh,
+            self.members,
+            tasks,
+            self.service.identity.incarnation,
+        )
+        self.state_sync.use_following(self.following)
         self.budgets = RetryBudgets(
             settings.bounds.retry_ratio,
             settings.bounds.retry_slack,
@@ -136,6 +149,7 @@
             self.pool.is_listening,
             Fingerprints(self.service.secret),
         )
+        self.following.add(self.containment.follower)
         self.origins = StreamOrigins(
             self.mesh, lambda: self.directory.has_store_machines
         )
@@ -294,6 +308,7 @@
         """
         self.stopping = True
         self._owner_router.leave()
+        self.following.leave()
         end = (
             time.monotonic() + self._settings.bounds.grace - KILL_MARGIN_SECONDS
         )
@@ -318,6 +333,7 @@
         self.notices.on_link_open(link)
         self._tasks.start(self._owner_router.on_link_open(link))
         self._tasks.start(self.relay.on_link_open(link))
+        self._tasks.start(self.following.on_link_open(link))
         self._tasks.start(self.containment.exchange.on_link_open(link))
         self._tasks.start(self.turns.on_link_open(link))
         self._tasks.start(self.origins.on_link_open(link))
@@ -349,6 +365,7 @@
         handlers |= self.turns.handlers()
         handlers |= self.notices.handlers()
         handlers |= self.origins.handlers()
+        handlers |= self.following.handlers()
         self.service.handlers.update(handlers)  # type: ignore[attr-defined]
 
     def _make_gateway(self) -> Gateway:
--- a/galenaswitch/quarantine/containment.py
+++ b/galenaswitch/quarantine/containment.py
@@ -60,6 +60,7 @@
     """Evidence and quarantines of one VM, shared with all others.
 
     :ivar fingerprints: makes the fingerprints of requests.
+    :ivar follower: keeps the records in the store, which another part runs.
     """
 
     def __init__(
@@ -94,7 +95,7 @@
         self._unremoved: dict[str, Quarantine] = {}
         self._judgement: asyncio.Task[None] | None = None
         self._has_own_report = False
-        self._follower = Follower(
+        self.follower = Follower(
             store,
             QUARANTINE_KIND,
             self._apply_records,
@@ -102,9 +103,7 @@
         )
 
     def start(self) -> None:
-        """Start the background tasks that keep in line with the store."""
-        self._tasks.start_lasting(self._follower.follow)
-        self._tasks.start_lasting(self._follower.run_expiry)
+        """Start the background task that keeps the store in line."""
         self._tasks.start_lasting(
             partial(
                 run_every,
