--- a/galenaswitch/gateway/handling.py
+++ b/galenaswitch/gateway/handling.py
@@ -16,7 +16,7 @@
 from galenaswitch.gateway.calls import CallerRequest, Wire
 from galenaswitch.gateway.checks import check_request
 from galenaswitch.gateway.plain import PlainRunner
-from galenaswitch.gateway.routes import CallKind, Route, RouteTable
+from galenaswitch.gateway.routes import CallKind, RouteTable
 from galenaswitch.gateway.streams import StreamRunner
 from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.metrics import Metrics
@@ -25,8 +25,8 @@
 
 MILLISECONDS = 1000
 # Longest expected duration of a request that may be repeated: this multiple of
-# its latency objective, plus these seconds of events for a stream. A stopping VM
-# accepts only requests that can end before the stop.
+# its latency objective, plus these seconds of events for a stream. A VM that is
+# stopping accepts only requests that can end before the stop.
 DRAIN_OBJECTIVE_FACTOR = 2.0
 DRAIN_STREAM_SECONDS = 2.5
 # A caller that a stopping VM refuses may retry after this many seconds, as its
