Versions that a known record names are used at once

Cause: by reading. A VM admitted versions by the records that it hears of only when those changed. One that started with the record known, and listed the targets after it, waited 1.5 s for the followers and then read the store itself. Records that retire a version admitted it as well, without the write that keeps it, so that a review could drop a version in service. Change: listed versions are looked up in the known records; a record of an era that this VM knows to be over, or one that retires the version, admits nothing.

--- a/galenaswitch/gateway/tests/test_version_records.py
+++ b/galenaswitch/gateway/tests/test_version_records.py
@@ -15,7 +15,7 @@
 )
 from galenaswitch.gateway.version_records import VERSION_KIND
 from galenaswitch.membership.lists import Target
-from galenaswitch.store.objects import StoredObject
+from galenaswitch.store.objects import Listing, StoredObject
 
 pytestmark = pytest.mark.usefixtures('no_pauses')
 
@@ -320,3 +320,61 @@
     assert all(vm.usable == {'v1'} for vm in vms)
     assert len(store.objects) == 1
     assert store.calls.count('list') <= 2 * len(vms)
+
+
+def tell(vm, store):
+    """Let a VM hear of the records from one that follows the store."""
+    listing = Listing(store._revision, tuple(store.objects.values()))
+    vm.records.follower.receive_listing(listing)
+
+
+# Guards against engines that wait for a call to the store, at each start of a
+# process, though the record that they need is known.
+async def test_version_that_a_known_record_names_is_used_at_once(
+    store, start_vm
+):
+    start_vm(first_start=True).list_versions('v1')
+    await settle()
+    restarted = start_vm()
+    tell(restarted, store)
+    store.calls.clear()
+    restarted.list_versions('v1')
+    assert restarted.usable == {'v1'}
+    assert not store.calls
+
+
+# Guards against a version in service that a review drops, because the VM that
+# uses it again didn't say so.
+async def test_version_that_a_known_record_retires_is_written_again(
+    store, start_vm
+):
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1', 'v2')
+    await settle()
+    record = store.objects[SERVICE]
+    body = {**record.body, 'retiring': ['v1']}
+    await store.write(VERSION_KIND, SERVICE, body, record.version)
+    restarted = start_vm()
+    tell(restarted, store)
+    restarted.list_versions('v1', 'v2')
+    assert restarted.usable == {'v2'}
+    await settle()
+    assert restarted.usable == {'v1', 'v2'}
+    assert not store.objects[SERVICE].body['retiring']
+
+
+# Guards against a record of a former era, which the store that was restored may
+# lack.
+async def test_known_record_of_a_former_era_admits_nothing(store, start_vm):
+    copy = store.copy()
+    vm = start_vm(first_start=True)
+    vm.list_versions('v1')
+    await settle()
+    restarted = start_vm()
+    tell(restarted, store)
+    store.restore(copy)
+    await restarted.records.find_only_version(SERVICE)
+    restarted.list_versions('v1')
+    assert not restarted.usable
+    await settle()
+    assert restarted.usable == {'v1'}
--- a/galenaswitch/gateway/version_documents.py
+++ b/galenaswitch/gateway/version_documents.py
@@ -45,3 +45,21 @@
     except ValidationError as error:
         unreadable.report(stored, str(error))
         return UNREADABLE
+
+
+def is_named(record: VersionRecord, version: str, era: int) -> bool:
+    """Tell whether a record names a version for good.
+
+    :param era: current era of the store.
+
+    >>> record = VersionRecord(('v1', 'v2'), 3, True, retiring=('v1',))
+    >>> [is_named(record, one, 3) for one in ('v1', 'v2', 'v3')]
+    [False, True, False]
+    >>> is_named(record, 'v2', 4)
+    False
+    """
+    return (
+        record.era == era
+        and version in record.versions
+        and version not in record.retiring
+    )
--- a/galenaswitch/gateway/version_records.py
+++ b/galenaswitch/gateway/version_records.py
@@ -17,7 +17,11 @@
 from collections.abc import Callable, Collection, Iterable
 
 from galenaswitch.errors import StoreConflictError, StoreError
-from galenaswitch.gateway.version_documents import VersionRecord, read_record
+from galenaswitch.gateway.version_documents import (
+    VersionRecord,
+    is_named,
+    read_record,
+)
 from galenaswitch.membership.lists import Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
@@ -120,6 +124,7 @@
         self._admitted &= {
             one for one, at in self._listed_at.items() if at > kept_since
         }
+        self._admitted |= self._find_named(engines - self._admitted)
         self._missing = engines - self._admitted
         if self._missing and not self._recording:
             self._recording = True
@@ -232,26 +237,33 @@
         }
 
     def _apply_records(self, cache: ObjectCache) -> None:
-        """Admit the targets whose versions a record in the store names.
+        """Admit the targets whose versions the records of the store name."""
+        admitted = self._find_named(self._missing)
+        if admitted:
+            self._admitted |= admitted
+            self._missing -= admitted
+            self._publish()
+
+    def _find_named(self, versions: set[ServiceVersion]) -> set[ServiceVersion]:
+        """Return those of some versions that need no write of a record.
 
-        The record has to be of the current era, as one that this VM reads.
+        A record has to be of the current era, and one that marks a version as
+        retiring would drop it unless it is written again.
         """
+        cache = self.follower.cache
         era = find_era(cache.revision)
-        records = {
-            stored.name: read_record(stored, self._unreadable)
-            for stored in cache.objects.values()
-        }
-        admitted = {
+        if era < self._era:
+            return set()
+        return {
             (service, version)
-            for service, version in self._missing
-            if service in records
-            and records[service].era == era
-            and version in records[service].versions
+            for service, version in versions
+            if service in cache.objects
+            and is_named(
+                read_record(cache.objects[service], self._unreadable),
+                version,
+                era,
+            )
         }
-        if admitted:
-            self._admitted |= admitted
-            self._missing -= admitted
-            self._publish()
 
     async def _wait_for_followers(self) -> None:
         """Wait until the VMs that follow the store have recorded versions.
