Signs of life name the configuration, so that a lost one is queried in time

Cause: by reading. Only two VMs watch configurations now; a VM that misses their message got it by the exchange with a random peer every 2 s, or later if that peer missed it too, which is beyond the 2 s of the smallest deployments. Change: a sign of life carries the digest of the follower's configuration; a VM at which two signs in a row differ from its own exchanges with the peer that brought them. The field is the last one of the message and may be missing.

--- a/galenaswitch/configuration/relay.py
+++ b/galenaswitch/configuration/relay.py
@@ -67,6 +67,11 @@
             and self._mesh.has_tried_peers(self._mesh.zone)
         )
 
+    @property
+    def digest(self) -> str:
+        """Hash of the names and versions of all items of this process."""
+        return self._catalog.digest()
+
     def accept(
         self,
         items: Iterable[Item],
--- a/galenaswitch/following/following.py
+++ b/galenaswitch/following/following.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 import time
-from typing import Any
+from typing import Any, Protocol
 
 from galenaswitch.errors import StoreError
 from galenaswitch.following.copies import FollowedStore, SharedCopies
@@ -35,6 +35,17 @@
 PROBE_SPREAD = 0.5
 
 
+class ConfigurationExchange(Protocol):
+    """Exchange of configurations with a peer."""
+
+    @property
+    def digest(self) -> str:
+        """Hash of the configuration of this process."""
+
+    async def on_link_open(self, link: Link) -> None:
+        """Sync configurations with the peer of a link; log a failure."""
+
+
 class Following:
     """Keeps the caches of this VM up to date from the store or from peers."""
 
@@ -70,6 +81,8 @@
         self._probe: asyncio.Task[None] | None = None
         self._answers = False
         self._sequences: dict[str, tuple[str, int]] = {}
+        self._configurations: ConfigurationExchange | None = None
+        self._suspected_configuration = ''
         self._ranked: tuple[int, tuple[str, ...]] = (-1, (mesh.node,))
 
     @property
@@ -95,6 +108,10 @@
         if is_shared:
             self._copies.add(follower)
 
+    def use_configurations(self, exchange: ConfigurationExchange) -> None:
+        """Name the configuration in signs of life, and compare it there."""
+        self._configurations = exchange
+
     def start(self) -> None:
         """Start the background tasks."""
         for follower in self._followers.values():
@@ -223,6 +240,7 @@
             self.is_current,
             self.is_leaving,
             self._copies.describe(),
+            self._configurations.digest if self._configurations else '',
         )
         self._mesh.spread(sign, None)
 
@@ -244,3 +262,14 @@
         )
         if sign.is_current:
             await self._copies.compare(link, sign)
+            await self._compare_configuration(link, sign.configuration)
+
+    async def _compare_configuration(self, link: Link, digest: str) -> None:
+        """Exchange configurations with a peer if two signs name another one."""
+        exchange = self._configurations
+        if exchange is None or digest in {'', exchange.digest}:
+            return
+        is_suspected = digest == self._suspected_configuration
+        self._suspected_configuration = '' if is_suspected else digest
+        if is_suspected:
+            await exchange.on_link_open(link)
--- a/galenaswitch/following/messages.py
+++ b/galenaswitch/following/messages.py
@@ -36,6 +36,7 @@
     :param sequence: number that grows with each sign of the process.
     :param is_current: whether the store answers the sender.
     :param is_leaving: whether the sender is about to stop.
+    :param configuration: digest of the sender's configuration.
     """
 
     node: str
@@ -44,6 +45,7 @@
     is_current: bool
     is_leaving: bool
     states: tuple[KindState, ...]
+    configuration: str = ''
 
 
 class SharedObject(NamedTuple):
