--- a/galenaswitch/following/following.py
+++ b/galenaswitch/following/following.py
@@ -47,7 +47,11 @@
 
 
 class Following:
-    """Keeps the caches of this VM up to date from the store or from peers."""
+    """Keeps the caches of this VM up to date from the store or from peers.
+
+    :ivar is_leaving: whether this process is about to stop.
+    :ivar configurations: named in signs of life, and compared there.
+    """
 
     def __init__(
         self,
@@ -81,7 +85,7 @@
         self._probe: asyncio.Task[None] | None = None
         self._answers = False
         self._sequences: dict[str, tuple[str, int]] = {}
-        self._configurations: ConfigurationExchange | None = None
+        self.configurations: ConfigurationExchange | None = None
         self._suspected_configuration = ''
         self._ranked: tuple[int, tuple[str, ...]] = (-1, (mesh.node,))
 
@@ -108,10 +112,6 @@
         if is_shared:
             self._copies.add(follower)
 
-    def use_configurations(self, exchange: ConfigurationExchange) -> None:
-        """Name the configuration in signs of life, and compare it there."""
-        self._configurations = exchange
-
     def start(self) -> None:
         """Start the background tasks."""
         for follower in self._followers.values():
@@ -154,21 +154,14 @@
         ranked = self._rank()
         if self._duty.should_end(now, ranked, is_current=self.is_current):
             self._end()
-        elif self._may_begin(now, ranked):
-            self._start_probe(now)
-        if self.is_active and now >= self._probe_at:
+        reachable = set(self._mesh.reachable())
+        reached = [node for node in ranked if node in reachable]
+        begins = self._duty.should_begin(now, ranked, reached)
+        if now >= self._probe_at and (begins or self.is_active):
             self._start_probe(now)
         if self.is_active and now - self._signed_at >= SIGN_SECONDS:
             self._send_sign()
 
-    def _may_begin(self, now: float, ranked: tuple[str, ...]) -> bool:
-        reachable = set(self._mesh.reachable())
-        reached = [node for node in ranked if node in reachable]
-        return (
-            self._duty.should_begin(now, ranked, reached)
-            and now >= self._probe_at
-        )
-
     def _rank(self) -> tuple[str, ...]:
         """Return the listed VMs in the order in which they follow."""
         revision, ranked = self._ranked
@@ -240,7 +233,7 @@
             self.is_current,
             self.is_leaving,
             self._copies.describe(),
-            self._configurations.digest if self._configurations else '',
+            self.configurations.digest if self.configurations else '',
         )
         self._mesh.spread(sign, None)
 
@@ -266,7 +259,7 @@
 
     async def _compare_configuration(self, link: Link, digest: str) -> None:
         """Exchange configurations with a peer if two signs name another one."""
-        exchange = self._configurations
+        exchange = self.configurations
         if exchange is None or digest in {'', exchange.digest}:
             return
         is_suspected = digest == self._suspected_configuration
--- a/galenaswitch/following/tests/test_signs.py
+++ b/galenaswitch/following/tests/test_signs.py
@@ -35,7 +35,7 @@
 def following(exchange):
     """Return the following of a VM that hears others."""
     following = follow_alone('a', Mock(), Members(), None)
-    following.use_configurations(exchange)
+    following.configurations = exchange
     return following
 
 
--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -232,8 +232,7 @@
         all else they pass on as the store shows it.
         """
         self.following = following
-        if self.relay:
-            following.use_configurations(self.relay)
+        following.configurations = self.relay
         configurations, targets = self._followers
         following.add(configurations, is_shared=False)
         for follower in (
