following: a reply of another type to a listing query is ignored

A peer of a later build may answer a query for listings with another message. The reply had been used unseen: an AttributeError ended the query's task, and with it the handling of what the peer would still send.

Now such a reply is logged as objects_unknown and nothing is applied. A listing that is older than the view is rejected by the follower itself, so its second check is gone.

test_odd_reply_to_a_query_changes_nothing fails on the code before with AttributeError; the packages following and gateway pass with it.

--- a/galenaswitch/following/copies.py
+++ b/galenaswitch/following/copies.py
@@ -129,6 +129,11 @@
             return
         finally:
             self._queried -= kinds
+        if not isinstance(reply, ListingReply):
+            get_logger().error(
+                'objects_unknown', peer=link.peer.node, reason='odd reply'
+            )
+            return
         for listing in reply.listings:
             self._apply_listing(listing)
 
@@ -170,7 +175,7 @@
     def _apply_listing(self, message: ObjectListing) -> bool:
         """Apply a listing of a peer and return whether it was news."""
         follower = self._followers.get(message.kind)
-        if follower is None or message.revision < follower.view.revision:
+        if follower is None:
             return False
         self._store.observe_era(find_era(message.revision))
         if not follower.receive_listing(read_listing(message)):
--- a/galenaswitch/following/tests/test_copies.py
+++ b/galenaswitch/following/tests/test_copies.py
@@ -1,6 +1,6 @@
 """Copies of the store's objects from messages in any order."""
 
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 import pytest
 from hypothesis import given
@@ -200,3 +200,15 @@
     follower._apply_watched(0, history.find_changes(0, 1))
     follower._apply_watched(0, history.find_changes(0, 1))
     assert len(mesh.spread_messages) == 1
+
+
+# Guards against a later build that answers a query in another way.
+async def test_odd_reply_to_a_query_changes_nothing():
+    copies, follower = make_vm()
+    link = ScriptedLink()
+    link.request = AsyncMock(return_value=object())
+    await copies.query_missing(link)
+    assert not follower.has_listing
+    link.request = ScriptedLink(History([('a', False)]), 1).request
+    await copies.query_missing(link)
+    assert set(follower.cache.objects) == {'a'}
