Versions are recorded at once when no VM follows the store yet

Callers of a deployment that starts got no engine for seconds: a VM left it to the followers to record the engines' versions, also while no VM followed the store, and used the engines only after its own wait had run out.

A VM now waits only while it hears a follower. Following tells that by the signs of life it has; the probe of the store, which grew beside it, is a class of its own.

--- a/galenaswitch/following/following.py
+++ b/galenaswitch/following/following.py
@@ -6,11 +6,9 @@
 """
 
 import asyncio
-import random
 import time
 from typing import Any, Protocol
 
-from galenaswitch.errors import StoreError
 from galenaswitch.following.copies import FollowedStore, SharedCopies
 from galenaswitch.following.duty import (
     START_SECONDS,
@@ -18,6 +16,7 @@
     rank_followers,
 )
 from galenaswitch.following.messages import FollowerSign
+from galenaswitch.following.probe import StoreProbe
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members
 from galenaswitch.membership.mesh import Mesh
@@ -27,12 +26,6 @@
 
 SIGN_SECONDS = 0.4
 TICK_SECONDS = 0.2
-# Kind with few objects, whose stale listing tells whether the store answers.
-PROBE_KIND = 'galena-versions'
-PROBE_SECONDS = 1.0
-PROBE_TIMEOUT_SECONDS = 0.8
-# Share by which the pauses between two probes vary.
-PROBE_SPREAD = 0.5
 
 
 class ConfigurationExchange(Protocol):
@@ -81,9 +74,7 @@
         self._follow_tasks: list[asyncio.Task[Any]] = []
         self._sequence = 0
         self._signed_at = 0.0
-        self._probe_at = 0.0
-        self._probe: asyncio.Task[None] | None = None
-        self._answers = False
+        self._probe = StoreProbe(store, tasks, self._handle_probe)
         self._sequences: dict[str, tuple[str, int]] = {}
         self.configurations: ConfigurationExchange | None = None
         self._suspected_configuration = ''
@@ -94,12 +85,18 @@
         """Whether this VM follows the store."""
         return self._duty.is_active
 
+    @property
+    def hears_follower(self) -> bool:
+        """Whether another VM follows the store in place of this one."""
+        live = self._duty.find_live(time.monotonic())
+        return bool(live) and not self.is_active
+
     @property
     def is_current(self) -> bool:
         """Whether the store answers all calls of this VM that follows it."""
         return (
             self.is_active
-            and self._answers
+            and self._probe.is_answered
             and all(one.is_current for one in self._followers.values())
         )
 
@@ -157,8 +154,8 @@
         reachable = set(self._mesh.reachable())
         reached = [node for node in ranked if node in reachable]
         begins = self._duty.should_begin(now, ranked, reached)
-        if now >= self._probe_at and (begins or self.is_active):
-            self._start_probe(now)
+        if begins or self.is_active:
+            self._probe.start_if_due(now)
         if self.is_active and now - self._signed_at >= SIGN_SECONDS:
             self._send_sign()
 
@@ -173,35 +170,17 @@
             self._ranked = (revision, ranked)
         return ranked
 
-    def _start_probe(self, now: float) -> None:
-        self._probe_at = now + PROBE_SECONDS * random.uniform(
-            1 - PROBE_SPREAD, 1 + PROBE_SPREAD
-        )
-        if self._probe is None:
-            self._probe = self._tasks.start(self._run_probe())
-
-    async def _run_probe(self) -> None:
-        """Find by a cheap call whether the store answers this VM.
+    def _handle_probe(self, was_answered: bool) -> None:
+        """Begin to follow, follow anew or tell others, after a probe.
 
-        A VM begins to follow only then, so that an outage of the store doesn't
-        let all VMs call it at full price.
+        :param was_answered: whether the store answered the probe before.
         """
-        had_answer = self._answers
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                await self._store.list_kind(PROBE_KIND, stale=True)
-        except (StoreError, TimeoutError) as error:
-            self._answers = False
-            get_logger().info('store_silent', reason=repr(error))
-        else:
-            self._answers = True
-        finally:
-            self._probe = None
-        if self._answers and not self.is_active:
+        is_answered = self._probe.is_answered
+        if is_answered and not self.is_active:
             self._begin()
-        elif self._answers and not had_answer:
+        elif is_answered and not was_answered:
             self.restart()
-        elif had_answer and not self._answers and self.is_active:
+        elif was_answered and not is_answered and self.is_active:
             self._send_sign()
 
     def _begin(self) -> None:
--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -211,7 +211,7 @@
             self._publish_targets,
             directory.count_machines,
             first_start=first_start,
-            is_follower=self._is_following,
+            hears_follower=self._hears_follower,
         )
         self._unreadable = UnreadableLog('target')
 
@@ -276,8 +276,8 @@
                     )
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
-    def _is_following(self) -> bool:
-        return self.following is None or self.following.is_active
+    def _hears_follower(self) -> bool:
+        return self.following is not None and self.following.hears_follower
 
     async def _query_seed(
         self,
--- a/galenaswitch/gateway/tests/version_fakes.py
+++ b/galenaswitch/gateway/tests/version_fakes.py
@@ -149,8 +149,11 @@
 class Vm:
     """VM that lists targets and begins streams at those it may use."""
 
-    def __init__(self, store, *, first_start=False):
-        """Build a VM that lists no targets."""
+    def __init__(self, store, *, first_start=False, hears_follower=None):
+        """Build a VM that lists no targets.
+
+        :param hears_follower: tells whether another VM follows the store.
+        """
         self.tasks = StubTasks()
         self.store = VmStore(store)
         self.listed = ()
@@ -161,6 +164,7 @@
             self.apply,
             lambda: 0,
             first_start=first_start,
+            hears_follower=hears_follower,
         )
 
     def list_versions(self, *versions):
--- a/galenaswitch/gateway/version_records.py
+++ b/galenaswitch/gateway/version_records.py
@@ -67,7 +67,7 @@
         count_machines: Callable[[], int],
         *,
         first_start: bool,
-        is_follower: Callable[[], bool] | None = None,
+        hears_follower: Callable[[], bool] | None = None,
     ) -> None:
         """Build records that haven't been read yet.
 
@@ -75,8 +75,9 @@
         :param count_machines: returns the number of VMs of the deployment.
         :param first_start: whether the deployment starts for the first time,
             so that no stream began before this process.
-        :param is_follower: whether this VM follows the store. Other VMs leave
-            it to those that do to record a version, for a time.
+        :param hears_follower: whether another VM follows the store in place
+            of this one, which leaves it to that VM to record a version, for a
+            time.
         """
         self.follower = Follower(
             store,
@@ -84,7 +85,7 @@
             self._apply_records,
             find_watch_seconds=lambda: WATCH_SECONDS,
         )
-        self._is_follower = is_follower or _is_always_follower
+        self._hears_follower = hears_follower or _hears_none
         self._store = store
         self._tasks = tasks
         self._publish = publish
@@ -266,16 +267,16 @@
         }
 
     async def _wait_for_followers(self) -> None:
-        """Wait until the VMs that follow the store have recorded versions.
+        """Wait while a VM that follows the store may record the versions.
 
-        They write at different times, so that one VM writes and the others
-        read that.
+        All VMs that may write wait for different times, so that one writes and
+        the others read that.
         """
         longest_pause = PAUSE_SECONDS_PER_VM * self._count_machines()
         await asyncio.sleep(random.uniform(0, longest_pause))
         end = time.monotonic() + FOLLOWER_WRITE_SECONDS
         while (
-            self._missing and not self._is_follower() and time.monotonic() < end
+            self._missing and self._hears_follower() and time.monotonic() < end
         ):
             await asyncio.sleep(FIRST_RETRY_SECONDS)
 
@@ -389,6 +390,6 @@
         self._era = era
 
 
-def _is_always_follower() -> bool:
+def _hears_none() -> bool:
     """Stand for the duty of a VM that shares it with no other."""
-    return True
+    return False
