Tests: pauses and leaving notices, with prompts that reach each engine

test_pauses[chat-96] and test_leaving[chat-93] failed once each, since the target that pauses, or leaves, had got no request: the requests had seven prompts in all, which a hash assigns to three engines, so that by chance none of them came to one engine.

Forty prompts reach each engine; bounds and checks are as they were.

--- a/galenaswitch/platform/tests/test_leaving.py
+++ b/galenaswitch/platform/tests/test_leaving.py
@@ -74,6 +74,11 @@
     assert len(leaving.requests) == 1
 
 
+# Different prompts, which are assigned to engines by hash: so many that each of
+# three engines gets some.
+PROMPTS = 40
+
+
 # Guards against machines that reach a target after its notice passed them.
 @pytest.mark.timeout(90)
 @pytest.mark.parametrize(
@@ -90,11 +95,11 @@
     assert others
     leaving.says_leaving = True
     for number in range(40):
-        await driver.send(route, f'p{number % 7}')
+        await driver.send(route, f'p{number % PROMPTS}')
         await asyncio.sleep(0.02)
     since = driver.soak._now()
     for number in range(80):
-        await driver.send(route, f'p{number % 7}')
+        await driver.send(route, f'p{number % PROMPTS}')
         await asyncio.sleep(0.02)
     reached = [
         run
--- a/galenaswitch/platform/tests/test_pauses.py
+++ b/galenaswitch/platform/tests/test_pauses.py
@@ -132,6 +132,11 @@
     assert len(paused.requests) <= 1
 
 
+# Different prompts, which are assigned to engines by hash: so many that each of
+# three engines gets some.
+PROMPTS = 40
+
+
 # Guards against machines that reach a target which asked them for a pause.
 @pytest.mark.timeout(90)
 @pytest.mark.parametrize(
@@ -148,7 +153,7 @@
     statuses = []
     for number in range(150):
         machine = driver._turn % len(soak._machines)
-        sent = await driver.send(route, f'p{number % 7}')
+        sent = await driver.send(route, f'p{number % PROMPTS}')
         soak.records.sent.append(
             SentRequest(
                 sent.ident,
