Logs and metrics tell a cut answer from a refusal, and how old a change was

Fault: an answer that had begun and was reset wrote the same `request_ended` as a refusal; nothing told the age of the configuration in force, nor whether an answer had begun when its caller left, so the share of cut answers after a change couldn't be counted. Change: `Ending` (answered, refused, cut) from `refuse` and `find_ending`; a new module `outcomes` writes `request_ended`, `caller_left` and `request_cut_off` with `configuration_age`, and counts each once for the 4 s after a change and once for other times. Two tests of test_handling.py compare all counters, which are more now; they stay exact.

--- a/galenaswitch/gateway/answers.py
+++ b/galenaswitch/gateway/answers.py
@@ -1,5 +1,7 @@
 """Answers to callers: the checked answer of a target, or a refusal."""
 
+from enum import StrEnum
+
 from galenaswitch.connections.heads import (
     AnswerHead,
     filter_end_to_end_headers,
@@ -26,6 +28,17 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
+class Ending(StrEnum):
+    """What a caller got for its request.
+
+    An answer that is ``cut`` had begun, and its connection was reset.
+    """
+
+    answered = 'answered'
+    refused = 'refused'
+    cut = 'cut'
+
+
 def check_answer(
     request: CallerRequest, head: AnswerHead, wire: Wire
 ) -> AnswerFields:
@@ -128,21 +141,32 @@
     writer.finish()
 
 
+def find_ending(writer: AnswerWriter) -> Ending:
+    """Return how a request ends that is given up now."""
+    if writer.finished:
+        return Ending.answered
+    return Ending.cut if writer.started else Ending.refused
+
+
 def refuse(
     writer: AnswerWriter,
     wire: Wire,
     ident: str,
     error: RefusedError,
-) -> None:
+) -> Ending:
     """Send a refusal, or abort an answer that has already started.
 
     A complete answer stays, since its last bytes may not be sent yet.
+
+    :returns: what the caller gets.
     """
-    if writer.finished:
-        return
-    if writer.started:
+    ending = find_ending(writer)
+    if ending is Ending.cut:
         writer.abort()
-        return
-    head = wire.make_refusal(ident, error.response.status, error.retry_after)
-    writer.start(head, 0)
-    writer.finish()
+    elif ending is Ending.refused:
+        head = wire.make_refusal(
+            ident, error.response.status, error.retry_after
+        )
+        writer.start(head, 0)
+        writer.finish()
+    return ending
--- a/galenaswitch/gateway/handling.py
+++ b/galenaswitch/gateway/handling.py
@@ -12,9 +12,14 @@
 from galenaswitch.connections.errors import CallerGoneError
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.connections.requests import InboundRequest
-from galenaswitch.gateway.answers import refuse
+from galenaswitch.gateway.answers import find_ending, refuse
 from galenaswitch.gateway.calls import CallerRequest, Wire
 from galenaswitch.gateway.checks import check_request
+from galenaswitch.gateway.outcomes import (
+    MILLISECONDS,
+    EndedRequest,
+    OutcomeLog,
+)
 from galenaswitch.gateway.plain import PlainRunner
 from galenaswitch.gateway.routes import CallKind, RouteTable
 from galenaswitch.gateway.streams import StreamRunner
@@ -23,7 +28,6 @@
 from galenaswitch.operations.process import is_cancelled
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 
-MILLISECONDS = 1000
 # Longest expected duration of a request that may be repeated: this multiple of
 # its latency objective, plus these seconds of events for a stream. A VM that is
 # stopping accepts only requests that can end before the stop.
@@ -58,6 +62,7 @@
         self._plain = plain
         self._streams = streams
         self._metrics = metrics
+        self._outcomes = OutcomeLog(find_table, metrics)
         self._stop_deadline: float | None = None
         self._timeouts: set[asyncio.Timeout] = set()
 
@@ -87,8 +92,9 @@
             self._check_stop_deadline(caller_request)
         except RefusedError as error:
             ident = self._wire.read_request(request.head).ident
-            self._record_outcome(ident, '', table, request.received_at, error)
-            refuse(writer, self._wire, ident, error)
+            ending = refuse(writer, self._wire, ident, error)
+            ended = EndedRequest(ident, '', table.version, request.received_at)
+            self._outcomes.record_end(ended, ending, error)
             return
         await self._answer(caller_request, table, writer)
 
@@ -120,6 +126,12 @@
         writer: AnswerWriter,
     ) -> None:
         outcome: RefusedError | None = None
+        ended = EndedRequest(
+            caller_request.ident,
+            caller_request.route.name,
+            table.version,
+            caller_request.started,
+        )
         try:
             await self._run_until_end(caller_request, table, writer)
         except RefusedError as error:
@@ -129,19 +141,14 @@
         except (Exception, asyncio.CancelledError) as error:
             if isinstance(error, CallerGoneError) or is_cancelled():
                 event = 'request_cut_off' if self._is_over() else 'caller_left'
-                self._metrics.count(event)
-                get_logger().info(event, request=caller_request.ident)
+                self._outcomes.record_departure(event, ended, writer, error)
                 raise
             outcome = _make_internal_refusal(caller_request, error)
         if outcome:
-            refuse(writer, self._wire, caller_request.ident, outcome)
-        self._record_outcome(
-            caller_request.ident,
-            caller_request.route.name,
-            table,
-            caller_request.started,
-            outcome,
-        )
+            ending = refuse(writer, self._wire, caller_request.ident, outcome)
+        else:
+            ending = find_ending(writer)
+        self._outcomes.record_end(ended, ending, outcome)
         seconds = time.monotonic() - caller_request.started
         name = f'request.{caller_request.route.kind.value}'
         self._metrics.time(name, seconds * MILLISECONDS)
@@ -194,30 +201,6 @@
         else:
             await self._plain.run(caller_request, writer)
 
-    def _record_outcome(
-        self,
-        ident: str,
-        route: str,
-        table: RouteTable,
-        started: float,
-        outcome: RefusedError | None,
-    ) -> None:
-        seconds = time.monotonic() - started
-        name = outcome.reason.value if outcome else 'answered'
-        self._metrics.count(f'request.{name}')
-        self._metrics.time('request', seconds * MILLISECONDS)
-        get_logger().info(
-            'request_ended',
-            request=ident,
-            route=route,
-            outcome=name,
-            run=outcome.run.value if outcome else 'run',
-            detail=outcome.detail if outcome else '',
-            retry_after=outcome.retry_after if outcome else 0,
-            configuration=table.version,
-            seconds=round(seconds, 3),
-        )
-
 
 def _find_expected_end(caller_request: CallerRequest) -> float:
     """Return the monotonic time at which a request has ended by all odds.
--- a/galenaswitch/gateway/routes.py
+++ b/galenaswitch/gateway/routes.py
@@ -4,6 +4,7 @@
 makes a new table.
 """
 
+import math
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -165,6 +166,8 @@
     :param workspaces: workspaces by API key.
     :param checks_keys: whether requests need a known API key.
     :param limits: size and time limits of callers' requests.
+    :param applied_at: monotonic time in seconds at which the table came into
+        force on this VM, minus infinity if it never did.
     """
 
     version: int
@@ -173,6 +176,7 @@
     workspaces: dict[str, Workspace]
     checks_keys: bool
     limits: InboundLimits
+    applied_at: float = -math.inf
 
     @property
     def engine_services(self) -> set[str]:
--- a/galenaswitch/platform/tests/test_handling.py
+++ b/galenaswitch/platform/tests/test_handling.py
@@ -151,7 +151,7 @@
             InboundRequest(head, b'', time.monotonic(), True), writer
         )
     assert not writer.started
-    assert metrics.dump() == {'caller_left': 1}
+    assert metrics.dump() == {'caller_left': 1, 'caller_left.other_times': 1}
 
 
 async def wait_for_ever(request, writer):
@@ -234,7 +234,7 @@
     task.cancel()
     with pytest.raises(asyncio.CancelledError):
         await task
-    assert metrics.dump() == {event: 1}
+    assert metrics.dump() == {event: 1, f'{event}.other_times': 1}
 
 
 async def answer_and_fail(request, writer):
