Soak: targets that are silent while sound, and checks of cut answers

Cause looked for: a target that is silent for 0.8 to 2.5 s before the head, in the middle or before the end of an answer, and goes on, costs a caller its answer (docs/incidents/silent-targets.md).

Change: fake targets take silences in turn; spans tell when a target worked, who ended it; check_cut_answers, check_words and check_overlaps read them. The soak draws silences, a storm of changes and signals in series, apart from the other faults, so that the faults of a seed stay as they were. None of them is an excuse. Callers have 5 s (4 s before) and streams 5 s to the first event, so that the longest silence and 2 s of work fit in.

Known red until the streams, plain requests and batches are mended.

--- /dev/null
+++ b/galenaswitch/platform/soak/answers.py
@@ -0,0 +1,51 @@
+"""Answers of the fake targets."""
+
+from aiohttp import web
+
+from galenaswitch.platform.soak.silences import Silence
+
+MISDIRECTED = 421
+FREE_MEMORY_MB = 2.0
+NOT_RUN_HEADERS = {'X-Not-Executed': '1'}
+
+
+async def answer_report(request: web.Request) -> web.Response:
+    """Tell how much memory is free."""
+    return web.json_response({'free-mb': FREE_MEMORY_MB, 'waiting': 0})
+
+
+def check_instance(request: web.Request, name: str) -> web.Response | None:
+    """Reject a request that names another target than this one.
+
+    :param name: name of this target.
+    """
+    expected = request.headers.get('X-Expect-Instance', name)
+    if expected != name:
+        return web.Response(status=MISDIRECTED, headers=NOT_RUN_HEADERS)
+    return None
+
+
+def make_limit_header(rate: float) -> dict[str, str]:
+    """Return the header that names a limit in requests per second, if any."""
+    return {'Server-Limit': str(rate)} if rate else {}
+
+
+async def send_in_parts(
+    request: web.Request,
+    silence: Silence,
+    headers: dict[str, str],
+    body: bytes,
+) -> web.StreamResponse:
+    """Send an answer of known length with a silence."""
+    answer = web.StreamResponse(headers=headers)
+    answer.content_length = len(body)
+    await silence.keep('head')
+    await answer.prepare(request)
+    middle = len(body) // 2
+    await answer.write(body[:middle])
+    await silence.keep('middle')
+    await answer.write(body[middle:-1])
+    await silence.keep('end')
+    await answer.write(body[-1:])
+    await answer.write_eof()
+    return answer
--- a/galenaswitch/platform/soak/callers.py
+++ b/galenaswitch/platform/soak/callers.py
@@ -18,7 +18,7 @@
 
 API_KEY = 'key-of-the-lab'
 HOST = 'soak.example'
-DEADLINE_SECONDS = 4.0
+DEADLINE_SECONDS = 5.0
 # Mean pause between two requests of a caller.
 MEAN_PAUSE_SECONDS = 0.12
 # Requests that a caller sends before it opens a new connection.
--- a/galenaswitch/platform/soak/configuration.py
+++ b/galenaswitch/platform/soak/configuration.py
@@ -26,17 +26,35 @@
 REPEAT_SECONDS = 0.5
 
 
-def make_configuration(version: int, added: Sequence[str]) -> Document:
+# Changes of the limits that a storm of changes brings, one after another. No
+# change allows a caller less time than its deadline.
+STORM_INTERVAL_SECONDS = 0.2
+TIMEOUTS_MS = (5000, 5500, 6500)
+IDLE_TIMEOUTS_MS = (15000, 12000)
+STREAM_ATTEMPTS = (3, 2)
+# A stream may take four times as long until its first event.
+LATENCY_MS = 1250
+CONNECTIONS = (100, 90, 80)
+
+
+def make_configuration(
+    version: int, added: Sequence[str], variant: int = 0
+) -> Document:
     """Return a configuration document.
 
     :param added: names of additional routes to the plain service.
+    :param variant: number of the variant of timeouts, attempts and limits.
     """
+    timeout = TIMEOUTS_MS[variant % len(TIMEOUTS_MS)]
+    idle_timeout = IDLE_TIMEOUTS_MS[variant % len(IDLE_TIMEOUTS_MS)]
+    attempts = STREAM_ATTEMPTS[variant % len(STREAM_ATTEMPTS)]
+    connections = CONNECTIONS[variant % len(CONNECTIONS)]
     routes = [
         _make_route('plain', 'desk', 'idempotent', 2),
         _make_route('once', 'desk', 'non_idempotent', 1),
         _make_route('chat', 'llm', 'streaming', 1),
         {
-            **_make_route('notes', 'llm', 'streaming', 3),
+            **_make_route('notes', 'llm', 'streaming', attempts),
             'stream-resume': True,
             'stages': [
                 {'service': 'scan', 'after': [], 'bytes': 8000},
@@ -45,19 +63,21 @@
         },
     ]
     routes.extend(_make_route(name, 'desk', 'idempotent', 2) for name in added)
+    for route in routes:
+        route['timeout-ms'] = timeout
     return {
         'version': version,
         'routes': routes,
         'services': [
-            {'name': 'desk', 'max-connections': 100},
+            {'name': 'desk', 'max-connections': connections},
             {
                 'name': 'llm',
-                'max-connections': 100,
+                'max-connections': connections,
                 'engine': {'slots': 16, 'kv-capacity-tokens': 100_000},
             },
             {
                 'name': 'scan',
-                'max-connections': 100,
+                'max-connections': connections,
                 'pieces': {
                     'slots': 1,
                     'queue': 2,
@@ -69,7 +89,7 @@
                 },
             },
         ],
-        'limits': {'idle-timeout-ms': 15000},
+        'limits': {'idle-timeout-ms': idle_timeout},
         'tenants': [{'name': 'lab', 'api-keys': [API_KEY]}],
     }
 
@@ -85,8 +105,7 @@
         'host': HOST,
         'path-prefix': f'/{name}/',
         'kind': kind,
-        'timeout-ms': 4000,
-        'target-latency-ms': 800,
+        'target-latency-ms': LATENCY_MS,
         'priority': 1,
         'service': service,
         'max-attempts': attempts,
@@ -113,6 +132,7 @@
         self._records = records
         self._now = now
         self._added_routes: list[str] = []
+        self._variant = 0
         self._newest_served: dict[tuple[int, int], int] = {}
         self._write_configuration()
 
@@ -127,6 +147,14 @@
                 route_number = len(self._added_routes) - 1
                 group.create_task(self._check_route(route_number, self._now()))
 
+    async def change_often(self, seconds: float) -> None:
+        """Change timeouts, attempts and limits again and again."""
+        end = self._now() + seconds
+        while self._now() < end:
+            self._variant += 1
+            self._write_configuration()
+            await asyncio.sleep(STORM_INTERVAL_SECONDS)
+
     async def _repeat_after_restores(self) -> None:
         """Write the newest configuration again whenever the store lost it."""
         while True:
@@ -137,7 +165,9 @@
 
     def _write_configuration(self) -> None:
         document = make_configuration(
-            3 * len(self._added_routes) + 1, self._added_routes
+            3 * len(self._added_routes) + 1 + self._variant,
+            self._added_routes,
+            self._variant,
         )
         self._store.put('config', 'main', document)
 
--- a/galenaswitch/platform/soak/faults.py
+++ b/galenaswitch/platform/soak/faults.py
@@ -6,10 +6,12 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
+from galenaswitch.platform.soak.configuration import Operator
 from galenaswitch.platform.soak.machines import GRACE_SECONDS, Machine
 from galenaswitch.platform.soak.proxy import PROXY_MODES
 from galenaswitch.platform.soak.records import InjectedFault, Records
 from galenaswitch.platform.soak.runners import FakeTarget
+from galenaswitch.platform.soak.silences import ALL_SILENCES
 from galenaswitch.platform.soak.store import FakeStore
 
 # Bounds of the number of faults in a soak and of the duration of each.
@@ -28,6 +30,13 @@
 # Share of the soaks in which all machines are killed together once.
 HERD_KILL_SHARE = 0.3
 MAX_PAUSES = 3
+# Series of silent targets, changes of the configuration, and signals.
+MAX_SILENCES = 4
+SILENT_SERVICES = ('desk', 'scan', 'llm')
+SERIES_KINDS = ('term', 'hup')
+SERIES_INTERVAL_SECONDS = 0.7
+# Subject of faults that hit no single machine and no single target.
+NO_SUBJECT = -2
 TARGET_MODES = ('slow', 'errors', 'hang', 'cut')
 
 
@@ -53,11 +62,13 @@
     :param machines: machines under test.
     :param runners: fake targets.
     :param store: fake object store.
+    :param operator: changes the configuration.
     """
 
     machines: Sequence[Machine]
     runners: Sequence[FakeTarget]
     store: FakeStore
+    operator: Operator
 
 
 # Draws the index of the machine or target that a fault hits, -1 for the store,
@@ -87,7 +98,7 @@
     'leave': lambda rng, _, runners: (rng.randrange(runners), ''),
 }
 # Kinds of faults that are planned maintenance and must not interrupt requests.
-PLANNED_KINDS = frozenset(('term', 'hup', 'leave'))
+PLANNED_KINDS = frozenset(('term', 'hup', 'leave', 'silence', 'storm'))
 
 
 def draw_faults(
@@ -119,6 +130,8 @@
     faults.extend(_draw_restores(seed, seconds))
     faults.extend(_draw_herd_kill(seed, seconds))
     faults.extend(_draw_pauses(seed, seconds, runners))
+    faults.extend(_draw_silences(seed, seconds, runners))
+    faults.extend(_draw_series(seed, seconds, machines))
     return sorted(faults)
 
 
@@ -155,6 +168,39 @@
     return pauses
 
 
+def _draw_silences(seed: int, seconds: float, runners: int) -> list[Fault]:
+    """Return silences of single targets and of all targets of a service."""
+    rng = random.Random(f'silences/{seed}')
+    subjects = (*SILENT_SERVICES, *map(str, range(runners)))
+    silences = []
+    for _ in range(rng.randint(1, MAX_SILENCES)):
+        duration_seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        at = rng.uniform(0, seconds - duration_seconds)
+        silences.append(
+            Fault(
+                at,
+                'silence',
+                NO_SUBJECT,
+                duration_seconds,
+                rng.choice(subjects),
+            )
+        )
+    return silences
+
+
+def _draw_series(seed: int, seconds: float, machines: int) -> list[Fault]:
+    """Return a storm of changes, and signals to all machines in turn."""
+    rng = random.Random(f'series/{seed}')
+    at = rng.uniform(0, seconds - MAX_FAULT_SECONDS)
+    series = [Fault(at, 'storm', NO_SUBJECT, MAX_FAULT_SECONDS)]
+    kind = rng.choice(SERIES_KINDS)
+    at = rng.uniform(0, seconds - machines * SERIES_INTERVAL_SECONDS)
+    for number in range(machines):
+        later = at + number * SERIES_INTERVAL_SECONDS
+        series.append(Fault(later, kind, number, 0))
+    return series
+
+
 class FaultInjector:
     """Injector that starts each fault at its time and records it."""
 
@@ -186,6 +232,8 @@
             'crash': self._crash,
             'leave': self._leave,
             'pause': self._pause,
+            'silence': self._silence,
+            'storm': self._change_configuration,
         }
 
     async def run(self, faults: Sequence[Fault]) -> None:
@@ -280,3 +328,19 @@
         """Let a target refuse all requests and ask for none until it ends."""
         self._subjects.runners[fault.subject].pause(fault.seconds)
         await asyncio.sleep(fault.seconds)
+
+    async def _silence(self, fault: Fault) -> None:
+        """Let a target, or all of a service, be silent in their answers."""
+        silent = [
+            target
+            for target in self._subjects.runners
+            if fault.variant in {target.service, str(target.number)}
+        ]
+        for target in silent:
+            target.change_silences(ALL_SILENCES)
+        await asyncio.sleep(fault.seconds)
+        for target in silent:
+            target.change_silences(())
+
+    async def _change_configuration(self, fault: Fault) -> None:
+        await self._subjects.operator.change_often(fault.seconds)
--- a/galenaswitch/platform/soak/machines.py
+++ b/galenaswitch/platform/soak/machines.py
@@ -30,7 +30,7 @@
 bounds.drain-ms=2000
 bounds.grace-s={grace}
 bounds.config-apply-ms=2000
-bounds.retry-budget-ratio=0.2
+bounds.retry-budget-ratio={ratio}
 bounds.budget-window-s=10
 bounds.budget-slack={slack}
 platform.address={store}
@@ -44,6 +44,8 @@
     """Machine with its settings file, its process and its proxy to the store.
 
     :ivar start_count: number of times that the process has started.
+    :ivar retry_ratio: retries for each request that the settings allow.
+    :ivar retry_slack: retries that they allow in addition.
     """
 
     def __init__(
@@ -75,7 +77,8 @@
         self._now = now
         self._process: asyncio.subprocess.Process | None = None
         self._exit_expected = False
-        self._retry_slack = 50
+        self.retry_ratio = 0.2
+        self.retry_slack = 50
 
     @property
     def callers(self) -> str:
@@ -154,7 +157,7 @@
 
     def change_settings(self) -> None:
         """Change the settings file and send SIGHUP to the process."""
-        self._retry_slack += 1
+        self.retry_slack += 1
         self._write_settings()
         self.signal(signal.SIGHUP)
 
@@ -171,7 +174,8 @@
             seeds=self._seeds,
             store=self.store.address,
             grace=GRACE_SECONDS,
-            slack=self._retry_slack,
+            ratio=self.retry_ratio,
+            slack=self.retry_slack,
             first_start=str(not self.start_count).lower(),
         )
         new_file = self._settings.with_suffix('.new')
--- a/galenaswitch/platform/soak/promises.py
+++ b/galenaswitch/platform/soak/promises.py
@@ -19,12 +19,16 @@
     SentRequest,
     WorkItemRun,
 )
+from galenaswitch.platform.soak.soundness import (
+    NOT_RUN_STATUSES,
+    check_cut_answers,
+    check_overlaps,
+    check_words,
+)
 
 # Kinds of requests that must run at most once.
 NON_IDEMPOTENT_KINDS = frozenset(('once', 'chat'))
 STREAM_KINDS = frozenset(('chat', 'notes'))
-# Statuses of refusals, which state that a request has not run and never will.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Time by which the time left that a target receives may exceed the caller's
 # timeout.
 TIME_LEFT_MARGIN_SECONDS = 0.5
@@ -296,4 +300,7 @@
     check_planned_work,
     check_leaving,
     check_pauses,
+    check_cut_answers,
+    check_words,
+    check_overlaps,
 )
--- a/galenaswitch/platform/soak/records.py
+++ b/galenaswitch/platform/soak/records.py
@@ -70,6 +70,27 @@
     after: int
 
 
+class RunSpan(NamedTuple):
+    """Time for which a fake target worked on a request or a batch.
+
+    :param idents: ids of the callers' attempts.
+    :param target: name of the target.
+    :param service: name of its service.
+    :param started_at: seconds since the start of the soak.
+    :param silent_seconds: duration of the silence in the answer, 0 for none.
+    :param ended_at: seconds since the start of the soak, 0 while it lasts.
+    :param ending: ``complete``, ``closed`` by the sender, or ``failed``.
+    """
+
+    idents: tuple[str, ...]
+    target: str
+    service: str
+    started_at: float
+    silent_seconds: float
+    ended_at: float = 0
+    ending: str = ''
+
+
 class WorkItemRun(NamedTuple):
     """Work item that a fake target ran, or inputs that a fake engine read.
 
@@ -137,6 +158,8 @@
     :param arrivals: requests of callers that reached fake targets.
     :param machines_by_ident: number of the machine that each request was sent
         to, by attempt id.
+    :param spans: times for which fake targets worked, in the order of their
+        ends.
     """
 
     paths_by_ident: dict[str, str]
@@ -147,8 +170,9 @@
     violations: list[str]
     arrivals: list[Arrival]
     machines_by_ident: dict[str, int]
+    spans: list[RunSpan]
 
 
 def open_records() -> Records:
     """Return empty records of a new soak."""
-    return Records({}, [], [], [], [], [], [], {})
+    return Records({}, [], [], [], [], [], [], {}, [])
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -1,23 +1,38 @@
 """Fakes of the targets: plain services, stages and model engines."""
 
 import asyncio
+import itertools
+import json
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
 from functools import partial
 
 from aiohttp import web
 
+from galenaswitch.platform.soak.answers import (
+    NOT_RUN_HEADERS,
+    answer_report,
+    check_instance,
+    make_limit_header,
+    send_in_parts,
+)
 from galenaswitch.platform.soak.proxy import Proxy
 from galenaswitch.platform.soak.records import (
     Arrival,
     Records,
+    RunSpan,
     TargetRun,
     WorkItemRun,
 )
+from galenaswitch.platform.soak.silences import (
+    NO_SILENCE,
+    Silence,
+    record_span,
+)
 from galenaswitch.platform.soak.store import Document, FakeStore
 
-CONFLICT, MISDIRECTED, SERVER_ERROR, UNAVAILABLE = 409, 421, 500, 503
+CONFLICT, SERVER_ERROR, UNAVAILABLE = 409, 500, 503
 # Durations of a plain request, of a batch with its work items, and of the gap
 # between two events of a stream.
 PLAIN_REQUEST_SECONDS = 0.03
@@ -29,12 +44,10 @@
 # when its name or state changes.
 HEARTBEAT_SECONDS = 0.6
 HEARTBEATS_PER_WRITE = 5
-FREE_MEMORY_MB = 2.0
 # Time for which a target in the mode hang delays an answer.
 HANG_SECONDS = 30
 # Bytes of the last event that a stream sends before the mode cut aborts it.
 PARTIAL_EVENT_BYTES = 7
-NOT_RUN_HEADERS = {'X-Not-Executed': '1'}
 SLOW_FACTOR = 6.0
 # Time for which a target is down after a request has ended it.
 CRASH_SECONDS = 0.6
@@ -51,7 +64,8 @@
 
     :ivar mode: ``well`` injects no fault, ``slow`` delays all answers; in the
         other modes some requests fail: ``errors`` answers with status 500,
-        ``hang`` delays the answer, ``cut`` aborts the connection.
+        ``hang`` delays the answer, ``cut`` aborts the connection. In the mode
+        ``full`` it refuses all.
     :ivar state: state in the target's document, ``ready`` or ``draining``.
     :ivar name: name of the target, which changes with each restart.
     :ivar version: version of the target's software.
@@ -90,6 +104,7 @@
         self.rate_limit = 0.0
         self.says_leaving = False
         self._paused_until = 0.0
+        self._silences: Iterator[Silence] = iter(())
         self._crash: asyncio.Task[None] | None = None
         self.address = ('', 0)
         self.proxy = Proxy(lambda: self.address)
@@ -129,7 +144,7 @@
         app = web.Application()
         app.on_response_prepare.append(partial(_add_notice, self))
         app.router.add_get('/health', self._answer_health)
-        app.router.add_get('/api/report', self._answer_report)
+        app.router.add_get('/api/report', answer_report)
         app.router.add_post('/api/stage-run', self._handle_batch)
         app.router.add_post('/api/stage-free', self._release_results)
         app.router.add_route('*', '/{rest:.*}', self._handle_request)
@@ -151,6 +166,13 @@
         """Refuse all requests of callers for a time and ask for none."""
         self._paused_until = self._now() + seconds
 
+    def change_silences(self, silences: Sequence[Silence]) -> None:
+        """Be silent in the next answers, as each of the silences in turn.
+
+        :param silences: silences, none to end them.
+        """
+        self._silences = itertools.cycle(silences)
+
     async def register(self, store: FakeStore) -> None:
         """Keep the target's document in the store current until cancelled."""
         registered_name = ''
@@ -183,19 +205,9 @@
             'born': self._born,
         }
 
-    def _check_instance(self, request: web.Request) -> web.Response | None:
-        """Reject a request that names another target than this one."""
-        expected = request.headers.get('X-Expect-Instance', self.name)
-        if expected != self.name:
-            return web.Response(status=MISDIRECTED, headers=NOT_RUN_HEADERS)
-        return None
-
     async def _answer_health(self, request: web.Request) -> web.Response:
         return web.Response(headers={'X-Instance-Id': self.name})
 
-    async def _answer_report(self, request: web.Request) -> web.Response:
-        return web.json_response({'free-mb': FREE_MEMORY_MB, 'waiting': 0})
-
     def _should_fail(self) -> bool:
         self._request_count += 1
         return (
@@ -203,7 +215,7 @@
         )
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
-        rejection = self._check_instance(request)
+        rejection = check_instance(request, self.name)
         if rejection:
             return rejection
         ident = request.headers.get('X-Attempt-Id', '')
@@ -211,9 +223,10 @@
         self._records.arrivals.append(
             Arrival(ident, self.name, self._now(), pause)
         )
-        if pause:
+        if pause or self.mode == 'full':
             headers = {**NOT_RUN_HEADERS, 'X-Attempt-Id': ident}
-            headers['Retry-After'] = f'{pause:.2f}'
+            if pause:
+                headers['Retry-After'] = f'{pause:.2f}'
             return web.Response(status=UNAVAILABLE, headers=headers)
         body = (await request.read()).decode()
         inputs = request.headers.get('X-Inputs', '')
@@ -233,10 +246,25 @@
                 after,
             ),
         )
+        silence, span = self._begin_answer((ident,))
+        with record_span(self._records, span, self._now):
+            return await self._run(request, body, silence)
+
+    def _begin_answer(self, idents: tuple[str, ...]) -> tuple[Silence, RunSpan]:
+        silence = next(self._silences, NO_SILENCE)
+        return silence, RunSpan(
+            idents, self.name, self.service, self._now(), silence.seconds
+        )
+
+    async def _run(
+        self, request: web.Request, body: str, silence: Silence
+    ) -> web.StreamResponse:
+        """Run a request and send its answer."""
+        ident = request.headers.get('X-Attempt-Id', '')
         headers = {
             'X-Attempt-Id': ident,
             'X-Server-Seal': f'{self.name}.1',
-            **_make_limit_header(self.rate_limit),
+            **make_limit_header(self.rate_limit),
         }
         should_fail = self._should_fail()
         if should_fail and self.mode == 'errors':
@@ -245,19 +273,18 @@
             )
         if should_fail and self.mode == 'hang':
             await asyncio.sleep(HANG_SECONDS)
-        if self._is_harmful(request, body):
+        if _is_harmful(self, request, body):
             await asyncio.sleep(EVENT_GAP_SECONDS)
             # The crash cancels this handler, so it runs in a task of its own.
             self._crash = asyncio.create_task(self.crash(CRASH_SECONDS))
             await asyncio.shield(self._crash)
         if self.service == 'llm':
-            return await self._stream(
-                request, headers, ident, after, should_fail
-            )
+            return await self._stream(request, headers, silence, should_fail)
         await asyncio.sleep(self._scale_seconds(PLAIN_REQUEST_SECONDS))
         if should_fail and self.mode == 'cut' and request.transport:
             request.transport.abort()
-        return web.Response(headers=headers, text=f'{ident} {body}')
+        text = f'{ident} {body}'
+        return await send_in_parts(request, silence, headers, text.encode())
 
     def _scale_seconds(self, seconds: float) -> float:
         factor = SLOW_FACTOR if self.mode == 'slow' else 1
@@ -267,18 +294,22 @@
         self,
         request: web.Request,
         headers: dict[str, str],
-        ident: str,
-        after: int,
+        silence: Silence,
         should_fail: bool,
     ) -> web.StreamResponse:
         """Send a stream with the number of events that the path names."""
+        ident = headers['X-Attempt-Id']
+        after = int(request.headers.get('Last-Event-Id', '0'))
         count = int(request.path.rstrip('/').rpartition('/')[2])
         version = self.version
         answer = web.StreamResponse(headers=headers)
         answer.content_type = 'text/event-stream'
+        await silence.keep('head')
         await answer.prepare(request)
         for number in range(after + 1, count + 1):
             await asyncio.sleep(self._scale_seconds(EVENT_GAP_SECONDS))
+            if number == (after + count) // 2 + 1:
+                await silence.keep('middle')
             event = f'id: {number}\ndata: {ident}.{version}\n\n'.encode()
             if should_fail and self.mode == 'cut' and number == count:
                 await answer.write(event[:PARTIAL_EVENT_BYTES])
@@ -286,15 +317,10 @@
                     request.transport.abort()
                 return answer
             await answer.write(event)
+        await silence.keep('end')
         await answer.write_eof()
         return answer
 
-    def _is_harmful(self, request: web.Request, body: str) -> bool:
-        prompt = request.headers.get('X-Prompt-Prefix', '')
-        return (self.harmful_body != '' and body == self.harmful_body) or (
-            self.harmful_part != '' and f'{self.harmful_part}:' in prompt
-        )
-
     def _has_lost_inputs(self, ident: str, field: str) -> bool:
         """Tell whether inputs are lost; if not, record which were read."""
         handles = [handle for handle in field.split(',') if handle]
@@ -308,22 +334,29 @@
             self._records.work_item_runs.append(engine_run)
         return len(found) < len(handles)
 
-    async def _handle_batch(self, request: web.Request) -> web.Response:
-        rejection = self._check_instance(request)
+    async def _handle_batch(self, request: web.Request) -> web.StreamResponse:
+        rejection = check_instance(request, self.name)
         if rejection:
             return rejection
         items = (await request.json())['items']
         if self._should_fail() and self.mode == 'errors':
             return web.Response(status=SERVER_ERROR)
-        async with self._batch_lock:
-            seconds = BATCH_OVERHEAD_SECONDS + WORK_ITEM_SECONDS * len(items)
-            await asyncio.sleep(self._scale_seconds(seconds))
-            outcomes = [self._run_work_item(item) for item in items]
+        idents = tuple(item['id'] for item in items)
+        silence, span = self._begin_answer(idents)
         headers = {
             'X-Server-Load': '1,0,1',
-            **_make_limit_header(self.rate_limit),
+            'Content-Type': 'application/json',
+            **make_limit_header(self.rate_limit),
         }
-        return web.json_response({'items': outcomes}, headers=headers)
+        with record_span(self._records, span, self._now):
+            async with self._batch_lock:
+                seconds = BATCH_OVERHEAD_SECONDS + WORK_ITEM_SECONDS * len(
+                    items
+                )
+                await asyncio.sleep(self._scale_seconds(seconds))
+                outcomes = [self._run_work_item(item) for item in items]
+            body = json.dumps({'items': outcomes}).encode()
+            return await send_in_parts(request, silence, headers, body)
 
     def _run_work_item(self, item: Document) -> Document:
         inputs = item.get('inputs', ())
@@ -344,7 +377,7 @@
         return {'handle': handle}
 
     async def _release_results(self, request: web.Request) -> web.Response:
-        rejection = self._check_instance(request)
+        rejection = check_instance(request, self.name)
         if rejection:
             return rejection
         for handle in (await request.json())['handles']:
@@ -360,5 +393,8 @@
         answer.headers['Server-Leaving'] = '1'
 
 
-def _make_limit_header(rate: float) -> dict[str, str]:
-    return {'Server-Limit': str(rate)} if rate else {}
+def _is_harmful(target: FakeTarget, request: web.Request, body: str) -> bool:
+    prompt = request.headers.get('X-Prompt-Prefix', '')
+    return (target.harmful_body != '' and body == target.harmful_body) or (
+        target.harmful_part != '' and f'{target.harmful_part}:' in prompt
+    )
--- a/galenaswitch/platform/soak/soak.py
+++ b/galenaswitch/platform/soak/soak.py
@@ -46,6 +46,7 @@
     :param machines: number of machines under test.
     :param callers: number of callers that send requests during the soak.
     :param seconds: span in which all faults start and end.
+    :param services: service of each target.
     """
 
     seed: int
@@ -53,6 +54,7 @@
     machines: int = 4
     callers: int = 16
     seconds: float = 9.0
+    services: tuple[str, ...] = TARGET_SERVICES
 
 
 class Verdict(NamedTuple):
@@ -102,7 +104,7 @@
                 handles,
                 self._now,
             )
-            for number, service in enumerate(TARGET_SERVICES)
+            for number, service in enumerate(plan.services)
         ]
         addresses = [
             f'127.{plan.network}.{1 + number % len(ZONES)}.{1 + number}'
@@ -124,6 +126,12 @@
         self._balancer = Balancer(
             [machine.readiness for machine in self._machines]
         )
+        self._operator = Operator(
+            self._store,
+            self._machines,
+            self.records,
+            self._now,
+        )
 
     async def open(self) -> None:
         """Start the fakes and the machines, and wait until all are ready.
@@ -142,12 +150,6 @@
         for target in self._targets:
             self._servers.append(await target.start(host))
             self._start_task(target.register(self._store))
-        operator = Operator(
-            self._store,
-            self._machines,
-            self.records,
-            self._now,
-        )
         for machine in self._machines:
             await machine.start_store_proxy(
                 (store_address[0], store_address[1])
@@ -157,7 +159,7 @@
         async with asyncio.timeout(STARTUP_TIMEOUT_SECONDS):
             while not self._balancer.all_ready():
                 await asyncio.sleep(0.1)
-        self._start_task(operator.run())
+        self._start_task(self._operator.run())
 
     async def run(self) -> float:
         """Send requests while faults are injected, and after the recovery.
@@ -177,7 +179,9 @@
                 random.Random(rng.random()),
             )
             self._start_task(caller.run())
-        subjects = FaultSubjects(self._machines, self._targets, self._store)
+        subjects = FaultSubjects(
+            self._machines, self._targets, self._store, self._operator
+        )
         faults = draw_faults(
             plan.seed,
             plan.seconds,
