Streams: a silent attempt stays until its successor has the request

Fault: an attempt of a resumable stream was closed after 1.2 s of silence, before the retry budget, a placement or another engine was known to be had. A refusal of any of them left the caller with part of an answer and a reset.

Cause: streams.py turned silence into TargetLateError, the end of the attempt.

Change: handover.py prepares the successor beside the silent attempt; the first of both to go on wins. Each placement has an id of its own (the first one that of the request, as before); an end without a target tells nothing of the engine, and ends a wait too. Silences while an engine is ejected don't lengthen its pause.

--- a/galenaswitch/gateway/continuation.py
+++ b/galenaswitch/gateway/continuation.py
@@ -130,8 +130,12 @@
             )
 
     def restart(self, job: StreamJob) -> None:
-        """Prepare a job for another target, which may send the rest."""
+        """Let another target go on with a job, which sends the rest."""
         job.events.restart()
+        self.prepare_rest(job)
+
+    def prepare_rest(self, job: StreamJob) -> None:
+        """Prepare a job for another target while the stream may still go on."""
         if job.has_first_event:
             job.request = _expedite(job.request)
 
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -10,12 +10,15 @@
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
+from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import AnswerWriter
+from galenaswitch.errors import GalenaError, TargetError
 from galenaswitch.gateway.calls import CallerRequest
 from galenaswitch.gateway.events import EventBuffer
 from galenaswitch.gateway.messages import PlaceQuestion, TargetLimit
 from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.routes import RouteTable
+from galenaswitch.gateway.sending import Attempt
 from galenaswitch.gateway.stages import StageJob, StageResults
 from galenaswitch.membership.lists import Target
 from galenaswitch.quarantine.containment import Containment
@@ -28,20 +31,96 @@
 
 
 class PlacementRecord(NamedTuple):
-    """Placement query of one attempt.
+    """Placement of one attempt.
 
+    :param ident: id of the placement; each one of a request has its own.
     :param owner: VM that answered the query.
+    :param target: engine of the placement.
     :param requested_at: monotonic time of the query in seconds.
     """
 
+    ident: str
     owner: str
+    target: Target
     requested_at: float
 
 
+class StageInputs:
+    """Results of one run of a request's stages.
+
+    :ivar made: the results, none until the stages have run.
+    """
+
+    def __init__(self, stages: StageJob) -> None:
+        """Build the inputs that ``stages`` will make."""
+        self.made = StageResults((), {})
+        self._stages = stages
+
+    @property
+    def released(self) -> bool:
+        """Whether results were released."""
+        return self._stages.released
+
+    def release(self) -> None:
+        """Release the results."""
+        self._stages.release()
+
+    def close(self) -> None:
+        """Cancel unfinished stages and release results of finished stages."""
+        self._stages.cancel()
+        self._stages.release()
+
+
+class EngineRun:
+    """One attempt of a stream at an engine.
+
+    :ivar resources: what the attempt holds: its placement and, once the
+        request was sent, its connection. Leaving them ends the attempt.
+    :ivar attempt: the request in flight, ``None`` before it is sent.
+    :ivar answer: head of the answer, ``None`` before it has arrived.
+    :ivar screening: screening as of the send, ``None`` before it and once a
+        failure was examined.
+    :ivar is_silent: whether nothing has come from the engine, or nothing after
+        a silence.
+    """
+
+    def __init__(self, placement: PlacementRecord, inputs: StageInputs) -> None:
+        """Build an attempt that reads ``inputs`` and isn't sent yet."""
+        self.placement = placement
+        self.inputs = inputs
+        self.resources = contextlib.AsyncExitStack()
+        self.attempt: Attempt | None = None
+        self.answer: AnswerHead | None = None
+        self.screening: Screening | None = None
+        self.is_silent = False
+
+    @property
+    def target(self) -> Target:
+        """Engine of the attempt."""
+        return self.placement.target
+
+
+class HandedOverError(GalenaError):
+    """Another attempt has a request now."""
+
+    def __init__(
+        self, successor: EngineRun, failure: TargetError | None
+    ) -> None:
+        """Build the error from the attempt that has the request.
+
+        :param failure: failure of the attempt before, ``None`` if it was only
+            silent.
+        """
+        super().__init__(f'handed over to {successor.target.name}')
+        self.successor = successor
+        self.failure = failure
+
+
 class StreamJob:
     """State of one request for a generated answer.
 
-    :ivar placement: placement query of the last attempt.
+    :ivar inputs: results of the stages, ``None`` before they run.
+    :ivar has_retry: whether a retry was acquired that isn't sent yet.
     :ivar version: software version that began the stream, ``None`` before the
         first event of a new stream.
     """
@@ -62,15 +141,15 @@
         """
         self.table = table
         self.writer = writer
-        self.stages: StageJob | None = None
+        self.inputs: StageInputs | None = None
         self.stage_runs = 0
-        self.inputs = StageResults((), {})
         self.events = EventBuffer(request.fields.last_event)
         self.tried_targets: list[Target] = []
         self.sent = 0
-        self.placement = PlacementRecord('', 0)
+        self.has_retry = False
         self.has_first_event = False
         self.version = version
+        self._placements = 0
         self.screening = Screening(
             containment,
             request.ident,
@@ -114,22 +193,37 @@
             return left
         return min(left, self.request.objective_deadline - now)
 
+    def name_placement(self) -> str:
+        """Return an id for the next placement of the request.
+
+        An engine's owner may hold two placements of one request.
+        """
+        self._placements += 1
+        if self._placements == 1:
+            return self.request.ident
+        return f'{self.request.ident}#{self._placements}'
+
+    def use_inputs(self, inputs: StageInputs) -> None:
+        """Replace the results of the stages, which are released."""
+        if inputs is not self.inputs:
+            self.close_stages()
+        self.inputs = inputs
+
     @property
     def released(self) -> bool:
         """Whether results of the stages were released."""
-        return self.stages is not None and self.stages.released
+        return self.inputs is not None and self.inputs.released
 
     def release(self) -> None:
         """Release the results of the stages."""
-        if self.stages:
-            self.stages.release()
+        if self.inputs:
+            self.inputs.release()
 
     def close_stages(self) -> None:
         """Cancel unfinished stages and release results of finished stages."""
-        if self.stages:
-            self.stages.cancel()
-            self.stages.release()
-        self.stages = None
+        if self.inputs:
+            self.inputs.close()
+        self.inputs = None
 
 
 async def wait_for_engine(
@@ -153,6 +247,8 @@
 
 def make_placement_query(
     job: StreamJob,
+    ident: str,
+    inputs: StageInputs,
     zone: str,
     now: float,
     limits: tuple[TargetLimit, ...],
@@ -160,6 +256,8 @@
 ) -> PlaceQuestion:
     """Return the query for the engine that should run a request.
 
+    :param ident: id of the placement.
+    :param inputs: results of the stages, which the engine will read.
     :param zone: zone of this VM, which sends the request.
     :param now: monotonic time in seconds.
     :param limits: limits of engines that this VM knows of.
@@ -168,12 +266,12 @@
     request = job.request
     return PlaceQuestion(
         request.service,
-        request.ident,
+        ident,
         request.fields.prompt_parts,
         request.fields.prompt_tokens,
         request.fields.answer_tokens,
         zone,
-        job.inputs.zone_bytes,
+        inputs.made.zone_bytes,
         tuple(target.name for target in job.tried_targets),
         request.priority,
         request.objective_deadline - now,
@@ -181,22 +279,23 @@
         limits,
         job.version,
         closed,
+        request.ident,
     )
 
 
 @contextlib.contextmanager
-def release_early(job: StreamJob) -> Iterator[None]:
+def release_early(inputs: StageInputs) -> Iterator[None]:
     """Release stage results once an engine has read them.
 
     This happens only when their producers have memory pressure. Otherwise the
     results are kept until the first event, so that an engine that fails
     earlier can be replaced without a rerun of the stages.
     """
-    if not job.inputs.memory_pressure:
+    if not inputs.made.memory_pressure:
         yield
         return
     loop = asyncio.get_running_loop()
-    release_timer = loop.call_later(INPUT_READ_SECONDS, job.release)
+    release_timer = loop.call_later(INPUT_READ_SECONDS, inputs.release)
     try:
         yield
     finally:
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -98,6 +98,7 @@
 class PlaceQuestion(NamedTuple):
     """Query for the engine that should run a request.
 
+    :param ident: id of the placement.
     :param zone: zone of the VM that sends the request to the engine.
     :param result_bytes: bytes of stage results in each zone.
     :param avoided: names of the targets that were tried already.
@@ -108,6 +109,8 @@
     :param version: software version that the engine must have, ``None`` for
         any.
     :param closed: incarnations that take no request of the asking VM now.
+    :param request: id of the caller's attempt, empty if that is the
+        placement's id.
     """
 
     service: str
@@ -124,6 +127,7 @@
     limits: tuple[TargetLimit, ...] = ()
     version: str | None = None
     closed: tuple[str, ...] = ()
+    request: str = ''
 
 
 class PlaceReply(NamedTuple):
@@ -138,19 +142,26 @@
 
 
 class PlaceEnd(NamedTuple):
-    """Notifies the owner that a request on an engine has ended.
+    """Notifies the owner that a placement, or the wait for it, has ended.
 
+    :param ident: id of the placement.
+    :param target: engine that the outcome tells of, empty if it tells nothing.
     :param failed: whether the engine failed the request.
+    :param silent: whether it failed only by its silence.
     """
 
     service: str
     ident: str
     target: str
     failed: bool
+    silent: bool = False
 
 
 class PlaceFirst(NamedTuple):
-    """Notifies the owner that an engine has begun to answer a request."""
+    """Notifies the owner that an engine has begun to answer a request.
+
+    :param ident: id of the placement.
+    """
 
     service: str
     ident: str
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -105,7 +105,8 @@
         self._expires_at[query.ident] = now + query.left
         get_logger().info(
             'place_given',
-            request=query.ident,
+            request=query.request or query.ident,
+            placement=query.ident,
             target=placement.target.name,
             new_tokens=placement.new_tokens,
             first=round(placement.first_event_seconds, 3),
@@ -118,16 +119,14 @@
         self._placements.record_first_event(message.ident, time.monotonic())
 
     def record_end(self, message: PlaceEnd) -> None:
-        """Release the placement of a request that ended.
+        """Release the placement of an attempt that ended, or end its wait.
 
         The outcome counts as a success or failure of the engine.
         """
+        self._waiting.pop(message.ident, None)
         self._expires_at.pop(message.ident, None)
         self._placements.record_end(message.ident)
-        if message.failed:
-            self._ejector.record_failure(message.target, time.monotonic())
-        else:
-            self._ejector.record_success(message.target)
+        self._record_outcome(message)
         self._notify_waiting()
 
     def dump(self) -> dict[str, object]:
@@ -138,6 +137,22 @@
             'ejected': self._ejector.dump(),
         }
 
+    def _record_outcome(self, message: PlaceEnd) -> None:
+        """Record an attempt as a success or failure of its engine.
+
+        All streams of an engine that pauses are silent at once. They count
+        together as one reason to eject it, not as many.
+        """
+        now = time.monotonic()
+        if not message.target:
+            return
+        if not message.failed:
+            self._ejector.record_success(message.target)
+        elif not (
+            message.silent and self._ejector.is_ejected(message.target, now)
+        ):
+            self._ejector.record_failure(message.target, now)
+
     async def _wait_for_engine(
         self, query: PlaceQuestion, asked_at: float
     ) -> tuple[Placement | None, float]:
@@ -147,7 +162,7 @@
             seconds after which a retry may succeed.
         """
         wait_deadline = asked_at + query.left - MIN_RUN_SECONDS
-        while True:
+        while query.ident in self._waiting:
             placement = self._try_place(query)
             now = time.monotonic()
             excess = self._find_excess_wait(query, asked_at, now)
@@ -159,6 +174,7 @@
                     min(RECHECK_SECONDS, wait_deadline - now)
                 ):
                     await self._changed.wait()
+        return None, 0
 
     def _try_place(self, query: PlaceQuestion) -> Placement | None:
         limits = self._find_limits(self._service)
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import AnswerWriter
@@ -28,13 +29,13 @@
 )
 from galenaswitch.gateway.calls import CallerRequest, Wire
 from galenaswitch.gateway.continuation import ContinuationPolicy
-from galenaswitch.gateway.failures import LOST, may_have_crashed
+from galenaswitch.gateway.dispatch import MAX_ATTEMPTS, StreamDispatcher
+from galenaswitch.gateway.handover import Handover
 from galenaswitch.gateway.jobs import (
-    PlacementRecord,
+    EngineRun,
+    HandedOverError,
     StreamJob,
-    make_placement_query,
     release_early,
-    wait_for_engine,
 )
 from galenaswitch.gateway.messages import (
     PlaceEnd,
@@ -42,7 +43,6 @@
     PlaceQuestion,
     PlaceReply,
 )
-from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.gateway.owners import OwnerRouter
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.routes import RouteTable
@@ -55,20 +55,6 @@
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.refusals import Reason, RefusedError, find_timeout_reason
 
-# Longest idle time in seconds of a connection that is reused for a request to
-# an engine.
-MAX_IDLE_SECONDS = 3.0
-# Most engines that one request is placed on, counting those that refuse it.
-MAX_ATTEMPTS = 4
-# Most runs of the stages of one request, counting the first run.
-MAX_STAGE_RUNS = 2
-# A resumable stream moves to another engine after this many seconds without
-# data. Callers disconnect after two seconds without an event.
-RESUME_TIMEOUT_SECONDS = 1.2
-# A placement query times out this many seconds after the time left for the
-# placement is over.
-REPLY_SLACK_SECONDS = 0.1
-
 
 class StreamRunner:
     """Runs requests for generated answers and forwards the events."""
@@ -92,13 +78,19 @@
         """
         self._continuations = continuations
         self._containment = containment
-        self._members = continuations.members
-        self._sender = sender
         self._wire = wire
         self._budgets = budgets
-        self._owner_router = owner_router
         self._stages = stages
-        self._find_scheduler = find_scheduler
+        self._dispatcher = StreamDispatcher(
+            sender,
+            wire,
+            budgets,
+            owner_router,
+            stages,
+            find_scheduler,
+            continuations,
+        )
+        self._handover = Handover(self._dispatcher)
 
     async def run(
         self,
@@ -128,124 +120,72 @@
 
     async def place_locally(self, query: PlaceQuestion) -> PlaceReply:
         """Place a request with this VM's own scheduler."""
-        return await self._find_scheduler(query.service).place(query)
+        return await self._dispatcher.place_locally(query)
 
     def receive_first_event(self, message: PlaceFirst) -> None:
         """Record the first event of a request that this VM placed."""
-        self._find_scheduler(message.service).record_first_event(message)
+        self._dispatcher.receive_first_event(message)
 
     def receive_end(self, message: PlaceEnd) -> None:
         """Record the end of a request that this VM placed."""
-        self._find_scheduler(message.service).record_end(message)
+        self._dispatcher.receive_end(message)
 
     async def _generate(self, job: StreamJob) -> None:
         await job.screening.admit()
+        run = await self._begin(job)
         while True:
-            self._continuations.check(job)
-            if job.stages is None:
-                await self._run_stages(job)
-            target = await self._request_placement(job)
-            failed = False
             try:
-                await self._attempt(job, target)
+                async with run.resources:
+                    await self._relay(job, run)
+            except HandedOverError as handed_over:
+                self._dispatcher.uncount(job, run.target, handed_over.failure)
+                run = handed_over.successor
+                self._continuations.restart(job)
+                job.use_inputs(run.inputs)
             except TargetError as error:
-                failed = not isinstance(
-                    error, (TargetBusyError, TargetClosedError)
-                )
-                await self._examine_failure(job, target, error)
-                self._check_retry(job, target, error)
+                await self._dispatcher.examine_failure(job, run, error)
+                self._check_retry(job, run.target, error)
+                run = await self._begin(job)
             else:
                 return
-            finally:
-                self._end_placement(job, target, failed=failed)
 
-    async def _run_stages(self, job: StreamJob) -> None:
-        """Run the stages, and run them again when their results are lost."""
-        while True:
-            job.stage_runs += 1
-            job.stages = self._stages.open_job(
-                job.request,
-                job.table,
-                job.event_deadline,
-                is_rerun=job.stage_runs > 1,
-            )
-            try:
-                job.inputs = await job.stages.run()
-            except RefusedError as error:
-                if error.detail != LOST or job.stage_runs >= MAX_STAGE_RUNS:
-                    raise
-                get_logger().info('stages_lost', request=job.request.ident)
-                job.close_stages()
-            else:
-                return
-
-    async def _request_placement(self, job: StreamJob) -> Target:
+    async def _begin(self, job: StreamJob) -> EngineRun:
+        """Run the stages unless that is done, and get a placement."""
         self._continuations.check(job)
-        request = job.request
-        now = time.monotonic()
-        seconds_left = job.event_deadline - now
-        if seconds_left <= 0:
-            raise RefusedError(find_timeout_reason(job.run), job.run)
-        usable = self._members.usable(request.service)
-        await wait_for_engine(job, usable, self._sender.notices)
-        now = time.monotonic()
-        query = make_placement_query(
-            job,
-            self._stages.zone,
-            now,
-            self._sender.turns.find_limits(usable),
-            self._sender.notices.find_closed(request.service),
-        )
-        owner, reply = await self._owner_router.query(
-            request.service,
-            query,
-            seconds_left + REPLY_SLACK_SECONDS,
-            self.place_locally,
-        )
-        job.placement = PlacementRecord(owner, now)
-        for target in self._members.usable(request.service):
-            if target.name != reply.target:
-                continue
-            if self._continuations.fits(job, target):
-                return target
-            # The owner knows another version of the target, or none.
-            self._end_placement(job, target, failed=False)
-        raise RefusedError(
-            Reason.stage_failed if job.sent else Reason.capacity,
-            job.run,
-            'no engine has free capacity',
-            reply.retry_after,
-        )
+        if job.inputs is None:
+            job.inputs = await self._dispatcher.run_stages(job)
+        return await self._dispatcher.place(job, job.inputs)
 
-    async def _attempt(self, job: StreamJob, target: Target) -> None:
-        job.screening.start_send(job.run)
-        job.tried_targets.append(target)
-        head = self._wire.make_request(
-            job.request,
-            target,
-            job.left,
-            job.inputs.handles,
-            job.events.last_id,
-        )
-        async with self._sender.send(
-            target,
-            head,
-            job.request.body,
-            MAX_IDLE_SECONDS,
-        ) as attempt:
-            job.sent += 1
-            with release_early(job):
-                await self._relay_answer(job, attempt)
+    async def _relay(self, job: StreamJob, run: EngineRun) -> None:
+        if run.attempt is None:
+            await self._dispatcher.send(job, run)
+        if run.attempt:
+            with release_early(run.inputs):
+                await self._relay_answer(job, run, run.attempt)
+
+    async def _relay_answer(
+        self, job: StreamJob, run: EngineRun, attempt: Attempt
+    ) -> None:
+        answer = run.answer
+        if answer is None:
+            answer = await self._handover.read(
+                job, run, partial(self._read_head, job, attempt)
+            )
+        fields = self._wire.read_answer(job.request, answer)
+        if job.writer.started or is_success(fields):
+            await self._relay_events(job, run, attempt, answer)
+        else:
+            await self._relay_failure(job, attempt, answer)
 
-    async def _relay_answer(self, job: StreamJob, attempt: Attempt) -> None:
-        answer = await attempt.read_head(self._find_read_timeout(job))
-        fields = check_answer(job.request, answer, self._wire)
+    async def _read_head(
+        self, job: StreamJob, attempt: Attempt, seconds: float
+    ) -> AnswerHead:
+        """Return the head of an answer that may be forwarded."""
+        answer = await attempt.read_head(seconds)
+        check_answer(job.request, answer, self._wire)
         if job.writer.started:
             check_continuation(answer)
-        elif not is_success(fields):
-            await self._relay_failure(job, attempt, answer)
-            return
-        await self._relay_events(job, attempt, answer)
+        return answer
 
     async def _relay_failure(
         self,
@@ -260,39 +200,27 @@
     async def _relay_events(
         self,
         job: StreamJob,
+        run: EngineRun,
         attempt: Attempt,
         answer: AnswerHead,
     ) -> None:
-        while chunk := await attempt.read(self._find_read_timeout(job)):
+        while chunk := await self._handover.read(job, run, attempt.read):
             complete_events = job.events.feed(chunk)
             if job.events.is_oversized:
                 raise TargetBrokenError('an event is larger than the limit')
             if complete_events:
-                self._record_first_event(job)
+                self._record_first_event(job, run)
                 await send_events(job.writer, answer, complete_events)
             if job.events.is_broken:
                 raise TargetBrokenError('bytes that are no event of the stream')
         check_end(job.events, answer)
         finish_events(job.writer, answer)
 
-    def _find_read_timeout(self, job: StreamJob) -> float:
-        """Return the seconds after which a read from an engine times out.
-
-        An attempt that no other engine can resume may use all the time left.
-        """
-        if (
-            job.request.route.resumable
-            and job.sent < job.request.route.attempts
-            and self._continuations.has_other_target(job)
-        ):
-            return min(RESUME_TIMEOUT_SECONDS, job.left)
-        return job.left
-
-    def _record_first_event(self, job: StreamJob) -> None:
+    def _record_first_event(self, job: StreamJob, run: EngineRun) -> None:
         if job.has_first_event:
             return
         job.has_first_event = True
-        target = job.tried_targets[-1]
+        target = run.target
         self._continuations.record_first_event(job, target)
         job.screening.record_answer()
         now = time.monotonic()
@@ -307,34 +235,10 @@
         )
         self._stages.engine_times.observe(
             job.request.route.name,
-            now - job.placement.requested_at,
+            now - run.placement.requested_at,
         )
         job.release()
-        message = PlaceFirst(job.request.service, job.request.ident)
-        self._owner_router.notify(
-            job.placement.owner, message, self.receive_first_event
-        )
-
-    def _end_placement(
-        self, job: StreamJob, target: Target, *, failed: bool
-    ) -> None:
-        request = job.request
-        message = PlaceEnd(request.service, request.ident, target.name, failed)
-        self._owner_router.notify(
-            job.placement.owner, message, self.receive_end
-        )
-
-    async def _examine_failure(
-        self,
-        job: StreamJob,
-        target: Target,
-        error: TargetError,
-    ) -> None:
-        """Find out whether a request has ended its target."""
-        if job.has_first_event:
-            return
-        if may_have_crashed(target, error, self._members):
-            await job.screening.record_broken(target)
+        self._dispatcher.record_first_event(job, run)
 
     def _check_retry(
         self,
@@ -349,10 +253,7 @@
         known_not_run = isinstance(
             error, (TargetUnreachableError, TargetBusyError)
         )
-        if isinstance(error, TargetBusyError):
-            job.sent -= 1
-        if isinstance(error, TargetClosedError):
-            job.tried_targets.pop()
+        self._dispatcher.uncount(job, target, error)
         self._continuations.restart(job)
         get_logger().info(
             'attempt_failed',
@@ -390,4 +291,4 @@
             return True
         if not known_not_run and not job.screening.may_repeat():
             return False
-        return self._budgets.of(job.request.service).acquire(time.monotonic())
+        return self._dispatcher.acquire_retry(job)
