--- a/galenaswitch/platform/tests/engines.py
+++ b/galenaswitch/platform/tests/engines.py
@@ -4,12 +4,41 @@
 import contextlib
 import time
 
+from galenaswitch.platform.tests.test_streams import event, stream
 from standins.scripted import find_header
 
 # Step after which an engine resets its connection.
 RESET = 'reset'
 # Step that lasts until the connection is closed.
 FOREVER = 60.0
+BEGUN = stream([event(1)], end=b'')
+END = b'0\r\n\r\n'
+REST = stream([event(2), event(3)])
+EMPTY_REST = (
+    BEGUN.partition(b'\r\n\r\n')[0]
+    + b'\r\nContent-Type: text/event-stream\r\n\r\n'
+    + END
+)
+WHOLE = event(1) + event(2) + event(3)
+
+
+def chunk(part):
+    """Return one chunk of an answer that has begun."""
+    return b'%x\r\n%b\r\n' % (len(part), part)
+
+
+LATER = chunk(event(2)) + chunk(event(3)) + END
+LATER_HALF = chunk(event(2).removeprefix(b'id: ')) + chunk(event(3)) + END
+
+
+def pause(seconds, position='middle'):
+    """Return the script of an engine that is silent once and goes on."""
+    return {
+        'head': [seconds, BEGUN, LATER],
+        'middle': [BEGUN, seconds, LATER],
+        'event': [BEGUN, chunk(b'id: '), seconds, LATER_HALF],
+        'end': [BEGUN, LATER.removesuffix(END), seconds, END],
+    }[position]
 
 
 class Work:
@@ -26,8 +55,8 @@
 class Engines:
     """Engines of which the one that gets the n-th request has the n-th script.
 
-    A script is a list of steps: bytes to send, seconds to be silent, or
-    :data:`RESET`. The last script is repeated.
+    A script is a list of steps: bytes to send, seconds to be silent, an
+    event to wait for, or :data:`RESET`. The last script is repeated.
 
     :ivar works: what the engines did, in the order of the requests.
     :ivar on_first: called with the other engines at the first request.
@@ -68,7 +97,7 @@
             if len(self.works) == 1 and self.on_first:
                 others = [one for one in self.targets if one is not target]
                 await self.on_first(others)
-            acting = asyncio.create_task(_act(self._scripts[number], writer))
+            acting = asyncio.create_task(act(self._scripts[number], writer))
             closing = asyncio.create_task(reader.read())
             await asyncio.wait(
                 {acting, closing}, return_when=asyncio.FIRST_COMPLETED
@@ -82,12 +111,32 @@
         return serve
 
 
-async def _act(steps, writer):
+async def act(steps, writer):
+    """Take the steps of a script."""
     for step in steps:
         if step == RESET:
             writer.transport.abort()
+        elif isinstance(step, asyncio.Event):
+            await step.wait()
         elif isinstance(step, float):
             await asyncio.sleep(step)
         else:
             writer.write(step)
             await writer.drain()
+
+
+async def serve_by_name(target, reader, writer):
+    """Answer a request whose id names a silence and its position."""
+    head = await target.read_request(reader)
+    ident = find_header(head, 'X-Attempt-Id')
+    silence, position = ident.split('-')
+    steps = {
+        '': pause(float(silence), position),
+        '1': [REST],
+        '3': [EMPTY_REST],
+    }[find_header(head, 'Last-Event-Id')]
+    named = [
+        step.replace(b'a1', ident.encode()) if isinstance(step, bytes) else step
+        for step in steps
+    ]
+    await act(named, writer)
--- a/galenaswitch/platform/tests/scripts.py
+++ b/galenaswitch/platform/tests/scripts.py
@@ -4,6 +4,7 @@
 
 from galenaswitch.connections.outbound import ConnectionPool
 from galenaswitch.platform.objects import PlatformStore
+from galenaswitch.platform.tests.engines import Engines
 
 
 @pytest.fixture
@@ -30,3 +31,14 @@
         ) % (status, ident, extra, len(body), body)
 
     return make
+
+
+@pytest.fixture
+def start_engines(scripted):
+    """Return a function that starts engines with given scripts."""
+
+    async def start(*scripts, count=2):
+        targets = [await scripted([b'']) for _ in range(count)]
+        return Engines(targets, scripts)
+
+    return start
--- a/galenaswitch/platform/tests/test_silent_streams.py
+++ b/galenaswitch/platform/tests/test_silent_streams.py
@@ -15,7 +15,17 @@
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.routes import CallKind
 from galenaswitch.membership.lists import LeavingSign
-from galenaswitch.platform.tests.engines import FOREVER, RESET, Engines
+from galenaswitch.platform.tests.engines import (
+    BEGUN,
+    END,
+    FOREVER,
+    LATER,
+    RESET,
+    REST,
+    WHOLE,
+    chunk,
+    pause,
+)
 from galenaswitch.platform.tests.test_streams import NOT_RUN, event, stream
 from galenaswitch.refusals import Reason, RefusedError
 
@@ -24,42 +34,6 @@
 # Longest time in seconds for which an engine may work for a caller that left.
 MAX_CLOSE_SECONDS = 0.5
 SILENCES = (1.5, 2.5)
-BEGUN = stream([event(1)], end=b'')
-END = b'0\r\n\r\n'
-REST = stream([event(2), event(3)])
-WHOLE = event(1) + event(2) + event(3)
-
-
-def chunk(part):
-    """Return one chunk of an answer that has begun."""
-    return b'%x\r\n%b\r\n' % (len(part), part)
-
-
-LATER = chunk(event(2)) + chunk(event(3)) + END
-
-
-def pause(seconds, position='middle'):
-    """Return the script of an engine that is silent once and goes on."""
-    return {
-        'head': [seconds, BEGUN, LATER],
-        'middle': [BEGUN, seconds, LATER],
-        'event': [BEGUN, chunk(b'id: '), seconds, LATER_HALF],
-        'end': [BEGUN, LATER.removesuffix(END), seconds, END],
-    }[position]
-
-
-LATER_HALF = chunk(event(2).removeprefix(b'id: ')) + chunk(event(3)) + END
-
-
-@pytest.fixture
-def start_engines(scripted):
-    """Return a function that starts engines with given scripts."""
-
-    async def start(*scripts, count=2):
-        targets = [await scripted([b'']) for _ in range(count)]
-        return Engines(targets, scripts)
-
-    return start
 
 
 @pytest.fixture
@@ -236,6 +210,20 @@
     ]
 
 
+# Guards against a pause of all engines that ends the streams of each.
+@pytest.mark.parametrize('silence', [0.8, 1.1, *SILENCES])
+@pytest.mark.parametrize('count', [2, 4])
+async def test_pause_of_all_engines_ends_no_stream(
+    start_engines, generate, silence, count
+):
+    thaw = asyncio.Event()
+    asyncio.get_running_loop().call_later(silence, thaw.set)
+    engines = await start_engines(
+        [BEGUN, thaw, LATER], [thaw, REST], count=count
+    )
+    assert await generate(engines) is None
+
+
 # Guards against an engine that works on beside its successor, and against a
 # successor that is ended for a pause of its own.
 @pytest.mark.parametrize('silence', SILENCES)
