Plain requests: a silent attempt stays open beside the next one

A first target that is silent for 1.1 s and goes on (service latency 10 ms, so it was closed after 0.15 s) ended as a RefusedError, if the other target was full, broke, was gone, paused, leaving, at its limit or unlisted, if the retry budget had been used up meanwhile, or if the request was suspected of crashes. A pause of all targets for 1.5 s ended requests, too.

Cause: the attempt was closed after 4 times the usual latency, before it was known whether another one can be had.

Change: the attempts keep all the time left. After the same time as before, another target is asked besides if the route's attempts, the budget, the screening and a target allow it; the first answer wins and the others are closed. `find_first_success` of the own face runs the race for both. A target's own failure is kept and forwarded if no other answer comes. A silence counts as a target's failure only if another one answered in the usual time. The choice of targets moves to gateway/selection.py.

Tests: requests that may not be repeated waited before, too; now a test says so for silences of 0.8, 1.1, 1.5 and 2.5 s, beside changes and a stop.

--- a/galenaswitch/gateway/failures.py
+++ b/galenaswitch/gateway/failures.py
@@ -2,7 +2,11 @@
 
 import time
 
-from galenaswitch.errors import GalenaError, TargetBrokenError
+from galenaswitch.errors import (
+    GalenaError,
+    TargetBrokenError,
+    TargetError,
+)
 from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.limits.retries import RetryBudget
 from galenaswitch.membership.lists import Members, Target
@@ -18,6 +22,10 @@
 _FREE = frozenset((NO_MEMORY, TargetClosedError.__name__))
 
 
+class TargetFailedError(TargetError):
+    """The target answered the request with a failure of its own."""
+
+
 def may_retry(pending: PendingStage, failure: str, budget: RetryBudget) -> bool:
     """Tell whether a work item that failed is queued again.
 
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -1,17 +1,18 @@
 """Requests to plain services, which return one complete response.
 
 A request that a target has not run is sent to another target. A request that
-may have run is retried only if its route is repeatable. The retry budget of
-the service limits the retries.
+may have run is retried only if its route is repeatable. While its targets are
+silent, such a request is sent to another one besides, and the first answer
+wins. The retry budget of the service limits both.
 """
 
 import asyncio
 import time
-from collections.abc import Sequence
+from functools import partial
 
-from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.errors import (
+    GalenaError,
     TargetBusyError,
     TargetError,
     TargetUnreachableError,
@@ -22,14 +23,15 @@
     send_complete,
 )
 from galenaswitch.gateway.calls import CallerRequest, Wire
-from galenaswitch.gateway.failures import may_have_crashed
+from galenaswitch.gateway.failures import TargetFailedError, may_have_crashed
 from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.gateway.routes import CallKind
+from galenaswitch.gateway.selection import Answer, PlainJob, TargetSelection
 from galenaswitch.gateway.sending import Sender
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
-from galenaswitch.pipelines.requests import Progress
+from galenaswitch.pipelines.calls import find_first_success
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.quarantine.screening import Screening
 from galenaswitch.refusals import (
@@ -38,7 +40,7 @@
     RefusedError,
     find_timeout_reason,
 )
-from galenaswitch.routing.choice import Chooser, WorkEstimate
+from galenaswitch.routing.choice import Chooser
 from galenaswitch.routing.ejection import Ejector
 from galenaswitch.routing.loads import LoadView
 
@@ -47,8 +49,8 @@
 # notice, and a non-idempotent request can't be retried then.
 MAX_IDLE_SECONDS = 3.0
 MAX_IDLE_NON_IDEMPOTENT_SECONDS = 0.3
-# An attempt that can be retried times out after this multiple of the pool's
-# average latency, but not before the minimum in seconds.
+# A target counts as silent after this multiple of the pool's average latency,
+# but not before the minimum in seconds.
 TIMEOUT_FACTOR = 4.0
 MIN_TIMEOUT_SECONDS = 0.15
 # Most targets that one request is sent to, counting those that refuse it.
@@ -74,15 +76,16 @@
         :param chooser: picks one of the usable targets.
         :param containment: refuses harmful requests.
         """
-        self._zone = zone
         self._members = members
         self._sender = sender
         self._wire = wire
         self._budgets = budgets
-        self._chooser = chooser
         self._loads = loads
         self._containment = containment
         self._ejector = Ejector()
+        self._selection = TargetSelection(
+            zone, members, sender, chooser, self._ejector
+        )
 
     async def run(self, request: CallerRequest, writer: AnswerWriter) -> None:
         """Run a request and send its answer to the caller.
@@ -94,78 +97,33 @@
         )
         await screening.admit()
         self._budgets.of(request.service).record_request(time.monotonic())
-        progress = Progress()
-        tried: set[str] = set()
-        while True:
-            target = await self._choose(request, progress, tried)
-            tried.add(target.name)
-            screening.start_send(progress.run)
-            try:
-                head, body = await self._attempt(request, target, progress)
-            except TargetError as error:
-                if isinstance(error, TargetClosedError):
-                    tried.discard(target.name)
-                await self._examine_failure(target, error, screening)
-                self._check_retry(
-                    request, target, progress, error, len(tried), screening
-                )
-                continue
-            # An error of the target doesn't show that it ran the request.
-            if head.status < MIN_SERVER_ERROR_STATUS:
-                screening.record_answer()
-            if self._should_retry(request, head, progress):
-                continue
-            await send_complete(writer, head, body)
-            return
+        job = PlainJob(request, screening)
+        try:
+            answer = await self._run_attempts(job)
+        except RefusedError:
+            if job.failed is None:
+                raise
+            answer = job.failed
+        await send_complete(writer, answer.head, answer.body)
 
     def dump(self) -> dict[str, float]:
         """Return the seconds for which each ejected target is paused."""
         return self._ejector.dump()
 
-    async def _choose(
-        self,
-        request: CallerRequest,
-        progress: Progress,
-        tried: set[str],
-    ) -> Target:
-        now = time.monotonic()
-        if now >= request.deadline:
-            raise RefusedError(find_timeout_reason(progress.run), progress.run)
-        usable = self._members.usable(request.service)
-        untried = [one for one in usable if one.name not in tried]
-        names = set(
-            self._ejector.select([target.name for target in untried], now),
-        )
-        candidates = [target for target in untried if target.name in names]
-        if not candidates:
-            reason = Reason.stage_failed if progress.sent else Reason.no_target
-            wait = self._sender.notices.find_wait(usable)
-            raise RefusedError(reason, progress.run, '', wait)
-        opened = await self._find_open(request, progress, candidates)
-        chosen = self._choose_untried(opened, now)
-        if chosen.incarnation not in self._sender.turns.pacer.rates:
-            return chosen
-        return await self._find_turn(request, progress, opened, chosen)
-
-    async def _find_open(
-        self,
-        request: CallerRequest,
-        progress: Progress,
-        candidates: Sequence[Target],
-    ) -> Sequence[Target]:
-        """Return the targets that aren't paused, after a wait if need be.
+    async def _run_attempts(self, job: PlainJob) -> Answer:
+        """Return the first answer that isn't a target's failure.
 
-        :raises RefusedError: when all are paused for too long.
+        :raises RefusedError: when no more attempts are allowed.
         """
-        notices = self._sender.notices
-        max_wait = self._find_max_wait(request)
-        wait = await notices.wait_for_open(candidates, max_wait)
-        if wait:
-            reason = Reason.stage_failed if progress.sent else Reason.capacity
-            raise RefusedError(
-                reason, progress.run, 'all targets are paused', wait
-            )
-        return notices.select(candidates)
+        while True:
+            max_wait = self._find_max_wait(job.request)
+            target = await self._selection.choose(job, max_wait)
+            job.tried.add(target.name)
+            job.screening.start_send(job.progress.run)
+            try:
+                return await self._race(job, target)
+            except (TargetError, RefusedError) as error:
+                self._check_retry(job, job.error or error)
 
     def _find_max_wait(self, request: CallerRequest) -> float:
         """Return the longest wait with which a request is still on time."""
@@ -173,64 +131,100 @@
         left = request.objective_deadline - time.monotonic()
         return max(0, left - latency)
 
-    def _choose_untried(
-        self, candidates: Sequence[Target], now: float
-    ) -> Target:
-        work = WorkEstimate((), 0, 0, self._zone, now)
-        return self._chooser.choose(candidates, work)
+    async def _race(self, job: PlainJob, target: Target) -> Answer:
+        """Return the first answer of a target and of those asked besides."""
+        attempt = self._attempt(job, target)
+        if job.request.route.kind is CallKind.once:
+            return await attempt
+        return await find_first_success(
+            asyncio.create_task(attempt),
+            iter(partial(self._find_answer_timeout, job.request), 0),
+            partial(self._hedge, job),
+        )
 
-    async def _find_turn(
-        self,
-        request: CallerRequest,
-        progress: Progress,
-        candidates: Sequence[Target],
-        chosen: Target,
-    ) -> Target:
-        """Return a target that takes the request under its own limit.
-
-        :raises RefusedError: when all targets have a limit, and none of them
-            has a turn in time for the request's objective.
+    def _find_answer_timeout(self, request: CallerRequest) -> float:
+        """Return the seconds after which a target counts as silent.
+
+        While the pool's latency is unknown, that is half of the time left.
         """
-        now = time.monotonic()
-        rates = self._sender.turns.pacer.rates
-        limited = [chosen]
-        limited.extend(
-            one
-            for one in candidates
-            if one.incarnation in rates and one is not chosen
+        typical_seconds = self._loads.typical_latency(request.service)
+        seconds = typical_seconds * TIMEOUT_FACTOR
+        if not typical_seconds:
+            seconds = (request.deadline - time.monotonic()) / 2
+        return max(MIN_TIMEOUT_SECONDS, seconds)
+
+    def _hedge(self, job: PlainJob) -> set[asyncio.Task[Answer]]:
+        """Start an attempt besides those that are silent, if that is allowed.
+
+        The attempts in flight stay: their targets may go on at any time.
+        """
+        is_allowed = self._may_hedge(job) and job.screening.may_repeat()
+        if not is_allowed:
+            return set()
+        return {asyncio.create_task(self._attempt_besides(job))}
+
+    def _may_hedge(self, job: PlainJob) -> bool:
+        budget = self._budgets.of(job.request.service)
+        return (
+            job.has_attempts_left
+            and len(job.tried) < MAX_ATTEMPTS
+            and budget.can_acquire(time.monotonic())
         )
-        unlimited = [one for one in candidates if one.incarnation not in rates]
-        max_wait = self._find_max_wait(request)
-        target, wait = await self._sender.turns.find_turn(
-            request.service, limited, 0 if unlimited else max_wait
+
+    async def _attempt_besides(self, job: PlainJob) -> Answer:
+        """Send a request to a target that takes it now.
+
+        :raises RefusedError: when there is none, or no more retries are left.
+        """
+        target = await self._selection.choose(job, 0)
+        # Another attempt may have begun meanwhile.
+        if target.name in job.tried or not self._may_hedge(job):
+            raise job.refuse(Reason.capacity)
+        job.screening.start_send(job.progress.run)
+        self._budgets.of(job.request.service).acquire(time.monotonic())
+        job.tried.add(target.name)
+        get_logger().info(
+            'hedged',
+            request=job.request.ident,
+            target=target.name,
+            silent=list(job.in_flight),
         )
-        if target is None and unlimited:
-            return self._choose_untried(unlimited, now)
-        if target is None:
-            reason = Reason.stage_failed if progress.sent else Reason.capacity
-            raise RefusedError(
-                reason, progress.run, 'all targets are at their limits', wait
-            )
-        await asyncio.sleep(wait)
-        return target
+        return await self._attempt(job, target)
 
-    async def _attempt(
-        self,
-        request: CallerRequest,
-        target: Target,
-        progress: Progress,
-    ) -> tuple[AnswerHead, bytes]:
+    async def _attempt(self, job: PlainJob, target: Target) -> Answer:
+        """Return an answer that may be forwarded.
+
+        :raises TargetFailedError: when the target answered with a failure, and
+            another target may be asked.
+        """
+        sent_at = time.monotonic()
+        job.in_flight[target.name] = sent_at
+        try:
+            answer = await self._send(job, target)
+        except TargetError as error:
+            await self._record_error(job, target, error, sent_at)
+            raise
+        finally:
+            job.in_flight.pop(target.name, None)
+        self._record_answer(job, target, answer, time.monotonic() - sent_at)
+        # An error of the target doesn't show that it ran the request.
+        if answer.head.status < MIN_SERVER_ERROR_STATUS:
+            job.screening.record_answer()
+        elif job.request.route.kind is CallKind.repeatable:
+            job.failed = answer
+            job.error = TargetFailedError(f'status {answer.head.status}')
+            raise job.error
+        return answer
+
+    async def _send(self, job: PlainJob, target: Target) -> Answer:
+        request = job.request
         now = time.monotonic()
-        seconds_left = request.deadline - now
         once = request.route.kind is CallKind.once
+        seconds_left = request.deadline - now
         head = self._wire.make_request(request, target, seconds_left, (), '')
-        seconds = min(
-            seconds_left,
-            self._find_answer_timeout(request, progress, seconds_left),
-        )
         load = self._loads.get_load(target.name)
         sent = load.start(now, 0, 0)
-        progress.record_sent(repeatable=not once)
+        job.progress.record_sent(repeatable=not once)
         try:
             async with self._sender.send(
                 target,
@@ -238,138 +232,102 @@
                 request.body,
                 MAX_IDLE_NON_IDEMPOTENT_SECONDS if once else MAX_IDLE_SECONDS,
             ) as attempt:
-                answer = await attempt.read_head(seconds)
+                answer = await attempt.read_head(seconds_left)
                 check_answer(request, answer, self._wire)
-                body = await attempt.read_complete(seconds)
+                seconds_left = request.deadline - time.monotonic()
+                return Answer(answer, await attempt.read_complete(seconds_left))
         finally:
             load.finish(sent, time.monotonic())
-        self._record_answer(request, target, answer, time.monotonic() - now)
-        return answer, body
-
-    def _find_answer_timeout(
-        self,
-        request: CallerRequest,
-        progress: Progress,
-        seconds_left: float,
-    ) -> float:
-        """Return the seconds after which an attempt times out.
-
-        An attempt that can't be retried may use all the time left. While the
-        pool's latency is unknown, an attempt may use half of the time left.
-        """
-        last = progress.sent + 1 >= request.route.attempts
-        if request.route.kind is CallKind.once or last:
-            return seconds_left
-        if not self._budgets.of(request.service).can_acquire(time.monotonic()):
-            return seconds_left
-        typical_seconds = self._loads.typical_latency(request.service)
-        if not typical_seconds:
-            return seconds_left / 2
-        return max(MIN_TIMEOUT_SECONDS, typical_seconds * TIMEOUT_FACTOR)
 
     def _record_answer(
-        self,
-        request: CallerRequest,
-        target: Target,
-        answer: AnswerHead,
-        seconds: float,
+        self, job: PlainJob, target: Target, answer: Answer, seconds: float
     ) -> None:
-        self._loads.observe_pool_latency(request.service, seconds)
+        """Record what an answer says of its target, and of those in flight."""
+        now = time.monotonic()
+        timeout = self._find_answer_timeout(job.request)
+        self._loads.observe_pool_latency(job.request.service, seconds)
         self._loads.get_load(target.name).observe(seconds)
-        if answer.status < MIN_SERVER_ERROR_STATUS:
-            self._ejector.record_success(target.name)
-        else:
-            self._ejector.record_failure(target.name, time.monotonic())
-
-    def _should_retry(
-        self,
-        request: CallerRequest,
-        head: AnswerHead,
-        progress: Progress,
-    ) -> bool:
-        """Tell whether a server error of a target is retried elsewhere."""
-        if head.status < MIN_SERVER_ERROR_STATUS:
-            return False
-        if request.route.kind is not CallKind.repeatable:
-            return False
-        targets = len(self._members.usable(request.service))
-        if progress.attempts >= min(request.route.attempts, targets):
-            return False
-        return self._budgets.of(request.service).acquire(time.monotonic())
-
-    async def _examine_failure(
-        self,
-        target: Target,
-        error: TargetError,
-        screening: Screening,
-    ) -> None:
-        """Find out whether a request has ended its target."""
-        if may_have_crashed(target, error, self._members):
-            await screening.record_broken(target)
+        if answer.head.status >= MIN_SERVER_ERROR_STATUS:
+            self._ejector.record_failure(target.name, now)
+            return
+        self._ejector.record_success(target.name)
+        # A silence that all targets share is no failure of any of them.
+        if seconds > timeout:
+            return
+        for name, sent_at in job.in_flight.items():
+            if now - sent_at >= timeout:
+                self._ejector.record_failure(name, now)
 
-    def _check_retry(
-        self,
-        request: CallerRequest,
-        target: Target,
-        progress: Progress,
-        error: TargetError,
-        attempts: int,
-        screening: Screening,
+    async def _record_error(
+        self, job: PlainJob, target: Target, error: TargetError, sent_at: float
     ) -> None:
-        """Refuse the request unless it may be sent to another target.
-
-        :raises RefusedError: when no time is left, when a non-idempotent
-            request may have run, when the request may be harmful, or when no
-            retries are left.
-        """
+        job.error = error
         now = time.monotonic()
+        if isinstance(error, TargetClosedError):
+            job.tried.discard(target.name)
+        if _is_not_run(error):
+            job.progress.record_not_run()
         self._record_failure(target, error, now)
-        known_not_run = isinstance(
-            error, (TargetUnreachableError, TargetBusyError)
-        )
-        if known_not_run:
-            progress.record_not_run()
         get_logger().info(
             'attempt_failed',
-            request=request.ident,
+            request=job.request.ident,
             target=target.name,
             failure=type(error).__name__,
             reason=str(error),
-            left=round(request.deadline - now, 3),
+            left=round(job.request.deadline - now, 3),
+            silent=round(now - sent_at, 3),
             incarnation=target.incarnation,
-            parts=screening.parts,
+            parts=job.screening.parts,
         )
-        if now >= request.deadline:
-            raise RefusedError(find_timeout_reason(progress.run), progress.run)
-        if not known_not_run and request.route.kind is CallKind.once:
-            raise RefusedError(Reason.stage_failed, ExecutionState.unknown)
-        if not known_not_run and not screening.may_repeat():
-            raise RefusedError(Reason.stage_failed, progress.run)
-        if attempts >= MAX_ATTEMPTS or self._is_out_of_retries(
-            request, progress, error, now
+        if may_have_crashed(target, error, self._members):
+            await self._containment.record_broken(
+                target, job.request.ident, job.screening.parts, sent_at
+            )
+
+    def _check_retry(self, job: PlainJob, error: GalenaError) -> None:
+        """Refuse the request unless it may be sent to another target.
+
+        :raises RefusedError: when no time is left, when a non-idempotent
+            request may have run, when the request may be harmful, or when no
+            retries are left.
+        """
+        now = time.monotonic()
+        run = job.progress.run
+        if now >= job.request.deadline:
+            raise RefusedError(find_timeout_reason(run), run)
+        if isinstance(error, TargetFailedError):
+            self._check_other_target(job)
+        elif not _is_not_run(error):
+            _check_repeat(job)
+        if len(job.tried) >= MAX_ATTEMPTS or self._is_out_of_retries(
+            job, error, now
         ):
-            reason = Reason.capacity if known_not_run else Reason.stage_failed
-            if progress.run is not ExecutionState.not_run:
-                reason = Reason.stage_failed
-            raise RefusedError(reason, progress.run)
+            raise job.refuse(
+                Reason.capacity if _is_not_run(error) else Reason.stage_failed
+            )
+
+    def _check_other_target(self, job: PlainJob) -> None:
+        """Check that there may be a target that didn't fail the request.
+
+        :raises RefusedError: when there is none.
+        """
+        targets = len(self._members.usable(job.request.service))
+        if job.progress.attempts >= targets:
+            raise job.refuse(Reason.stage_failed)
 
     def _is_out_of_retries(
-        self,
-        request: CallerRequest,
-        progress: Progress,
-        error: TargetError,
-        now: float,
+        self, job: PlainJob, error: GalenaError, now: float
     ) -> bool:
         """Tell whether the attempts or the retry budget are used up.
 
         An unreachable target received nothing, so replacing it costs no
         budget.
         """
-        if progress.sent >= request.route.attempts:
+        if not job.has_attempts_left:
             return True
         if isinstance(error, TargetUnreachableError):
             return False
-        return not self._budgets.of(request.service).acquire(now)
+        return not self._budgets.of(job.request.service).acquire(now)
 
     def _record_failure(
         self, target: Target, error: TargetError, now: float
@@ -380,3 +338,18 @@
             self._ejector.eject(target.name, now)
         elif not isinstance(error, TargetBusyError):
             self._ejector.record_failure(target.name, now)
+
+
+def _is_not_run(error: GalenaError) -> bool:
+    return isinstance(error, (TargetUnreachableError, TargetBusyError))
+
+
+def _check_repeat(job: PlainJob) -> None:
+    """Check that a request which may have run may be sent again.
+
+    :raises RefusedError: when it may not.
+    """
+    if job.request.route.kind is CallKind.once:
+        raise RefusedError(Reason.stage_failed, ExecutionState.unknown)
+    if not job.screening.may_repeat():
+        raise job.refuse(Reason.stage_failed)
--- /dev/null
+++ b/galenaswitch/gateway/selection.py
@@ -0,0 +1,164 @@
+"""Choice of a target for each attempt of a request to a plain service."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from galenaswitch.connections.heads import AnswerHead
+from galenaswitch.errors import TargetError
+from galenaswitch.gateway.calls import CallerRequest
+from galenaswitch.gateway.sending import Sender
+from galenaswitch.membership.lists import Members, Target
+from galenaswitch.pipelines.requests import Progress
+from galenaswitch.quarantine.screening import Screening
+from galenaswitch.refusals import Reason, RefusedError, find_timeout_reason
+from galenaswitch.routing.choice import Chooser, WorkEstimate
+from galenaswitch.routing.ejection import Ejector
+
+
+class Answer(NamedTuple):
+    """Complete answer of a target."""
+
+    head: AnswerHead
+    body: bytes
+
+
+class PlainJob:
+    """A request to a plain service and the state of its attempts.
+
+    :ivar request: the caller's request.
+    :ivar screening: screening of the request.
+    :ivar progress: progress of all attempts.
+    :ivar tried: names of the targets that were chosen.
+    :ivar in_flight: monotonic time in seconds at which each attempt in flight
+        was sent, by the name of its target.
+    :ivar error: error of the attempt that failed last.
+    :ivar failed: last answer with which a target itself failed.
+    """
+
+    def __init__(self, request: CallerRequest, screening: Screening) -> None:
+        """Build the state of a request without attempts."""
+        self.request = request
+        self.screening = screening
+        self.progress = Progress()
+        self.tried: set[str] = set()
+        self.in_flight: dict[str, float] = {}
+        self.error: TargetError | None = None
+        self.failed: Answer | None = None
+
+    @property
+    def has_attempts_left(self) -> bool:
+        """Whether the route allows one more attempt that may run."""
+        return self.progress.sent < self.request.route.attempts
+
+    def refuse(
+        self, reason: Reason, detail: str = '', wait: float = 0
+    ) -> RefusedError:
+        """Return the refusal of a request for which there is no target now.
+
+        :param reason: reason, if no target may have run the request.
+        :param wait: seconds after which the caller may retry.
+        """
+        if self.progress.sent:
+            reason = Reason.stage_failed
+        return RefusedError(reason, self.progress.run, detail, wait)
+
+
+class TargetSelection:
+    """Chooses among the targets that take a request now."""
+
+    def __init__(
+        self,
+        zone: str,
+        members: Members,
+        sender: Sender,
+        chooser: Chooser,
+        ejector: Ejector,
+    ) -> None:
+        """Build a selection for a VM in ``zone``.
+
+        :param chooser: picks one of the usable targets.
+        :param ejector: leaves out failing targets.
+        """
+        self._zone = zone
+        self._members = members
+        self._sender = sender
+        self._chooser = chooser
+        self._ejector = ejector
+
+    async def choose(self, job: PlainJob, max_wait: float) -> Target:
+        """Return a target that was not tried yet.
+
+        :param max_wait: longest wait for a target in seconds.
+        :raises RefusedError: when there is no target in time.
+        """
+        now = time.monotonic()
+        if now >= job.request.deadline:
+            run = job.progress.run
+            raise RefusedError(find_timeout_reason(run), run)
+        usable = self._members.usable(job.request.service)
+        untried = [one for one in usable if one.name not in job.tried]
+        names = set(
+            self._ejector.select([target.name for target in untried], now),
+        )
+        candidates = [target for target in untried if target.name in names]
+        if not candidates:
+            wait = self._sender.notices.find_wait(usable)
+            raise job.refuse(Reason.no_target, wait=wait)
+        opened = await self._find_open(job, candidates, max_wait)
+        chosen = self._choose_untried(opened, now)
+        if chosen.incarnation not in self._sender.turns.pacer.rates:
+            return chosen
+        return await self._find_turn(job, opened, chosen, max_wait)
+
+    async def _find_open(
+        self, job: PlainJob, candidates: Sequence[Target], max_wait: float
+    ) -> Sequence[Target]:
+        """Return the targets that aren't paused, after a wait if need be.
+
+        :raises RefusedError: when all are paused for too long.
+        """
+        notices = self._sender.notices
+        wait = await notices.wait_for_open(candidates, max_wait)
+        if wait:
+            raise job.refuse(Reason.capacity, 'all targets are paused', wait)
+        return notices.select(candidates)
+
+    def _choose_untried(
+        self, candidates: Sequence[Target], now: float
+    ) -> Target:
+        work = WorkEstimate((), 0, 0, self._zone, now)
+        return self._chooser.choose(candidates, work)
+
+    async def _find_turn(
+        self,
+        job: PlainJob,
+        candidates: Sequence[Target],
+        chosen: Target,
+        max_wait: float,
+    ) -> Target:
+        """Return a target that takes the request under its own limit.
+
+        :raises RefusedError: when all targets have a limit, and none of them
+            has a turn in time.
+        """
+        now = time.monotonic()
+        rates = self._sender.turns.pacer.rates
+        limited = [chosen]
+        limited.extend(
+            one
+            for one in candidates
+            if one.incarnation in rates and one is not chosen
+        )
+        unlimited = [one for one in candidates if one.incarnation not in rates]
+        target, wait = await self._sender.turns.find_turn(
+            job.request.service, limited, 0 if unlimited else max_wait
+        )
+        if target is None and unlimited:
+            return self._choose_untried(unlimited, now)
+        if target is None:
+            detail = 'all targets are at their limits'
+            raise job.refuse(Reason.capacity, detail, wait)
+        await asyncio.sleep(wait)
+        return target
--- a/galenaswitch/pipelines/attempts.py
+++ b/galenaswitch/pipelines/attempts.py
@@ -176,18 +176,11 @@
     ) -> dict[str, Any]:
         if not job.stage.repeatable:
             return await self._call_once(job, target)
-        first = asyncio.create_task(self._call_once(job, target))
-        tasks = {first}
-        try:
-            await asyncio.wait(tasks, timeout=self._find_hedge_delay(target))
-            if not first.done():
-                second = self._hedge(job, tried | {target.name})
-                tasks |= second
-            return await find_first_success(tasks)
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+        return await find_first_success(
+            asyncio.create_task(self._call_once(job, target)),
+            (self._find_hedge_delay(target),),
+            lambda: self._hedge(job, tried | {target.name}),
+        )
 
     def _hedge(
         self,
--- a/galenaswitch/pipelines/calls.py
+++ b/galenaswitch/pipelines/calls.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import secrets
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 from galenaswitch.pipelines.requests import StageRun
 from galenaswitch.targets.messages import StageCall
 
 ATTEMPT_ID_BYTES = 8
+Outcome = TypeVar('Outcome')
 
 
 def make_call(
@@ -31,15 +33,37 @@
 
 
 async def find_first_success(
-    tasks: set[asyncio.Task[dict[str, Any]]],
-) -> dict[str, Any]:
-    """Return the first successful result, or raise the last failure."""
-    waiting = tasks
-    while True:
-        done, waiting = await asyncio.wait(
-            waiting,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        succeeded = [task for task in done if not task.exception()]
-        if succeeded or not waiting:
-            return (succeeded or list(done))[0].result()
+    first: asyncio.Task[Outcome],
+    delays: Iterable[float],
+    hedge: Callable[[], set[asyncio.Task[Outcome]]],
+) -> Outcome:
+    """Return the first successful result of an attempt and its hedges.
+
+    A failure ends no other attempt. At the end, all that are left are
+    cancelled.
+
+    :param delays: seconds of silence before each hedge.
+    :param hedge: starts another attempt, or none if there can't be one.
+    :raises GalenaError: the last failure, when all attempts have failed.
+    """
+    tasks = {first}
+    waiting = {first}
+    left = iter(delays)
+    try:
+        while True:
+            done, waiting = await asyncio.wait(
+                waiting,
+                timeout=next(left, None),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            succeeded = [task for task in done if not task.exception()]
+            if succeeded or not waiting:
+                return (succeeded or list(done))[0].result()
+            if not done:
+                hedges = hedge()
+                tasks |= hedges
+                waiting |= hedges
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/galenaswitch/platform/tests/test_silent_plain.py
@@ -0,0 +1,420 @@
+"""Plain requests to sound targets that are silent for a while and go on."""
+
+import asyncio
+import time
+from typing import NamedTuple
+from unittest.mock import Mock
+
+import pytest
+
+from galenaswitch.connections.requests import InboundRequest
+from galenaswitch.gateway.handling import Gateway
+from galenaswitch.gateway.routes import CallKind, Split
+from galenaswitch.limits.retries import RetryBudgets
+from galenaswitch.membership.lists import LeavingSign, MemberList
+from galenaswitch.operations.metrics import LocalMetrics
+from galenaswitch.platform.headers import PlatformWire
+from galenaswitch.platform.tests.fakes import AnswerRecorder
+from galenaswitch.refusals import ExecutionState, Reason, RefusedError
+from standins.scripted import find_header
+
+REFUSAL = (
+    b'HTTP/1.1 503 Busy\r\nX-Attempt-Id: a1\r\n'
+    b'X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+FOREVER = 60.0
+# Seconds of silence of sound targets.
+SILENCES = (0.8, 1.1, 1.5, 2.5)
+
+
+class Silence(NamedTuple):
+    """Seconds for which a target is silent within one answer.
+
+    :param head: before the head.
+    :param middle: in the middle of the body.
+    :param end: before the last byte.
+    """
+
+    head: float = 0
+    middle: float = 0
+    end: float = 0
+
+
+class SilentTarget:
+    """Scripted target whose answers have silences.
+
+    :ivar lost: answers whose connection was closed before their end.
+    """
+
+    def __init__(self, target, answer):
+        """Build a target that gives ``answer`` without a silence."""
+        self.target = target
+        self.answer = answer
+        self.silence = Silence()
+        self.silent_until = 0
+        self.lost = 0
+        target._script = self._run
+
+    async def _run(self, reader, writer):
+        while True:
+            head = await self.target.read_request(reader)
+            ident = find_header(head, 'X-Attempt-Id').encode()
+            answer = self.answer.replace(b'a1', ident)
+            silence = self.silence
+            middle = answer.find(b'\r\n\r\n') + 6
+            parts = (answer[:middle], answer[middle:-1], answer[-1:])
+            rest = max(0, self.silent_until - time.monotonic())
+            await self._be_silent(reader, silence.head + rest)
+            for part, seconds in zip(parts, (*silence[1:], 0), strict=True):
+                writer.write(part)
+                await writer.drain()
+                await self._be_silent(reader, seconds)
+
+    async def _be_silent(self, reader, seconds):
+        if not seconds:
+            return
+        try:
+            async with asyncio.timeout(seconds):
+                await reader.read(1)
+        except TimeoutError:
+            return
+        self.lost += 1
+        raise ConnectionResetError
+
+
+@pytest.fixture
+def silent(scripted, make_answer):
+    """Return a function that starts targets with silences."""
+
+    async def start(*silences):
+        targets = []
+        for silence in silences:
+            one = SilentTarget(await scripted([b'']), make_answer())
+            one.silence = silence
+            targets.append(one)
+        return targets
+
+    return start
+
+
+@pytest.fixture
+def run_plain(make_plain_runner, make_route, make_caller_request, writer):
+    """Return a function that runs one request at targets, the first first.
+
+    The latency of the service is known, so the first is soon found silent.
+    """
+
+    async def run(*targets, kind=CallKind.repeatable, change=None, **route):
+        runner = make_plain_runner(
+            *(getattr(one, 'target', one) for one in targets)
+        )
+        runner._loads.observe_pool_latency('desk', 0.01)
+        for number, _ in enumerate(targets):
+            runner._loads.get_load(f't{number}').outstanding = number
+        request = make_caller_request(
+            make_route(kind, **route), **{'X-Deadline-Ms': '3000'}
+        )
+        if change:
+            asyncio.get_running_loop().call_later(0.05, change, runner)
+        try:
+            await runner.run(request, writer)
+        finally:
+            loads = runner._loads.dump()
+            assert loads == {
+                f't{number}': number for number in range(len(loads))
+            }
+        return runner
+
+    return run
+
+
+# Guards against a sound answer that is given up for a target that refuses.
+@pytest.mark.parametrize(
+    'silence', [Silence(1.1), Silence(0, 1.1), Silence(0, 0, 1.1)]
+)
+@pytest.mark.parametrize('other', [REFUSAL, b'', b'gibberish\r\n\r\n'])
+async def test_silent_answer_outlives_a_target_that_fails(
+    run_plain, silent, scripted, writer, silence, other
+):
+    (first,) = await silent(silence)
+    second = await scripted([other])
+    await run_plain(first, second)
+    assert (writer.head.status, writer.body) == (200, b'fine')
+    assert first.lost == 0
+    assert len(second.requests) == 1
+
+
+# Guards against a sound answer that is given up for a target that is gone.
+async def test_silent_answer_outlives_an_unreachable_target(
+    run_plain, silent, scripted, writer
+):
+    (first,) = await silent(Silence(1.1))
+    second = await scripted([b''])
+    await second.stop()
+    await run_plain(first, second)
+    assert writer.body == b'fine'
+
+
+def use_up_budget(runner):
+    """Use all retries of the service."""
+    while runner._budgets.of('desk').acquire(time.monotonic()):
+        continue
+
+
+def pause_others(runner):
+    """Pause the second target for long."""
+    runner._sender.notices._pauses.pause('t1/1', 30, time.monotonic())
+
+
+def report_leaving(runner):
+    """Report that the second target leaves."""
+    runner._members.record_leaving(LeavingSign('t1', 't1/1'))
+
+
+def limit_others(runner):
+    """Limit the second target to one request in a long time."""
+    pacer = runner._sender.turns.pacer
+    now = time.monotonic()
+    pacer.set_rate('t1/1', 0.01, now)
+    while not pacer.find_wait('t1/1', now):
+        pacer.take('t1/1', now)
+
+
+def suspect_request(runner):
+    """Suspect the request of ending targets."""
+    runner._containment.may_repeat = Mock(return_value=False)
+
+
+def unlist_all(runner):
+    """List no targets any more."""
+    members = runner._members
+    members.accept(MemberList(members.member_list.revision + 1, (), ()))
+
+
+# Guards against a sound answer that is given up though no target is left.
+@pytest.mark.parametrize(
+    'change',
+    [
+        use_up_budget,
+        pause_others,
+        report_leaving,
+        limit_others,
+        suspect_request,
+        unlist_all,
+    ],
+)
+async def test_silent_answer_is_kept_if_no_other_target_can_be_had(
+    run_plain, silent, writer, change
+):
+    first, second = await silent(Silence(1.1), Silence())
+    await run_plain(first, second, change=change)
+    assert writer.body == b'fine'
+    assert first.lost == 0
+    assert not second.target.requests
+
+
+# Guards against a silent target that holds up a request, and for nobody.
+async def test_other_target_answers_in_place_of_a_silent_one(
+    run_plain, silent, writer, budgets
+):
+    first, second = await silent(Silence(FOREVER), Silence())
+    budget = budgets.of('desk')
+    started_at = time.monotonic()
+    await run_plain(first, second)
+    assert time.monotonic() - started_at < 0.6
+    assert writer.body == b'fine'
+    await asyncio.sleep(0.05)
+    assert (first.lost, len(budget._retries)) == (1, 1)
+    left = [
+        int(find_header(one.target.requests[0], 'X-Deadline-Ms'))
+        for one in (first, second)
+    ]
+    assert left[0] - 500 < left[1] <= left[0] - 100
+
+
+# Guards against a target that works on after another one has answered.
+async def test_silent_target_that_goes_on_ends_the_other_attempt(
+    run_plain, silent, writer
+):
+    first, second = await silent(Silence(0.5), Silence(FOREVER))
+    runner = await run_plain(first, second)
+    assert writer.body == b'fine'
+    await asyncio.sleep(0.05)
+    assert (first.lost, second.lost) == (0, 1)
+    assert not runner._ejector.dump()
+
+
+# Guards against requests that run at more targets than their route allows.
+@pytest.mark.parametrize('attempts', [1, 2, 3])
+async def test_silent_targets_get_a_request_as_often_as_the_route_allows(
+    run_plain, silent, writer, attempts
+):
+    targets = await silent(*[Silence(1.2)] * 4)
+    await run_plain(*targets, attempts=attempts)
+    assert writer.body == b'fine'
+    assert sum(len(one.target.requests) for one in targets) == attempts
+
+
+# Guards against a promise for a request that a silent target may have run.
+@pytest.mark.parametrize('end', [b'', REFUSAL])
+async def test_request_that_a_silent_target_may_have_run_promises_nothing(
+    run_plain, silent, scripted, end
+):
+    (first,) = await silent(Silence(0.6))
+    first.answer = b'gibberish' * 3
+    second = await scripted([end])
+    with pytest.raises(RefusedError) as caught:
+        await run_plain(first, second)
+    assert caught.value.response.status == 502
+    assert caught.value.run is not ExecutionState.not_run
+
+
+# Guards against a failure in place of an answer that no target has run.
+async def test_request_that_all_targets_refuse_is_refused_as_not_run(
+    run_plain, silent, scripted
+):
+    (first,) = await silent(Silence(0.6))
+    first.answer = REFUSAL
+    second = await scripted([REFUSAL])
+    with pytest.raises(RefusedError) as caught:
+        await run_plain(first, second)
+    assert caught.value.run is ExecutionState.not_run
+    assert caught.value.reason is Reason.no_target
+
+
+# Guards against an error of one target that hides the answer of another.
+async def test_error_of_the_other_target_does_not_replace_a_sound_answer(
+    run_plain, silent, scripted, writer, make_answer
+):
+    (first,) = await silent(Silence(0.6))
+    second = await scripted([make_answer(b'oops', b'500 Failed')])
+    await run_plain(first, second)
+    assert (writer.head.status, writer.body) == (200, b'fine')
+
+
+# Guards against a target's own answer that is replaced by a failure.
+async def test_error_of_a_target_is_forwarded_if_the_others_fail(
+    run_plain, silent, scripted, writer, make_answer
+):
+    (first,) = await silent(Silence(0.6))
+    first.answer = b'gibberish' * 3
+    second = await scripted([make_answer(b'oops', b'500 Failed')])
+    await run_plain(first, second)
+    assert (writer.head.status, writer.body) == (500, b'oops')
+
+
+# Guards against a pause of all targets that ejects all of them, or ends
+# requests.
+async def test_pause_of_all_targets_ends_no_request_and_ejects_none(
+    make_plain_runner, silent, make_route, make_caller_request
+):
+    targets = await silent(*[Silence()] * 4)
+    runner = make_plain_runner(*(one.target for one in targets))
+    runner._budgets = RetryBudgets(0.2, 10, 10)
+    runner._loads.observe_pool_latency('desk', 0.02)
+
+    async def run(number):
+        await asyncio.sleep(number * 0.02)
+        route = make_route(CallKind.repeatable)
+        headers = {'X-Deadline-Ms': '3000'}
+        recorder = AnswerRecorder()
+        await runner.run(
+            make_caller_request(route, ident=f'b{number}', **headers), recorder
+        )
+        return recorder.body
+
+    for one in targets:
+        one.silent_until = time.monotonic() + 1.5
+    bodies = await asyncio.gather(*(run(number) for number in range(60)))
+    assert bodies == [b'fine'] * 60
+    assert not runner._ejector.dump()
+
+
+# Guards against a dead target that gets requests for as long as it is listed.
+async def test_target_that_is_silent_for_ever_is_ejected(
+    make_plain_runner, silent, make_route, make_caller_request, writer
+):
+    targets = await silent(Silence(FOREVER), Silence(), Silence())
+    runner = make_plain_runner(*(one.target for one in targets))
+    runner._loads.observe_pool_latency('desk', 0.01)
+    for _ in range(12):
+        route = make_route(CallKind.repeatable)
+        await runner.run(make_caller_request(route), writer)
+    assert writer.body == b'fine' * 12
+    assert list(runner._ejector.dump()) == ['t0']
+    assert len(targets[0].target.requests) == 3
+
+
+def shorten_timeout(route):
+    """Return the table's routes after a change of the route's timeout."""
+    return (route._replace(timeout=0.3),)
+
+
+def change_service(route):
+    """Return the table's routes after a change of the route's service."""
+    return (route._replace(splits=(Split('other', 1),)),)
+
+
+def drop_route(route):
+    """Return the table's routes after the route is gone."""
+    return ()
+
+
+def keep_route(route):
+    """Return the table's routes as they are."""
+    return (route,)
+
+
+# Guards against silences that end a request which can't be sent again, beside
+# changes of the configuration and a stop.
+@pytest.mark.parametrize(
+    ('change', 'stops_after'),
+    [
+        (shorten_timeout, None),
+        (change_service, None),
+        (drop_route, None),
+        (keep_route, 4.5),
+        (drop_route, 4.5),
+    ],
+)
+@pytest.mark.parametrize('position', Silence._fields)
+async def test_silence_does_not_end_a_request_that_may_not_be_repeated(
+    make_plain_runner,
+    silent,
+    make_route,
+    make_table,
+    make_caller_request,
+    change,
+    stops_after,
+    position,
+):
+    targets = await silent(
+        *(Silence(**{position: seconds}) for seconds in SILENCES)
+    )
+    runner = make_plain_runner(*(one.target for one in targets))
+    runner._loads.observe_pool_latency('desk', 0.01)
+    route = make_route(CallKind.once, timeout=4.0)
+    tables = [make_table(route)]
+    gateway = Gateway(
+        lambda: tables[-1], PlatformWire(), runner, None, LocalMetrics()
+    )
+
+    async def send(number):
+        recorder = AnswerRecorder()
+        headers = {'X-Deadline-Ms': '4000'}
+        head = make_caller_request(route, ident=f'c{number}', **headers).head
+        request = InboundRequest(head, b'', time.monotonic(), True)
+        await gateway.handle(request, recorder)
+        return recorder.body
+
+    async with asyncio.TaskGroup() as group:
+        sends = [group.create_task(send(number)) for number in range(4)]
+        while not all(one.target.requests for one in targets):
+            await asyncio.sleep(0.01)
+        tables.append(make_table(*change(route)))
+        unlist_all(runner)
+        if stops_after:
+            gateway.drain_until(time.monotonic() + stops_after)
+    assert [one.result() for one in sends] == [b'fine'] * 4
+    assert [len(one.target.requests) for one in targets] == [1] * 4
+    assert not any(one.lost for one in targets)
