Batches: one that is late stays in flight beside its copies

A batch at a sound target that is silent for 1.2 s was closed after 0.58 s (TargetLateError); its work items were queued again and the target was paused. With one target, no budget, or the others paused, leaving or silent too, the stage ended without results; with another idle target, the late result stayed held and unused.

Cause: a batch that was late was closed before its work items could be made elsewhere, though a target goes on with a batch whose call is closed.

Change: a batch lasts until the last deadline of its requests. Once it is late, its target gets no other batch, and its work items are queued as copies if the retries allow it, and another target is idle or has answered since. A pending stage counts the batches in flight with each of its work items: the first result counts and ends a queued copy, later ones are released, and a failure is ignored while another copy is alive. One batch counts as 2.5 times as slow at most, so a silence doesn't make a target slow.

Tried and given up: copies as soon as any other target isn't paused. A pause of all targets used retries for batches that no target took.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -25,6 +25,7 @@
     may_retry,
 )
 from galenaswitch.gateway.inputs import InputReleases
+from galenaswitch.gateway.late_batches import LateBatches, find_end
 from galenaswitch.gateway.messages import (
     HeldResults,
     PiecesCancel,
@@ -54,9 +55,6 @@
 
 # Seconds after which an idle connection to a target is not reused.
 MAX_IDLE_SECONDS = 3.0
-# Timeout of a batch: its expected seconds times the factor, plus the margin.
-TIMEOUT_FACTOR = 2.5
-TIMEOUT_MARGIN_SECONDS = 0.3
 # Seconds between two searches for free targets while work items are queued.
 POLL_SECONDS = 0.05
 # Seconds for which a target with full result memory gets no batches.
@@ -106,6 +104,14 @@
             self._stored_results.add_unknown,
         )
         self._answers = BatchAnswers(wire)
+        self._late_batches = LateBatches(
+            service,
+            self._batch_queue,
+            members,
+            sender.notices,
+            budgets,
+            self._dispatch,
+        )
         self._dispatch_timer: asyncio.TimerHandle | None = None
 
     async def make_results(self, query: PiecesQuestion) -> PiecesReply:
@@ -254,7 +260,9 @@
         started_at = time.monotonic()
         target_state = self._batch_queue.target_state(batch.target)
         try:
-            outcomes = await self._send_batch(batch)
+            outcomes = await self._late_batches.run(
+                batch, self._send_batch(batch)
+            )
         except (TargetError, InvalidInputError) as error:
             target_state.pause(time.monotonic())
             get_logger().info(
@@ -290,7 +298,6 @@
                 stored=len(self._stored_results),
             )
         finally:
-            self._batch_queue.finish(batch)
             self._dispatch()
 
     async def _send_batch(self, batch: Batch) -> tuple[WorkItemResult, ...]:
@@ -298,12 +305,12 @@
         work_items = tuple(work_item for _, work_item in batch.work_items)
         left = tuple(pending.deadline - now for pending, _ in batch.work_items)
         head, body = self._wire.make_batch(work_items, left, batch.target)
-        seconds = batch.expected * TIMEOUT_FACTOR + TIMEOUT_MARGIN_SECONDS
+        ends_at = find_end(batch, now)
         async with self._sender.send(
             batch.target, head, body, MAX_IDLE_SECONDS
         ) as attempt:
-            answer = await attempt.read_head(seconds)
-            content = await attempt.read_complete(seconds)
+            answer = await attempt.read_head(ends_at - time.monotonic())
+            content = await attempt.read_complete(ends_at - time.monotonic())
             load = self._wire.read_load(answer)
             self._batch_queue.record_load(batch.target, load, time.monotonic())
             return self._answers.read(attempt, answer, content, batch)
@@ -341,11 +348,9 @@
     ) -> None:
         key = f'{pending.ident}/{work_item.stage}'
         is_pending = self._batch_queue.pending_stages.get(key) is pending
-        if not is_pending or work_item.number in pending.handles:
+        if not (is_pending and pending.accept(work_item, handle)):
             self._stored_results.release((handle,))
             return
-        pending.handles[work_item.number] = handle
-        pending.missing_results -= 1
         if not pending.missing_results:
             self._done_events[key].set()
 
@@ -375,6 +380,8 @@
         key = f'{pending.ident}/{work_item.stage}'
         if self._batch_queue.pending_stages.get(key) is not pending:
             return
+        if pending.is_covered(work_item):
+            return
         pending.retries += 1
         pause_seconds = self._notices.find_pause(self._service)
         if pause_seconds > max(0, pending.deadline - time.monotonic()):
--- a/galenaswitch/pipelines/batch_queue.py
+++ b/galenaswitch/pipelines/batch_queue.py
@@ -151,12 +151,13 @@
     def record_load(
         self, target: Target, load: Load | None, now: float
     ) -> None:
-        """Record whether other VMs send batches to a target.
+        """Record an answer, and whether other VMs send batches to its target.
 
         :param load: load in an answer, which doesn't include the answered
             batch.
         """
         target_state = self.target_state(target)
+        target_state.answered_at = now
         if load and load.running + load.waiting >= target_state.calls:
             target_state.record_sharing(now)
 
@@ -217,6 +218,8 @@
     def finish(self, batch: Batch) -> None:
         """Count a batch as ended, whether it succeeded or failed."""
         self.target_state(batch.target).calls -= 1
+        for pending, work_item in batch.work_items:
+            pending.record_ended(work_item)
 
     def find_max_held_bytes(self, targets: Iterable[Target]) -> float:
         """Return the largest result memory in use at any of the targets."""
@@ -304,9 +307,9 @@
     ) -> Batch:
         target_state = self.target_state(target)
         target_state.calls += 1
-        target_state.held_bytes += sum(
-            pending.result_bytes for pending, _ in work_items
-        )
+        for pending, work_item in work_items:
+            target_state.held_bytes += pending.result_bytes
+            pending.record_sent(work_item)
         usual_seconds = (
             limits.call_overhead_seconds
             + len(work_items) * limits.work_item_seconds
--- a/galenaswitch/pipelines/pending.py
+++ b/galenaswitch/pipelines/pending.py
@@ -4,6 +4,7 @@
 and the urgency by which the batch queue orders it.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -45,7 +46,11 @@
 
 
 class PendingStage:
-    """Work items of one stage of one request and their results."""
+    """Work items of one stage of one request and their results.
+
+    A work item whose batch is late may have a copy, queued or in another batch.
+    The first result counts.
+    """
 
     def __init__(
         self,
@@ -78,6 +83,7 @@
         self.started = False
         self.late = urgency.late
         self.handles: dict[int, str] = {}
+        self._in_flight: Counter[int] = Counter()
         self.failure = ''
         self.retries = 0
         self.crashes = 0
@@ -113,6 +119,45 @@
         """Whether the inputs were released, so work items can't be retried."""
         return self.releasable_inputs is None
 
+    def record_sent(self, work_item: WorkItem) -> None:
+        """Record that a batch with a work item is in flight."""
+        self._in_flight[work_item.number] += 1
+
+    def record_ended(self, work_item: WorkItem) -> None:
+        """Record that a batch with a work item has ended."""
+        self._in_flight[work_item.number] -= 1
+
+    def accept(self, work_item: WorkItem, handle: str) -> bool:
+        """Accept the result of a work item, unless there is one already.
+
+        :returns: whether the result is used.
+        """
+        if work_item.number in self.handles:
+            return False
+        self.handles[work_item.number] = handle
+        self.missing_results -= 1
+        self.queued = [
+            one for one in self.queued if one.number != work_item.number
+        ]
+        return True
+
+    def is_covered(self, work_item: WorkItem) -> bool:
+        """Tell whether a work item is made, queued or in a batch in flight."""
+        return (
+            work_item.number in self.handles
+            or self._in_flight[work_item.number] > 0
+            or any(one.number == work_item.number for one in self.queued)
+        )
+
+    def may_copy(self, work_item: WorkItem) -> bool:
+        """Tell whether a work item in flight may be made elsewhere as well."""
+        return (
+            not self.inputs_released
+            and work_item.number not in self.handles
+            and self._in_flight[work_item.number] == 1
+            and all(one.number != work_item.number for one in self.queued)
+        )
+
     def release_inputs(self) -> tuple[HeldResults, ...]:
         """Return the inputs to release; later calls return no inputs."""
         inputs = self.releasable_inputs or ()
--- a/galenaswitch/pipelines/target_states.py
+++ b/galenaswitch/pipelines/target_states.py
@@ -8,6 +8,9 @@
 # Bounds of a target's slowdown.
 MAX_SLOWDOWN = 20.0
 MIN_SLOWDOWN = 0.5
+# Largest ratio that one batch counts for: a target that was silent for a while
+# isn't slow.
+MAX_RATIO = 2.5
 # Pause in seconds of a target after a failed batch. Each further failure
 # doubles it up to the maximum.
 FAILURE_PAUSE_SECONDS = 0.5
@@ -26,6 +29,7 @@
     :ivar calls: number of batches in flight.
     :ivar slowdown: smoothed ratio of a batch's duration to its usual duration.
     :ivar held_bytes: result memory that is used or reserved.
+    :ivar answered_at: monotonic time of the last answer to a batch.
     :ivar paused_until: monotonic time before which the target gets no batch.
     """
 
@@ -34,6 +38,7 @@
         self.calls = 0
         self.slowdown = 1.0
         self.held_bytes = 0.0
+        self.answered_at = 0.0
         self.paused_until = 0.0
         self._pause_seconds = 0.0
         self._shared_until = 0.0
@@ -56,7 +61,7 @@
         :param ratio: duration of the batch divided by its expected duration.
         """
         self._pause_seconds = 0.0
-        observed = self.slowdown * min(ratio, MAX_SLOWDOWN)
+        observed = self.slowdown * min(ratio, MAX_RATIO)
         self.slowdown += SMOOTHING * (observed - self.slowdown)
         self.slowdown = min(
             max(self.slowdown, MIN_SLOWDOWN),
