Plain requests: tests of limits while a target is chosen

Guards against a request that reaches one target twice or goes beyond the budget, since two attempts choose their targets at the same time (a turn that takes 0.4 s); against a body awaited beyond the deadline; against a retry that is acquired for the failure of the only target; against more than four targets for one request; and against an attempt after the request was quarantined. Only attempts that were sent before the one that won, or while it was slow, can be in flight when it ends, so the time of the send decided nothing.

--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -187,7 +187,7 @@
             'hedged',
             request=job.request.ident,
             target=target.name,
-            silent=list(job.in_flight),
+            silent=sorted(job.in_flight),
         )
         return await self._attempt(job, target)
 
@@ -198,14 +198,14 @@
             another target may be asked.
         """
         sent_at = time.monotonic()
-        job.in_flight[target.name] = sent_at
+        job.in_flight.add(target.name)
         try:
             answer = await self._send(job, target)
         except TargetError as error:
             await self._record_error(job, target, error, sent_at)
             raise
         finally:
-            job.in_flight.pop(target.name, None)
+            job.in_flight.discard(target.name)
         self._record_answer(job, target, answer, time.monotonic() - sent_at)
         # An error of the target doesn't show that it ran the request.
         if answer.head.status < MIN_SERVER_ERROR_STATUS:
@@ -251,12 +251,12 @@
             self._ejector.record_failure(target.name, now)
             return
         self._ejector.record_success(target.name)
-        # A silence that all targets share is no failure of any of them.
+        # Those in flight are late only beside an answer that is in time: all
+        # may be silent at once.
         if seconds > timeout:
             return
-        for name, sent_at in job.in_flight.items():
-            if now - sent_at >= timeout:
-                self._ejector.record_failure(name, now)
+        for name in job.in_flight:
+            self._ejector.record_failure(name, now)
 
     async def _record_error(
         self, job: PlainJob, target: Target, error: TargetError, sent_at: float
--- a/galenaswitch/gateway/selection.py
+++ b/galenaswitch/gateway/selection.py
@@ -31,8 +31,7 @@
     :ivar screening: screening of the request.
     :ivar progress: progress of all attempts.
     :ivar tried: names of the targets that were chosen.
-    :ivar in_flight: monotonic time in seconds at which each attempt in flight
-        was sent, by the name of its target.
+    :ivar in_flight: names of the targets of attempts in flight.
     :ivar error: error of the attempt that failed last.
     :ivar failed: last answer with which a target itself failed.
     """
@@ -43,7 +42,7 @@
         self.screening = screening
         self.progress = Progress()
         self.tried: set[str] = set()
-        self.in_flight: dict[str, float] = {}
+        self.in_flight: set[str] = set()
         self.error: TargetError | None = None
         self.failed: Answer | None = None
 
--- a/galenaswitch/platform/tests/test_silent_plain.py
+++ b/galenaswitch/platform/tests/test_silent_plain.py
@@ -185,6 +185,12 @@
     runner._containment.may_repeat = Mock(return_value=False)
 
 
+def quarantine_request(runner):
+    """Quarantine the request."""
+    refusal = RefusedError(Reason.request_quarantined)
+    runner._containment.check = Mock(side_effect=refusal)
+
+
 def unlist_all(runner):
     """List no targets any more."""
     members = runner._members
@@ -200,6 +206,7 @@
         report_leaving,
         limit_others,
         suspect_request,
+        quarantine_request,
         unlist_all,
     ],
 )
@@ -213,6 +220,64 @@
     assert not second.target.requests
 
 
+def choose_slowly(runner):
+    """Limit the second target, and take some time for each turn at it."""
+    turns = runner._sender.turns
+    find_turn = turns.find_turn
+
+    async def find_slowly(*query):
+        await asyncio.sleep(0.4)
+        return await find_turn(*query)
+
+    turns.find_turn = find_slowly
+    turns.pacer.set_rate('t1/1', 1000.0, time.monotonic())
+
+
+def choose_slowly_without_budget(runner):
+    """Use all retries while a turn is awaited."""
+    choose_slowly(runner)
+    asyncio.get_running_loop().call_later(0.25, use_up_budget, runner)
+
+
+# Guards against a request that reaches a target twice, or beyond the budget,
+# since attempts choose their targets at the same time.
+@pytest.mark.parametrize(
+    ('change', 'expected'),
+    [(choose_slowly, 1), (choose_slowly_without_budget, 0)],
+)
+async def test_limits_hold_after_a_target_was_chosen(
+    run_plain, silent, writer, budgets, change, expected
+):
+    first, second = await silent(Silence(1.3), Silence(1.3))
+    await run_plain(first, second, attempts=3, change=change)
+    assert writer.body == b'fine'
+    assert len(second.target.requests) == expected
+    if expected:
+        assert len(budgets.of('desk')._retries) == expected
+
+
+# Guards against an answer that is awaited beyond the deadline.
+async def test_answer_that_does_not_end_is_given_up_at_the_deadline(
+    run_plain, silent
+):
+    (only,) = await silent(Silence(0.5, FOREVER))
+    started_at = time.monotonic()
+    with pytest.raises(RefusedError) as caught:
+        await run_plain(only, timeout=0.8)
+    assert time.monotonic() - started_at < 1.1
+    assert caught.value.response.status == 504
+
+
+# Guards against a retry that is acquired though no other target is left.
+async def test_failure_of_the_only_target_costs_no_retry(
+    run_plain, scripted, writer, make_answer, budgets
+):
+    only = await scripted([make_answer(b'oops', b'500 Failed')])
+    await run_plain(only)
+    assert writer.body == b'oops'
+    assert not budgets.of('desk')._retries
+
+
 # Guards against a silent target that holds up a request, and for nobody.
 async def test_other_target_answers_in_place_of_a_silent_one(
     run_plain, silent, writer, budgets
@@ -245,14 +310,16 @@
 
 
 # Guards against requests that run at more targets than their route allows.
-@pytest.mark.parametrize('attempts', [1, 2, 3])
+@pytest.mark.parametrize(
+    ('attempts', 'expected'), [(1, 1), (2, 2), (3, 3), (9, 4)]
+)
 async def test_silent_targets_get_a_request_as_often_as_the_route_allows(
-    run_plain, silent, writer, attempts
+    run_plain, silent, writer, attempts, expected
 ):
-    targets = await silent(*[Silence(1.2)] * 4)
+    targets = await silent(*[Silence(1.2)] * 5)
     await run_plain(*targets, attempts=attempts)
     assert writer.body == b'fine'
-    assert sum(len(one.target.requests) for one in targets) == attempts
+    assert sum(len(one.target.requests) for one in targets) == expected
 
 
 # Guards against a promise for a request that a silent target may have run.
