Timeouts that don't take a hold-up of the loop for silence of a target

Fault: an answer that had arrived while the own loop was held up counted as late; the attempt was closed and the caller got part of an answer. Cause: timers that are due run before sockets are read (uvloop), or in the same turn (asyncio); time for which the loop was held up counted as the target's. Reads from targets and connecting use it; the reason of a late target says how long was waited, held up, and nothing had come.

--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import time
 from collections import deque
 from typing import Any
 
@@ -28,6 +29,7 @@
     split_address,
 )
 from galenaswitch.errors import TargetBrokenError, TargetUnreachableError
+from galenaswitch.operations.timeouts import Timeout
 
 # Longest time in seconds for opening a connection to a target. Targets are in
 # the platform's own network.
@@ -139,12 +141,18 @@
         self._closed = False
         self._reading_paused = False
         self._framing_bytes = 0
+        self._heard_at = 0.0
 
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
         return not self._closed and self._keep_alive and self._exchange is None
 
+    @property
+    def silent_seconds(self) -> float:
+        """Seconds since the target sent data, or the request was written."""
+        return time.monotonic() - self._heard_at
+
     def connection_made(self, transport: Any) -> None:
         """Store the transport and enable dead-peer detection on it."""
         self._transport = transport
@@ -155,6 +163,7 @@
         if self._exchange is None:
             self.close()
             return
+        self._heard_at = time.monotonic()
         self._framing_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
@@ -242,6 +251,7 @@
                 f'{self.address}: the connection is closed or in use'
             )
         self._exchange = Exchange()
+        self._heard_at = time.monotonic()
         self._framing_bytes = 0
         self.was_used = True
         self._transport.write(encode_request(head, body))
@@ -368,7 +378,7 @@
         self.opened_count += 1
         try:
             host, port = split_address(address)
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            async with Timeout(CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
                     lambda: TargetConnection(address),
                     host,
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -3,7 +3,6 @@
 Each request is sent exactly once; retries are decided elsewhere.
 """
 
-import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from functools import partial
@@ -23,6 +22,7 @@
 from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.turns import Turns
 from galenaswitch.membership.lists import Target
+from galenaswitch.operations.timeouts import Timeout
 
 # Largest answer in bytes that is buffered completely before it is passed on.
 MAX_BUFFERED_BYTES = 4_194_304
@@ -52,10 +52,10 @@
         :raises TargetLateError: when the head did not arrive in time.
         """
         try:
-            async with asyncio.timeout(seconds):
+            async with Timeout(seconds) as timeout:
                 head = await self.exchange.read_head()
         except TimeoutError as error:
-            raise TargetLateError('no answer head arrived in time') from error
+            raise self._make_late_error('answer head', timeout) from error
         self._on_head(head)
         return head
 
@@ -66,12 +66,10 @@
         :raises TargetLateError: when no data arrived in time.
         """
         try:
-            async with asyncio.timeout(seconds):
+            async with Timeout(seconds) as timeout:
                 chunk = await self.exchange.read()
         except TimeoutError as error:
-            raise TargetLateError(
-                'no data of the answer arrived in time'
-            ) from error
+            raise self._make_late_error('data', timeout) from error
         self.connection.resume_reading()
         return chunk
 
@@ -81,18 +79,31 @@
         :raises TargetBrokenError: when the body is incomplete or too large.
         :raises TargetLateError: when the body did not arrive in time.
         """
+        try:
+            async with Timeout(seconds) as timeout:
+                return await self._read_body()
+        except TimeoutError as error:
+            raise self._make_late_error('end of the answer', timeout) from error
+
+    def close(self) -> None:
+        """Close the connection, on which another answer may still come."""
+        self.connection.close()
+
+    async def _read_body(self) -> bytes:
         content = bytearray()
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + seconds
-        while chunk := await self.read(deadline - loop.time()):
+        while chunk := await self.exchange.read():
+            self.connection.resume_reading()
             content += chunk
             if len(content) > MAX_BUFFERED_BYTES:
                 raise TargetBrokenError('the answer is too large')
         return bytes(content)
 
-    def close(self) -> None:
-        """Close the connection, on which another answer may still come."""
-        self.connection.close()
+    def _make_late_error(self, missing: str, timeout: Timeout) -> Exception:
+        silent = self.connection.silent_seconds
+        return TargetLateError(
+            f'no {missing} arrived in time: {timeout}, '
+            f'nothing came for {silent:.2f} s',
+        )
 
 
 class Sender:
