Links, connecting, loads, the store and own targets: the same timeout

Fault: a reply of a peer that had arrived while the own loop was held up counted as missing (owners suspect, links closed as silent), and a target that had accepted a connection counted as unreachable. PeerTimeoutError "b did not reply in 1 s" after a hold-up of 1.1 s from 0.1 s on, reply at 0.4 s; is_listening false after a hold-up of 0.7 s. Not yet: connect timeout and gaps of token streams in the client of own targets, which are timers of aiohttp.

--- a/galenaswitch/membership/links.py
+++ b/galenaswitch/membership/links.py
@@ -30,6 +30,7 @@
 )
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
+from galenaswitch.operations.timeouts import Timeout
 
 READ_CHUNK_BYTES = 65536
 HANDSHAKE_TIMEOUT_SECONDS = 3
@@ -171,7 +172,7 @@
         future = asyncio.get_running_loop().create_future()
         self._pending_replies[sequence] = future
         try:
-            async with asyncio.timeout(seconds):
+            async with Timeout(seconds):
                 return await future
         except TimeoutError as error:
             raise PeerTimeoutError(
@@ -191,7 +192,7 @@
         nonce = secrets.token_bytes(NONCE_BYTES)
         self.send(Hello(self._service.identity, nonce))
         try:
-            async with asyncio.timeout(HANDSHAKE_TIMEOUT_SECONDS):
+            async with Timeout(HANDSHAKE_TIMEOUT_SECONDS):
                 hello = await self._receive_handshake(Hello)
                 own_hmac = self._compute_hmac(
                     self._service.identity,
@@ -374,7 +375,7 @@
     """
     source_address = (service.address, 0) if service.address else None
     try:
-        async with asyncio.timeout(HANDSHAKE_TIMEOUT_SECONDS):
+        async with Timeout(HANDSHAKE_TIMEOUT_SECONDS):
             reader, writer = await asyncio.open_connection(
                 address,
                 port,
--- a/galenaswitch/membership/loads.py
+++ b/galenaswitch/membership/loads.py
@@ -43,6 +43,7 @@
 )
 from galenaswitch.membership.sync import MembershipSync
 from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.timeouts import Timeout
 
 PUBLISH_INTERVAL_SECONDS = 0.1
 POLL_TIMEOUT_SECONDS = 0.5
@@ -177,10 +178,12 @@
         since = self._last_sequences.get(target.name, 0)
         url = f'{target.url}/load?since={since}'
         try:
-            async with asyncio.timeout(POLL_TIMEOUT_SECONDS):
-                async with self._session.get(url) as answer:
-                    document = await answer.json(loads=orjson.loads)
-                    return self._parse(target, document)
+            async with (
+                Timeout(POLL_TIMEOUT_SECONDS),
+                self._session.get(url) as answer,
+            ):
+                document = await answer.json(loads=orjson.loads)
+                return self._parse(target, document)
         except _POLL_ERRORS as error:
             get_logger().info(
                 'no_load_report',
--- a/galenaswitch/membership/mesh.py
+++ b/galenaswitch/membership/mesh.py
@@ -21,6 +21,7 @@
 from galenaswitch.membership.ranking import pick_nodes
 from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.process import TaskGroup
+from galenaswitch.operations.timeouts import Timeout
 
 RELAYS_PER_ZONE = 2
 CONTACTS_PER_ZONE = 2
@@ -148,7 +149,7 @@
             )
         opened = self._link_opened.setdefault(node, asyncio.Event())
         try:
-            async with asyncio.timeout(seconds):
+            async with Timeout(seconds):
                 await opened.wait()
         except TimeoutError as error:
             raise PeerTimeoutError(f'{node} is not reachable') from error
--- a/galenaswitch/orders/reconciler.py
+++ b/galenaswitch/orders/reconciler.py
@@ -19,6 +19,7 @@
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.membership.mesh import Mesh
 from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.timeouts import Timeout
 from galenaswitch.orders.lease import Lease
 
 CYCLE_SECONDS = 1
@@ -142,13 +143,15 @@
         method = 'POST' if command else 'GET'
         seconds = LOAD_TIMEOUT_SECONDS if command else READ_TIMEOUT_SECONDS
         try:
-            async with asyncio.timeout(seconds):
-                async with self._session.request(
+            async with (
+                Timeout(seconds),
+                self._session.request(
                     method,
                     f'{target.url}/orders',
                     json=command,
-                ) as answer:
-                    document = await answer.json()
+                ) as answer,
+            ):
+                document = await answer.json()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise TargetBrokenError(f'{target.name} did not answer') from error
         if 'models' not in document:
--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -29,6 +29,7 @@
 )
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import LocalMetrics, Metrics
+from galenaswitch.operations.timeouts import Timeout
 from galenaswitch.platform.headers import CONFLICT, MILLISECONDS
 from galenaswitch.platform.pages import (
     decode_object,
@@ -297,7 +298,7 @@
         )
         body = b'' if document is None else orjson.dumps(document)
         try:
-            async with asyncio.timeout(seconds):
+            async with Timeout(seconds):
                 answer, content = await self._exchange(head, body)
         except (TargetError, TimeoutError) as error:
             raise StoreUnavailableError(
--- a/galenaswitch/store/client.py
+++ b/galenaswitch/store/client.py
@@ -4,7 +4,6 @@
 body. Every write is a compare-and-swap on the object's version.
 """
 
-import asyncio
 from collections import Counter
 from typing import Any
 
@@ -16,6 +15,7 @@
     StoreError,
     StoreUnavailableError,
 )
+from galenaswitch.operations.timeouts import Timeout
 from galenaswitch.store.objects import Listing, StoredObject
 
 MAX_BODY_BYTES = 1_000_000
@@ -141,14 +141,16 @@
     ) -> tuple[int, dict[str, Any]]:
         self.calls[method] += 1
         try:
-            async with asyncio.timeout(self._timeout_seconds + wait_seconds):
-                async with self._session.request(
+            async with (
+                Timeout(self._timeout_seconds + wait_seconds),
+                self._session.request(
                     method,
                     f'{self._url}{path}',
                     params=query,
                     **options,
-                ) as answer:
-                    return await _read_answer(answer)
+                ) as answer,
+            ):
+                return await _read_answer(answer)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreUnavailableError(
                 f'the store does not answer: {type(error).__name__}',
--- a/galenaswitch/targets/client.py
+++ b/galenaswitch/targets/client.py
@@ -7,7 +7,6 @@
 :class:`MismatchedAnswerError` the attempt may have run.
 """
 
-import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Any
 
@@ -23,6 +22,7 @@
 )
 from galenaswitch.membership.lists import Target
 from galenaswitch.operations.encoding import dump_json
+from galenaswitch.operations.timeouts import Timeout
 from galenaswitch.targets.messages import (
     StageCall,
     StreamEnd,
@@ -89,12 +89,14 @@
         """
         session = self._pooled if repeatable else self._unpooled
         try:
-            async with asyncio.timeout(call.left_ms / MILLISECONDS):
-                async with session.post(
+            async with (
+                Timeout(call.left_ms / MILLISECONDS),
+                session.post(
                     f'{target.url}{call.path}',
                     json=encode_call(call),
-                ) as answer:
-                    document = await _read_document(answer)
+                ) as answer,
+            ):
+                document = await _read_document(answer)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
