Streams: a successor whose stages ran again is sent

Fault of: the obstacles are looked at twice, before anything costs and right before the send. The count of the stages' runs was one of them, so a successor whose stages had just run for the second time was never sent, and a dead engine kept the stream to its deadline.

Failed before, on: test_stages_run_again_for_a_successor and test_results_of_an_unneeded_successor_are_released (deadline-exceeded).

Change: the runs of the stages are counted only before they run.

--- a/galenaswitch/gateway/handover.py
+++ b/galenaswitch/gateway/handover.py
@@ -216,6 +216,8 @@
         async with contextlib.AsyncExitStack() as unused:
             inputs = job.inputs
             if inputs is None or inputs.released:
+                if job.stage_runs >= MAX_STAGE_RUNS:
+                    raise NoSuccessorError('the stages ran too often')
                 inputs = await self._dispatcher.run_stages(job)
                 unused.callback(inputs.close)
             run = await self._place(job, inputs)
@@ -234,7 +236,6 @@
 
         :raises NoSuccessorError: when it can't.
         """
-        is_rerun = job.released and job.stage_runs >= MAX_STAGE_RUNS
         obstacles = {
             'no attempt is left': job.sent >= job.request.route.attempts
             or len(job.tried_targets) >= MAX_ATTEMPTS,
@@ -242,7 +243,6 @@
                 not self._dispatcher.continuations.has_other_target(job)
             ),
             'the request may be harmful': not job.screening.may_repeat(),
-            'the stages ran too often': is_rerun,
             'the retry budget is used up': (
                 not self._dispatcher.can_acquire_retry(job)
             ),
