Tests: retries and attempts that a hand-over uses

A successor uses one retry when it is sent and none when it isn't; the retry of one that couldn't be reached is used for the next engine. A request that may be harmful isn't handed over. An attempt whose engine answers that it has not run the request doesn't count, be it the first, late, or the successor.

--- /dev/null
+++ b/galenaswitch/platform/tests/test_hand_over_limits.py
@@ -0,0 +1,121 @@
+"""What a hand-over of a silent stream costs, and what forbids it."""
+
+import asyncio
+import time
+
+import pytest
+
+from galenaswitch.gateway.placements import PlacementScheduler
+from galenaswitch.gateway.routes import CallKind
+from galenaswitch.platform.tests.engines import (
+    BEGUN,
+    FOREVER,
+    REST,
+    WHOLE,
+    pause,
+)
+from galenaswitch.platform.tests.test_streams import NOT_RUN, PROMPT
+from galenaswitch.quarantine.messages import CrashReport, ImplicatedPart
+
+# Retries that the budget allows after one request.
+RETRIES = 8
+
+
+@pytest.fixture
+def generate(run_stream, make_route, writer):
+    """Return a function that gets a whole answer from engines."""
+
+    async def run(engines, **headers):
+        route = make_route(CallKind.stream, resumable=True, timeout=9.0)
+        await run_stream(
+            route, *engines.targets, **{'X-Deadline-Ms': '6000', **headers}
+        )
+        assert writer.finished
+        assert writer.body == WHOLE
+
+    return run
+
+
+@pytest.fixture
+def count_retries(budgets):
+    """Return a function that counts the retries that were acquired."""
+
+    def count():
+        left = 0
+        while budgets.of('desk').acquire(time.monotonic()):
+            left += 1
+        return RETRIES - left
+
+    return count
+
+
+# Guards against repeats that exceed the retry budget.
+async def test_hand_over_uses_one_retry(start_engines, generate, count_retries):
+    engines = await start_engines([BEGUN, FOREVER], [REST])
+    await generate(engines)
+    assert count_retries() == 1
+
+
+# Guards against a budget that is used up by what was never sent.
+async def test_successor_that_is_not_sent_uses_no_retry(
+    start_engines, generate, count_retries, monkeypatch
+):
+    place = PlacementScheduler.place
+
+    async def place_late(scheduler, query):
+        if query.avoided:
+            await asyncio.sleep(FOREVER)
+        return await place(scheduler, query)
+
+    monkeypatch.setattr(PlacementScheduler, 'place', place_late)
+    engines = await start_engines(pause(1.5))
+    await generate(engines)
+    assert count_retries() == 0
+
+
+# Guards against a retry for each engine that can't be reached.
+async def test_retry_that_is_not_sent_is_used_for_the_next_engine(
+    start_engines, generate, count_retries
+):
+    engines = await start_engines([BEGUN, FOREVER], [REST], count=4)
+
+    async def stop_two(others):
+        for target in others[:2]:
+            await target.stop()
+
+    engines.on_first = stop_two
+    await generate(engines)
+    assert count_retries() == 1
+
+
+# Guards against a harmful request that is sent to one more engine.
+async def test_request_that_may_be_harmful_is_not_handed_over(
+    start_engines, generate, containment
+):
+    parts = (ImplicatedPart('bad', 0, False, 0.1),)
+    for number in range(2):
+        report = CrashReport(f'e{number}/1', parts, age=9 - number)
+        containment._add_crash(report, None)
+    engines = await start_engines(pause(1.5, 'head'))
+    await generate(engines, **PROMPT)
+    assert len(engines.works) == 1
+
+
+# Guards against an attempt that counts though its engine has not run it.
+async def test_first_that_refuses_late_leaves_its_attempt(
+    start_engines, generate
+):
+    engines = await start_engines(
+        [1.35, NOT_RUN], [0.25, BEGUN], [REST], count=3
+    )
+    await generate(engines)
+    assert [one.last_event for one in engines.works] == ['', '', '1']
+
+
+# Guards against an attempt that counts though the successor has not run it.
+async def test_successor_that_refuses_leaves_its_attempt(
+    start_engines, generate
+):
+    engines = await start_engines([BEGUN, FOREVER], [NOT_RUN], [REST], count=3)
+    await generate(engines)
+    assert len(engines.works) == 3
