Tests: failures, stages and placements beside a hand-over

A first that breaks is closed at once while its successor waits; stages run twice at most for silences; results that one successor lacks are made again for the next; each hand-over uses a retry, and waits for its placement ahead of new streams; a caller that leaves a silent engine tells nothing of it; a placement on an engine that can't be used is ended. Each was written as the line that decides it could be taken out without a test that failed.

The end without a target needs no look of its own at the owner: the success of an engine without a name changes nothing there.

--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -144,8 +144,6 @@
         together as one reason to eject it, not as many.
         """
         now = time.monotonic()
-        if not message.target:
-            return
         if not message.failed:
             self._ejector.record_success(message.target)
         elif not (
--- a/galenaswitch/platform/tests/test_hand_over_limits.py
+++ b/galenaswitch/platform/tests/test_hand_over_limits.py
@@ -1,10 +1,13 @@
 """What a hand-over of a silent stream costs, and what forbids it."""
 
 import asyncio
+import contextlib
 import time
 
 import pytest
 
+from galenaswitch.gateway.continuation import CONTINUATION_PRIORITY
+from galenaswitch.gateway.messages import PlaceEnd
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.routes import CallKind
 from galenaswitch.platform.tests.engines import (
@@ -14,7 +17,12 @@
     WHOLE,
     pause,
 )
-from galenaswitch.platform.tests.test_streams import NOT_RUN, PROMPT
+from galenaswitch.platform.tests.test_streams import (
+    NOT_RUN,
+    PROMPT,
+    event,
+    stream,
+)
 from galenaswitch.quarantine.messages import CrashReport, ImplicatedPart
 
 # Retries that the budget allows after one request.
@@ -25,8 +33,10 @@
 def generate(run_stream, make_route, writer):
     """Return a function that gets a whole answer from engines."""
 
-    async def run(engines, **headers):
-        route = make_route(CallKind.stream, resumable=True, timeout=9.0)
+    async def run(engines, attempts=2, **headers):
+        route = make_route(
+            CallKind.stream, resumable=True, timeout=9.0, attempts=attempts
+        )
         await run_stream(
             route, *engines.targets, **{'X-Deadline-Ms': '6000', **headers}
         )
@@ -56,6 +66,83 @@
     assert count_retries() == 1
 
 
+# Guards against a second hand-over that counts as the first one.
+async def test_each_hand_over_uses_a_retry(
+    start_engines, generate, count_retries
+):
+    engines = await start_engines(
+        [BEGUN, FOREVER],
+        [stream([event(2)], end=b''), FOREVER],
+        [stream([event(3)])],
+        count=3,
+    )
+    await generate(engines, attempts=3)
+    assert count_retries() == 2
+
+
+# Guards against a successor that waits behind new streams for its placement.
+async def test_successor_is_placed_ahead_of_new_streams(
+    start_engines, generate, monkeypatch
+):
+    place = PlacementScheduler.place
+    priorities = []
+
+    async def place_noted(scheduler, query):
+        priorities.append(query.priority)
+        return await place(scheduler, query)
+
+    monkeypatch.setattr(PlacementScheduler, 'place', place_noted)
+    engines = await start_engines([BEGUN, FOREVER], [REST])
+    await generate(engines)
+    assert priorities == [1, CONTINUATION_PRIORITY]
+
+
+@pytest.fixture
+def ends(monkeypatch):
+    """Return the list of the ends that owners of services are told of."""
+    told = []
+    record_end = PlacementScheduler.record_end
+
+    def record(scheduler, message):
+        told.append(message)
+        record_end(scheduler, message)
+
+    monkeypatch.setattr(PlacementScheduler, 'record_end', record)
+    return told
+
+
+# Guards against a dead engine that counts as sound since its callers leave.
+@pytest.mark.parametrize(('seconds', 'is_silent'), [(0.5, False), (1.4, True)])
+async def test_caller_that_leaves_a_silent_engine_tells_nothing_of_it(
+    start_engines, generate, ends, seconds, is_silent
+):
+    engines = await start_engines([BEGUN, FOREVER], [FOREVER])
+    running = asyncio.create_task(generate(engines))
+    await asyncio.sleep(seconds)
+    running.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await running
+    (first,) = [one for one in ends if one.ident == 'a1']
+    assert not first.failed
+    assert (not first.target) == is_silent
+
+
+# Guards against a placement that is held on an engine which can't be used.
+async def test_placement_on_an_unknown_engine_is_ended(
+    start_engines, generate, ends, monkeypatch
+):
+    place = PlacementScheduler.place
+
+    async def place_wrongly(scheduler, query):
+        reply = await place(scheduler, query)
+        return reply._replace(target='t9') if query.avoided else reply
+
+    monkeypatch.setattr(PlacementScheduler, 'place', place_wrongly)
+    engines = await start_engines(pause(1.5))
+    await generate(engines)
+    assert ends[0] == PlaceEnd('desk', 'a1#2', '', False)
+
+
 # Guards against a budget that is used up by what was never sent.
 async def test_successor_that_is_not_sent_uses_no_retry(
     start_engines, generate, count_retries, monkeypatch
--- a/galenaswitch/platform/tests/test_silent_stages.py
+++ b/galenaswitch/platform/tests/test_silent_stages.py
@@ -9,13 +9,22 @@
     RESUME_TIMEOUT_SECONDS,
 )
 from galenaswitch.platform.tests import test_stages
-from galenaswitch.platform.tests.engines import BEGUN, FOREVER, WHOLE, pause
-from galenaswitch.platform.tests.engines import REST as LAST_EVENTS
+from galenaswitch.platform.tests.engines import (
+    BEGUN,
+    END,
+    FOREVER,
+    LATER,
+    REST,
+    WHOLE,
+    chunk,
+    pause,
+)
 from galenaswitch.platform.tests.test_stages import (
     RESULTS_LOST,
     STAGED,
     find_sent_inputs,
 )
+from galenaswitch.platform.tests.test_streams import event
 
 MAX_OVERLAP_SECONDS = 0.4
 SILENCES = (1.5, 2.5)
@@ -67,7 +76,7 @@
 async def test_stages_run_again_for_a_successor(
     start_engines, generate, producer
 ):
-    engines = await start_engines([BEGUN, FOREVER], [LAST_EVENTS])
+    engines = await start_engines([BEGUN, FOREVER], [REST])
     await generate(engines)
     assert find_inputs(engines) == ['h1', 'h2']
     assert producer.made_count == 2
@@ -100,7 +109,7 @@
 async def test_engine_goes_on_while_the_stages_run_again(
     start_engines, generate, producer, silence
 ):
-    engines = await start_engines(pause(silence), [LAST_EVENTS])
+    engines = await start_engines(pause(silence), [REST])
 
     async def slow_down(others):
         producer.call_seconds = silence
@@ -115,7 +124,7 @@
 async def test_engine_is_kept_when_the_stages_fail(
     start_engines, generate, producer, silence
 ):
-    engines = await start_engines(pause(silence), [LAST_EVENTS])
+    engines = await start_engines(pause(silence), [REST])
 
     async def stop_producer(others):
         await producer.stop()
@@ -133,3 +142,32 @@
     engines = await start_engines(pause(2.5, 'head'), [RESULTS_LOST])
     await generate(engines)
     assert len(engines.works) == 2
+
+
+# Guards against results that are lost for each further successor, too.
+async def test_stages_run_again_when_a_successor_lacks_results(
+    start_engines, generate, producer
+):
+    engines = await start_engines(
+        [FOREVER], [RESULTS_LOST], [BEGUN, LATER], count=3
+    )
+    await generate(engines, attempts=3)
+    assert find_inputs(engines) == ['h1', 'h1', 'h2']
+    assert producer.made_count == 2
+
+
+# Guards against stages that run for each silence of one stream.
+async def test_stages_run_twice_at_most_for_silences(
+    start_engines, generate, producer
+):
+    silence = RESUME_TIMEOUT_SECONDS + OVERLAP_SECONDS / 2 + 0.05
+    first = [
+        BEGUN,
+        silence,
+        chunk(event(2)),
+        silence,
+        chunk(event(3)) + END,
+    ]
+    engines = await start_engines(first, [FOREVER], count=3)
+    await generate(engines, attempts=3)
+    assert producer.made_count == 2
--- a/galenaswitch/platform/tests/test_silent_streams.py
+++ b/galenaswitch/platform/tests/test_silent_streams.py
@@ -298,14 +298,15 @@
 # Guards against a request that ends with its first attempt although another
 # one is under way.
 @pytest.mark.parametrize('silence', SILENCES)
-@pytest.mark.parametrize('ending', [[], [RESET], [b'oops']])
+@pytest.mark.parametrize('ending', [[], [RESET], [b'oops'], [b'oops', FOREVER]])
 async def test_successor_carries_on_when_the_first_breaks(
     start_engines, generate, place_later, silence, ending
 ):
     place_later(silence)
     engines = await start_engines([BEGUN, silence, *ending], [REST])
     assert await generate(engines) is None
-    assert len(engines.works) == 2
+    first, _ = engines.works
+    assert first.ended - first.began < silence + 0.3
 
 
 # Guards against a request that isn't repeated as its successor failed first.
