Tests: crashes, reads and results that a hand-over leaves behind

An engine that breaks before its first event while its successor is prepared is examined once, whether the successor carries on or refuses. The read of the attempt before ends with it, and a successor that has begun in the turn in which the first went on is ended with the results of its stages.

--- a/galenaswitch/platform/tests/test_hand_over_limits.py
+++ b/galenaswitch/platform/tests/test_hand_over_limits.py
@@ -2,17 +2,23 @@
 
 import asyncio
 import contextlib
+import gc
 import time
+from unittest.mock import AsyncMock, Mock
 
 import pytest
 
 from galenaswitch.gateway.continuation import CONTINUATION_PRIORITY
+from galenaswitch.gateway.handover import _drop
+from galenaswitch.gateway.jobs import EngineRun
 from galenaswitch.gateway.messages import PlaceEnd
 from galenaswitch.gateway.placements import PlacementScheduler
 from galenaswitch.gateway.routes import CallKind
 from galenaswitch.platform.tests.engines import (
     BEGUN,
     FOREVER,
+    LATER,
+    RESET,
     REST,
     WHOLE,
     pause,
@@ -143,18 +149,28 @@
     assert ends[0] == PlaceEnd('desk', 'a1#2', '', False)
 
 
+@pytest.fixture
+def place_successors_after(monkeypatch):
+    """Return a function that makes successors wait for their placements."""
+
+    def change(seconds):
+        place = PlacementScheduler.place
+
+        async def place_late(scheduler, query):
+            if query.avoided:
+                await asyncio.sleep(seconds)
+            return await place(scheduler, query)
+
+        monkeypatch.setattr(PlacementScheduler, 'place', place_late)
+
+    return change
+
+
 # Guards against a budget that is used up by what was never sent.
 async def test_successor_that_is_not_sent_uses_no_retry(
-    start_engines, generate, count_retries, monkeypatch
+    start_engines, generate, count_retries, place_successors_after
 ):
-    place = PlacementScheduler.place
-
-    async def place_late(scheduler, query):
-        if query.avoided:
-            await asyncio.sleep(FOREVER)
-        return await place(scheduler, query)
-
-    monkeypatch.setattr(PlacementScheduler, 'place', place_late)
+    place_successors_after(FOREVER)
     engines = await start_engines(pause(1.5))
     await generate(engines)
     assert count_retries() == 0
@@ -206,3 +222,44 @@
     engines = await start_engines([BEGUN, FOREVER], [NOT_RUN], [REST], count=3)
     await generate(engines)
     assert len(engines.works) == 3
+
+
+# Guards against a crash that isn't counted, or twice, beside a successor.
+@pytest.mark.parametrize('successor', [[BEGUN, LATER], [NOT_RUN]])
+async def test_engine_that_breaks_beside_its_successor_is_examined_once(
+    start_engines, generate, containment, place_successors_after, successor
+):
+    containment.record_broken = AsyncMock()
+    place_successors_after(0.3)
+    engines = await start_engines(
+        [1.3, RESET], successor, [BEGUN, LATER], count=3
+    )
+    await generate(engines)
+    assert containment.record_broken.await_count == 1
+
+
+# Guards against reads that nobody waits for any more.
+async def test_hand_over_leaves_no_failed_task(start_engines, generate):
+    left = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: left.append(context)
+    )
+    engines = await start_engines([BEGUN, FOREVER], [REST])
+    await generate(engines)
+    await asyncio.sleep(0.05)
+    gc.collect()
+    assert not left
+
+
+# Guards against results of a successor that began as the first went on.
+async def test_successor_that_has_begun_is_dropped_with_its_results():
+    run = Mock(spec=EngineRun, inputs=Mock(), resources=AsyncMock())
+
+    async def prepare():
+        return run
+
+    preparing = asyncio.create_task(prepare())
+    await asyncio.wait({preparing})
+    await _drop(Mock(inputs=None), preparing)
+    run.resources.aclose.assert_awaited_once()
+    run.inputs.close.assert_called_once()
