--- a/galenaswitch/platform/tests/test_held_up.py
+++ b/galenaswitch/platform/tests/test_held_up.py
@@ -12,20 +12,25 @@
 from collections import Counter
 from typing import NamedTuple
 
+import orjson
 import pytest
 import uvloop
 
 from galenaswitch.connections.heads import RequestHead
 from galenaswitch.connections.outbound import ConnectionPool
-from galenaswitch.errors import TargetLateError
+from galenaswitch.errors import TargetBrokenError, TargetLateError
 from galenaswitch.gateway.sending import Attempt
 from galenaswitch.membership.frames import Vocabulary
 from galenaswitch.membership.links import Identity, LinkService, dial, listen
+from galenaswitch.membership.lists import Target
 from galenaswitch.operations.process import TaskGroup
+from galenaswitch.targets.client import TargetClient
+from galenaswitch.targets.messages import StageCall, StreamEnd, Token
 
 GET = RequestHead(b'GET', b'/', ((b'Host', b'h'),))
 HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 FIRST, LAST = b'1\r\na\r\n', b'1\r\nb\r\n0\r\n\r\n'
+LATE = r'waited \d\.\d+ s, held up for \d.\d+ s, nothing came for \d\.\d+ s'
 LOOPS = (uvloop.new_event_loop, asyncio.new_event_loop)
 
 
@@ -207,6 +212,49 @@
         assert runner.run(check(listener.getsockname()[1]))
 
 
+CALL = StageCall('r', 's', 'a', '', '', '/x', {}, 5000)
+
+
+def make_part(**fields):
+    """Return a line of a token stream as a chunk of a body."""
+    line = orjson.dumps(CALL._asdict() | fields) + b'\n'
+    return b'%x\r\n%b\r\n' % (len(line), line)
+
+
+async def read_tokens(address):
+    """Read a token stream, the loop held up from 0.1 s on."""
+    client = TargetClient()
+    target = Target('t', '1', 'z', 'p', f'http://{address}')
+    hold_up((0.1, 1.3))
+    try:
+        return [part async for part in client.stream(target, CALL, 1)]
+    finally:
+        await client.close()
+
+
+# Guards against a token stream of an own target that counts as stalled though
+# its tokens have arrived.
+@pytest.mark.parametrize('new_loop', LOOPS, ids=('uvloop', 'asyncio'))
+def test_tokens_that_arrived_meanwhile_are_read(new_loop):
+    first = make_part(index=0, text='a')
+    last = make_part(index=1, text='b') + make_part(count=2) + b'0\r\n\r\n'
+    with (
+        open_engine([(0, HEAD + first), (0.5, last)]) as address,
+        asyncio.Runner(loop_factory=new_loop) as runner,
+    ):
+        parts = runner.run(read_tokens(address))
+    assert parts == [[Token(0, 'a')], [Token(1, 'b')], StreamEnd(2)]
+
+
+# Guards against a token stream of an own target that stalls without an end.
+def test_token_stream_that_stalls_is_found():
+    with open_engine([(0, HEAD + make_part(index=0, text='a'))]) as address:
+        began = time.monotonic()
+        with pytest.raises(TargetBrokenError):
+            asyncio.run(read_tokens(address))
+    assert time.monotonic() - began < 4
+
+
 # Guards against a process that was stopped and takes its pause for one of a
 # target, which answers after the process goes on.
 @pytest.mark.parametrize('pause', [1.5, 2.3])
@@ -251,6 +299,6 @@
 async def read_late(attempt):
     """Return after how many seconds a target without an answer is late."""
     began = time.monotonic()
-    with pytest.raises(TargetLateError):
+    with pytest.raises(TargetLateError, match=LATE):
         await attempt.read_head(1.2)
     return time.monotonic() - began
