Callers' connections: a reason of their end, a last answer that isn't reset

Faults: caller_left couldn't tell a caller that closed from a connection that was reset or lost, or that the server closed. A connection that closed after a rejection, or after the last answer of a stop, was reset by bytes that its caller still sent, and the caller lost the answer. Failed before (six tests): the two of the last answer with BrokenPipeError in the caller, before it read 413 or 200; the four of the reason since there was none. Change: ConnectionEnd, as AnswerWriter.connection_end and in the text of CallerGoneError. After the last answer the sending side closes and the connection drops what comes, until the caller closes, for 1 s at most. A stalled reader is found with the timeout that leaves out hold-ups. Not tested: the kernel's own timeout (its error is mapped, doctest only).

--- a/galenaswitch/connections/errors.py
+++ b/galenaswitch/connections/errors.py
@@ -1,5 +1,7 @@
-"""Errors of connections that callers open."""
+"""Errors and ends of connections that callers open."""
 
+import errno
+from enum import Enum
 from http import HTTPStatus
 
 from galenaswitch.errors import GalenaError
@@ -20,3 +22,41 @@
 
 class CallerGoneError(GalenaError):
     """The caller closed the connection, or stopped reading its response."""
+
+
+class ConnectionEnd(Enum):
+    """What ended a connection; the values stand in log lines."""
+
+    caller_closed = 'closed by the caller'
+    caller_reset = 'reset by the caller'
+    kernel = 'given up by the kernel'
+    idle = 'closed as idle'
+    stop = 'closed by the stop'
+    rejected = 'closed after a rejection'
+    answered = 'closed after an answer'
+    broken_off = 'reset by the server'
+
+
+_END_BY_ERRNO = {
+    errno.ECONNRESET: ConnectionEnd.caller_reset,
+    errno.EPIPE: ConnectionEnd.caller_reset,
+}
+
+
+def find_end(error: Exception | None) -> ConnectionEnd:
+    """Return what ended a connection that was lost.
+
+    :param error: error of the socket, ``None`` for an orderly close.
+
+    >>> find_end(ConnectionResetError(errno.ECONNRESET, 'reset')).value
+    'reset by the caller'
+    >>> find_end(TimeoutError(errno.ETIMEDOUT, 'timed out')).value
+    'given up by the kernel'
+    """
+    if error is None:
+        return ConnectionEnd.caller_closed
+    if isinstance(error, ConnectionError):
+        return ConnectionEnd.caller_reset
+    return _END_BY_ERRNO.get(
+        getattr(error, 'errno', None) or 0, ConnectionEnd.kernel
+    )
--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -14,7 +14,9 @@
 
 from galenaswitch.connections.errors import (
     CallerGoneError,
+    ConnectionEnd,
     RequestRejectedError,
+    find_end,
 )
 from galenaswitch.connections.heads import AnswerHead, encode_response_head
 from galenaswitch.connections.requests import (
@@ -32,6 +34,7 @@
 from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.operations.process import is_cancelled
+from galenaswitch.operations.timeouts import Timeout
 
 # Pipelined requests that wait on one connection before reading from the
 # caller is paused.
@@ -41,6 +44,9 @@
 MAX_UNSENT_BYTES = 262_144
 # Longest time in seconds that a caller may stop reading its response.
 STALLED_READER_TIMEOUT_SECONDS = 20
+# Longest time in seconds that a connection stays open after its last response,
+# so that what the caller still sends doesn't reset it.
+LINGER_SECONDS = 1
 # Most bytes of a request's path in a log line.
 MAX_LOGGED_PATH = 100
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -69,6 +75,10 @@
     def finished(self) -> bool:
         """Whether the response is complete."""
 
+    @property
+    def connection_end(self) -> ConnectionEnd | None:
+        """What ended the caller's connection, ``None`` while it is open."""
+
 
 class Handler(Protocol):
     """Responds to the requests of a listener."""
@@ -129,7 +139,10 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """One connection that a caller opened."""
+    """One connection that a caller opened.
+
+    :ivar end: what ended the connection, ``None`` while it is open.
+    """
 
     def __init__(self, listener: Listener) -> None:
         """Build the protocol of a connection to ``listener``."""
@@ -144,6 +157,8 @@
         self._rejection: RequestRejectedError | None = None
         self._serving = False
         self._closed = False
+        self.end: ConnectionEnd | None = None
+        self._linger: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Start the task that handles the requests of the connection."""
@@ -153,10 +168,12 @@
         self.listener.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
         self._task.add_done_callback(partial(_handle_task_end, self._close))
-        self._start_timer()
+        self.timer.start(self._parser.phase, self._parser.body_bytes)
 
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes from the caller and wake the connection's task."""
+        if self._linger:
+            return
         self._parser.limits = self.listener.limits()
         try:
             self._parser.feed(chunk, time.monotonic())
@@ -181,12 +198,12 @@
 
     def eof_received(self) -> bool:
         """Disconnect; a half-closed connection counts as closed."""
-        self._disconnect()
+        self._disconnect(ConnectionEnd.caller_closed)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in progress on the lost connection."""
-        self._disconnect()
+        self._disconnect(find_end(error))
 
     def pause_writing(self) -> None:
         """Make writers wait; the write buffer of the connection is full."""
@@ -200,11 +217,15 @@
         """Close the connection unless a request has begun to arrive on it."""
         has_input = self._parser.requests or self._rejection
         has_begun = self._parser.begun_at is not None
-        if self._serving or has_input or has_begun:
+        if self._serving or has_input or has_begun or self._linger:
             return
         # Timers that are due may run before the loop reads what has arrived.
         if self._closed or not has_unread_bytes(self._transport):
-            self._disconnect()
+            self._disconnect(
+                ConnectionEnd.stop
+                if self.listener.draining
+                else ConnectionEnd.idle
+            )
 
     async def drain(self) -> None:
         """Wait until the write buffer of the connection can take bytes.
@@ -213,11 +234,12 @@
             reads nothing for too long.
         """
         if self._closed:
-            raise CallerGoneError('the caller closed the connection')
+            ended = self.end.value if self.end else 'closed'
+            raise CallerGoneError(f'the connection is {ended}')
         if self._writable.is_set():
             return
         try:
-            async with asyncio.timeout(STALLED_READER_TIMEOUT_SECONDS):
+            async with Timeout(STALLED_READER_TIMEOUT_SECONDS):
                 await self._writable.wait()
         except TimeoutError as error:
             raise CallerGoneError(
@@ -231,6 +253,7 @@
 
     def abort(self) -> None:
         """Reset the connection, which makes a started response incomplete."""
+        self.end = self.end or ConnectionEnd.broken_off
         self._transport.abort()
         self._closed = True
 
@@ -247,9 +270,9 @@
                 self.listener.busy -= 1
                 self._serving = False
             if not keep_alive:
-                self._close()
+                self._close_gently(ConnectionEnd.answered)
                 return
-            self._start_timer()
+            self.timer.start(self._parser.phase, self._parser.body_bytes)
 
     async def _next_request(self) -> InboundRequest | None:
         while True:
@@ -291,15 +314,36 @@
             ((b'Content-Length', b'0'), (b'Connection', b'close')),
         )
         self.send(encode_response_head(head))
-        self._close()
+        self._close_gently(ConnectionEnd.rejected)
 
     def _close(self) -> None:
         self._closed = True
         self.timer.stop()
         self._transport.close()
 
-    def _disconnect(self) -> None:
+    def _close_gently(self, end: ConnectionEnd) -> None:
+        """Close the connection without a reset that overtakes the response.
+
+        The kernel resets a connection that is closed while bytes of the caller
+        are unread, and the caller may lose the response to that.
+        """
+        if self._closed:
+            return
+        self.end = self.end or end
+        self._closed = True
+        self.timer.stop()
+        if self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        loop = asyncio.get_running_loop()
+        self._linger = loop.call_later(LINGER_SECONDS, self._transport.close)
+
+    def _disconnect(self, end: ConnectionEnd) -> None:
+        self.end = self.end or end
         self._closed = True
+        if self._linger:
+            self._linger.cancel()
         self.timer.stop()
         self._writable.set()
         self.listener.connections.discard(self)
@@ -307,9 +351,6 @@
             self._task.cancel()
         self._transport.close()
 
-    def _start_timer(self) -> None:
-        self.timer.start(self._parser.phase, self._parser.body_bytes)
-
     def _handle_timeout(self, phase: ReadPhase) -> None:
         if phase is ReadPhase.idle:
             self.close_if_idle()
--- a/galenaswitch/connections/responses.py
+++ b/galenaswitch/connections/responses.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from galenaswitch.connections.errors import ConnectionEnd
 from galenaswitch.connections.heads import (
     AnswerHead,
     Header,
@@ -27,6 +28,10 @@
     def listener(self) -> ListenerState:
         """State that the connections of a port share."""
 
+    @property
+    def end(self) -> ConnectionEnd | None:
+        """What ended the connection, ``None`` while it is open."""
+
     @property
     def timer(self) -> RequestTimer:
         """Timeout between two requests."""
@@ -64,6 +69,11 @@
         self.started = False
         self.finished = False
 
+    @property
+    def connection_end(self) -> ConnectionEnd | None:
+        """What ended the caller's connection, ``None`` while it is open."""
+        return self._connection.end
+
     def start(self, head: AnswerHead, length: int | None) -> None:
         """Send the response head; a length of ``None`` means a chunked body."""
         self._chunked = length is None
