Ends of callers' connections: tests on both loops, a slow caller's last answer

The tests of the ends ran on asyncio's loop alone; processes use uvloop. All run on either loop now. New guard, which passes before, too: the last answer of a connection is complete for a caller that reads it slowly, over a time longer than the connection stays open after it (8 MB, a pause of 1.3 s). Cause, change: none in the code.

--- a/galenaswitch/connections/tests/test_ends.py
+++ b/galenaswitch/connections/tests/test_ends.py
@@ -6,6 +6,7 @@
 import time
 
 import pytest
+import uvloop
 
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.inbound import Listener
@@ -44,6 +45,15 @@
         writer.finish()
 
 
+@pytest.fixture(
+    params=(uvloop.EventLoopPolicy, asyncio.DefaultEventLoopPolicy),
+    ids=('uvloop', 'asyncio'),
+)
+def event_loop_policy(request):
+    """Run the tests on either loop."""
+    return request.param()
+
+
 @pytest.fixture
 async def serve():
     """Return a function that serves a handler on a free port.
@@ -143,3 +153,32 @@
     assert b'Connection: close' in answer
     await asyncio.sleep(1.2)
     assert not listener.connections
+
+
+class LargeHandler:
+    """Answers with a body that the kernel's buffers can't take at once."""
+
+    async def handle(self, request, writer):
+        """Answer a request with 8 MB."""
+        writer.start(AnswerHead(200, ()), 8_000_000)
+        for _ in range(80):
+            await writer.write(b'x' * 100_000)
+        writer.finish()
+
+
+def read_slowly(caller):
+    """Send a request and read its answer after a pause; return its length."""
+    caller.sendall(GET)
+    time.sleep(1.3)
+    length = 0
+    while part := caller.recv(65536):
+        length += len(part)
+        time.sleep(0.005)
+    return length
+
+
+# Guards against a last answer that is cut, as its caller reads slowly.
+async def test_last_answer_is_complete_for_a_slow_caller(serve):
+    listener, caller = await serve(LargeHandler(), InboundLimits())
+    listener.draining = True
+    assert await asyncio.to_thread(read_slowly, caller) > 8_000_000
