Timeouts: waits for an answer are measured whatever their length

Fault: a wait of over 5 s didn't let the clock of the loop tick, so that the reason of a late target could show no hold-up though there was one, and a short watch of the store (down to 0.5 s) kept an idle process ticking. Cause: a threshold stood for the difference between a wait for an answer and a watch. Change: watches say that they needn't be measured (is_measured=False); all others are measured. MAX_MEASURED_SECONDS is gone.

--- a/galenaswitch/operations/timeouts.py
+++ b/galenaswitch/operations/timeouts.py
@@ -13,9 +13,6 @@
 READING_TURNS = 8
 # Resolution of the timers of uvloop, which may run early by as much.
 MIN_WAIT_SECONDS = 0.001
-# Longest wait during which the clock of the loop ticks. Beside a longer one a
-# hold-up matters little, and an idle process isn't woken up.
-MAX_MEASURED_SECONDS = 5
 
 
 class Timeout:
@@ -28,16 +25,26 @@
     :ivar held_seconds: time in it for which the loop was held up.
     """
 
-    def __init__(self, seconds: float, limit_seconds: float = math.inf) -> None:
+    def __init__(
+        self,
+        seconds: float,
+        limit_seconds: float = math.inf,
+        *,
+        is_measured: bool = True,
+    ) -> None:
         """Build a timeout for one ``async with`` block.
 
         :param seconds: longest wait on a loop that isn't held up.
         :param limit_seconds: longest wait at any odds.
+        :param is_measured: whether the clock of the loop ticks meanwhile. It
+            needn't beside a wait that nobody waits for, and an idle process
+            isn't woken up then.
         """
         self.waited_seconds = 0.0
         self.held_seconds = 0.0
         self._seconds = seconds
         self._limit_seconds = limit_seconds
+        self._is_measured = is_measured
         self._left_extension = seconds
         self._began_at = 0.0
         self._held_before = 0.0
@@ -48,7 +55,7 @@
     async def __aenter__(self) -> Self:
         """Start the timeout."""
         self._clock = find_clock()
-        if self._seconds <= MAX_MEASURED_SECONDS:
+        if self._is_measured:
             self._clock.start()
         self._held_before = self._clock.read()
         self._began_at = time.monotonic()
@@ -67,7 +74,7 @@
         :raises TimeoutError: when the block was ended by it.
         """
         self._measure()
-        if self._clock and self._seconds <= MAX_MEASURED_SECONDS:
+        if self._clock and self._is_measured:
             self._clock.stop()
         if self._handle:
             self._handle.cancel()
--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -282,6 +282,7 @@
         document: Document | None = None,
         seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> StoreAnswer:
+        is_watch = bool(query and 'watch' in query)
         path = f'/api/objects/{quote(kind)}'
         if name:
             path = f'{path}/{quote(name)}'
@@ -298,7 +299,7 @@
         )
         body = b'' if document is None else orjson.dumps(document)
         try:
-            async with Timeout(seconds):
+            async with Timeout(seconds, is_measured=not is_watch):
                 answer, content = await self._exchange(head, body)
         except (TargetError, TimeoutError) as error:
             raise StoreUnavailableError(
--- a/galenaswitch/store/client.py
+++ b/galenaswitch/store/client.py
@@ -142,7 +142,10 @@
         self.calls[method] += 1
         try:
             async with (
-                Timeout(self._timeout_seconds + wait_seconds),
+                Timeout(
+                    self._timeout_seconds + wait_seconds,
+                    is_measured=not wait_seconds,
+                ),
                 self._session.request(
                     method,
                     f'{self._url}{path}',
