Own face: a call that is late stays open beside the next one

A repeatable call at a target that is silent for 1.5 s (pool latency 10 ms) was closed after 0.4 s and refused as stage-failed: with one target, with full others, without budgets, and when all targets of the pool paused at once.

Cause: each attempt had a timeout of 10 times the usual latency, after which it counted as broken; only then a target and the retry budget were looked for.

Change: attempts last until the deadline. A late stage is hedged once more from the retry budget, beside those in flight. A target counts as failed by its silence only if another one answered in the usual time meanwhile: no pause of all targets of a pool ejects them, which left none to choose.

--- a/galenaswitch/pipelines/attempts.py
+++ b/galenaswitch/pipelines/attempts.py
@@ -21,8 +21,14 @@
 from galenaswitch.membership.lists import LeavingSign, Target
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
-from galenaswitch.pipelines.budgets import Budgets
-from galenaswitch.pipelines.calls import find_first_success, make_call
+from galenaswitch.pipelines.budgets import Budget, Budgets
+from galenaswitch.pipelines.calls import (
+    SentCalls,
+    find_first_success,
+    find_hedge_delay,
+    find_timeout,
+    make_call,
+)
 from galenaswitch.pipelines.dispatch import Dispatcher
 from galenaswitch.pipelines.first_token import FirstTokenTimeout
 from galenaswitch.pipelines.lengths import AnswerLengths
@@ -38,11 +44,6 @@
 from galenaswitch.targets.messages import Token
 from galenaswitch.targets.sequence import TokenSequence
 
-MIN_HEDGE_DELAY_SECONDS = 0.03
-HEDGE_DELAY_FACTOR = 3
-MIN_TIMEOUT_SECONDS = 0.4
-TIMEOUT_FACTOR = 10
-
 
 class AttemptRunner:
     """Sends stages to targets and records load, failures and costs."""
@@ -175,40 +176,51 @@
         tried: frozenset[str],
     ) -> dict[str, Any]:
         if not job.stage.repeatable:
-            return await self._call_once(job, target)
+            return await self._call_once(job, target, SentCalls())
+        pool = job.stage.pool
+        latency = self._loads.typical_latency(pool)
+        sent = SentCalls()
+        budgets = iter(
+            (self._budgets.hedges(pool), self._budgets.retries(pool))
+        )
         return await find_first_success(
-            asyncio.create_task(self._call_once(job, target)),
-            (self._find_hedge_delay(target),),
-            lambda: self._hedge(job, tried | {target.name}),
+            asyncio.create_task(self._call_once(job, target, sent)),
+            (find_hedge_delay(latency), find_timeout(job, latency)),
+            lambda: self._hedge(job, tried, sent, next(budgets)),
         )
 
     def _hedge(
         self,
         job: StageRun,
         tried: frozenset[str],
+        sent: SentCalls,
+        budget: Budget,
     ) -> set[asyncio.Task[dict[str, Any]]]:
+        """Start an attempt besides those that are silent, if that is allowed.
+
+        The attempts in flight stay: their targets may go on at any time.
+        """
         if self.guard.is_suspect(job):
             return set()
         now = asyncio.get_running_loop().time()
         work = job.work._replace(now=now)
-        other = self._dispatcher.choose(job.stage, work, tried)
-        if other is None or not self._budgets.hedges(job.stage.pool).acquire():
+        other = self._dispatcher.choose(job.stage, work, tried | sent.targets)
+        if other is None or not budget.acquire():
             return set()
         self._metrics.count('hedged')
-        return {asyncio.create_task(self._call_once(job, other))}
-
-    def _find_hedge_delay(self, target: Target) -> float:
-        seconds = self._loads.typical_latency(target.pool) * HEDGE_DELAY_FACTOR
-        return max(MIN_HEDGE_DELAY_SECONDS, seconds)
+        return {asyncio.create_task(self._call_once(job, other, sent))}
 
-    async def _call_once(self, job: StageRun, target: Target) -> dict[str, Any]:
+    async def _call_once(
+        self, job: StageRun, target: Target, sent_calls: SentCalls
+    ) -> dict[str, Any]:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        timeout = job.request.deadline - started_at
-        if job.stage.repeatable:
-            timeout = min(timeout, self._find_timeout(target, timeout))
+        seconds_left = job.request.deadline - started_at
         weight = job.request.contract.weight
-        call = make_call(job, job.payload, timeout, weight)
+        call = make_call(job, job.payload, seconds_left, weight)
+        latency = self._loads.typical_latency(target.pool)
+        timeout = find_timeout(job, latency)
+        sent_calls.start(target.name, started_at)
         self.guard.check_send(job)
         load = self._loads.get_load(target.name)
         sent = load.start(started_at, 0, 0)
@@ -223,22 +235,17 @@
             raise
         finally:
             load.finish(sent, loop.time())
+            sent_calls.finish(target.name)
             self._count_cost(job, job.stage.cost, succeeded)
             self._dispatcher.wake()
         job.progress.record_success(repeatable=job.stage.repeatable)
-        self._record_success(target, loop.time() - started_at)
+        now = loop.time()
+        self._record_success(target, now - started_at)
+        if now - started_at < timeout:
+            for name in sent_calls.find_silent(now - timeout):
+                self._ejector.record_failure(name, now)
         return output
 
-    def _find_timeout(self, target: Target, seconds_left: float) -> float:
-        """Return the timeout of a repeatable attempt in seconds.
-
-        The timeout is half of the time left for a pool of unknown latency.
-        """
-        typical_latency = self._loads.typical_latency(target.pool)
-        if not typical_latency:
-            return max(MIN_TIMEOUT_SECONDS, seconds_left / 2)
-        return max(MIN_TIMEOUT_SECONDS, typical_latency * TIMEOUT_FACTOR)
-
     async def _stream_once(
         self,
         job: StageRun,
