Plain requests: a pause of all targets ejects none of them

Failure: the test of a pause of all targets for 1.5 s, asking now that no target is ejected at any time, failed on the commit before: "assert not True" for a call of `eject`.

Cause: whether an answer was in time was judged with the service's latency after that answer, which the pause itself had raised.

Change: the time is the one in force when the attempt was sent. Only an answer that is no failure of its target shows that the others are late.

--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -198,6 +198,7 @@
             another target may be asked.
         """
         sent_at = time.monotonic()
+        timeout = self._find_answer_timeout(job.request)
         job.in_flight.add(target.name)
         try:
             answer = await self._send(job, target)
@@ -206,10 +207,12 @@
             raise
         finally:
             job.in_flight.discard(target.name)
-        self._record_answer(job, target, answer, time.monotonic() - sent_at)
+        seconds = time.monotonic() - sent_at
+        self._record_answer(job, target, answer, seconds)
         # An error of the target doesn't show that it ran the request.
         if answer.head.status < MIN_SERVER_ERROR_STATUS:
             job.screening.record_answer()
+            self._record_silent(job, in_time=seconds < timeout)
         elif job.request.route.kind is CallKind.repeatable:
             job.failed = answer
             job.error = TargetFailedError(f'status {answer.head.status}')
@@ -242,21 +245,20 @@
     def _record_answer(
         self, job: PlainJob, target: Target, answer: Answer, seconds: float
     ) -> None:
-        """Record what an answer says of its target, and of those in flight."""
-        now = time.monotonic()
-        timeout = self._find_answer_timeout(job.request)
         self._loads.observe_pool_latency(job.request.service, seconds)
         self._loads.get_load(target.name).observe(seconds)
         if answer.head.status >= MIN_SERVER_ERROR_STATUS:
-            self._ejector.record_failure(target.name, now)
-            return
-        self._ejector.record_success(target.name)
-        # Those in flight are late only beside an answer that is in time: all
-        # may be silent at once.
-        if seconds > timeout:
-            return
-        for name in job.in_flight:
-            self._ejector.record_failure(name, now)
+            self._ejector.record_failure(target.name, time.monotonic())
+        else:
+            self._ejector.record_success(target.name)
+
+    def _record_silent(self, job: PlainJob, *, in_time: bool) -> None:
+        """Record failures of the targets in flight beside an answer in time.
+
+        Beside one that is late, all targets may be silent.
+        """
+        for name in job.in_flight if in_time else ():
+            self._ejector.record_failure(name, time.monotonic())
 
     async def _record_error(
         self, job: PlainJob, target: Target, error: TargetError, sent_at: float
