--- a/galenaswitch/pipelines/attempts.py
+++ b/galenaswitch/pipelines/attempts.py
@@ -35,7 +35,7 @@
 from galenaswitch.pipelines.notices import FailureSinks
 from galenaswitch.pipelines.priorities import Priorities
 from galenaswitch.pipelines.requests import StageRun, name_token_latencies
-from galenaswitch.pipelines.streams import STALL_SECONDS, order_tokens
+from galenaswitch.pipelines.streams import StallWatch, order_tokens
 from galenaswitch.refusals import Reason, RefusedError
 from galenaswitch.routing.ejection import Ejector, is_outlier
 from galenaswitch.routing.loads import LoadView
@@ -111,7 +111,7 @@
             )
             try:
                 async with aclosing(
-                    self._stream_once(job, target, sequence),
+                    self._stream_once(job, target, sequence, tried),
                 ) as token_groups:
                     async for tokens in token_groups:
                         yield tokens  # noqa: WPS220
@@ -251,6 +251,7 @@
         job: StageRun,
         target: Target,
         sequence: TokenSequence,
+        tried: frozenset[str],
     ) -> AsyncGenerator[list[Token], None]:
         self.guard.check_send(job)
         loop = asyncio.get_running_loop()
@@ -274,12 +275,15 @@
         self._dispatcher.wake()
         job.progress.record_sent(repeatable=True)
         before = sequence.count
+        watch = StallWatch(lambda: self._may_leave(job, tried | {target.name}))
         try:
-            waits = self._first_token_timeout.plan_waits(job, target, before)
+            waits = self._first_token_timeout.plan_waits(
+                job, target, before, tried
+            )
             async with aclosing(
-                self._client.stream(target, call, STALL_SECONDS),
+                self._client.stream(target, call, job.request.deadline - now),
             ) as stream:
-                async for ready in order_tokens(stream, waits, sequence):
+                async for ready in order_tokens(stream, waits, sequence, watch):
                     yield ready
         except TargetError as error:
             await self._record_failure(
@@ -300,6 +304,10 @@
             self._record_tokens(job, sequence, sequence.count - before)
             self._dispatcher.wake()
 
+    def _may_leave(self, job: StageRun, tried: frozenset[str]) -> bool:
+        may_repeat = self.guard.may_repeat(job)
+        return may_repeat and self._first_token_timeout.may_leave(job, tried)
+
     def _record_tokens(
         self,
         job: StageRun,
@@ -365,6 +373,8 @@
         now = asyncio.get_running_loop().time()
         job.progress.record_failure(error)
         if isinstance(error, TargetLateError):
+            if not self._first_token_timeout.is_alive(target):
+                self._ejector.record_failure(target.name, now)
             return
         if isinstance(error, TargetLeavingError):
             job.progress.record_not_run()
--- a/galenaswitch/pipelines/first_token.py
+++ b/galenaswitch/pipelines/first_token.py
@@ -12,15 +12,14 @@
 from galenaswitch.pipelines.budgets import Budgets
 from galenaswitch.pipelines.dispatch import Dispatcher
 from galenaswitch.pipelines.requests import StageRun
-from galenaswitch.pipelines.streams import STALL_SECONDS
+from galenaswitch.pipelines.streams import RECHECK_SECONDS, STALL_SECONDS
 from galenaswitch.refusals import Reason, RefusedError
 from galenaswitch.routing.loads import LoadView
 
 # The first timeout is this multiple of the predicted duration, plus the stall
 # time.
 FIRST_TOKEN_FACTOR = 3
-# Seconds of each further wait.
-RECHECK_SECONDS = 0.25
+NO_TARGETS: frozenset[str] = frozenset()
 
 
 class FirstTokenTimeout:
@@ -54,25 +53,37 @@
         job: StageRun,
         target: Target,
         tokens_made: int,
+        tried: frozenset[str] = NO_TARGETS,
     ) -> Iterator[float]:
         """Yield the timeouts of successive waits for the first token.
 
         Abandoning a target loses the stream's position in its queue. So the
-        wait continues while a target reports its load, unless another target
-        is expected to be much sooner and the retry budget allows it.
+        wait continues, unless the target is silent or another one is expected
+        to be much sooner, and the retry budget allows it.
 
         :param tokens_made: tokens of the answer that exist already.
+        :param tried: names of targets that get the stream no more.
         :raises RefusedError: when no target can finish before the deadline.
         :raises TargetLateError: when another target is the better choice.
         """
         slack = max(0, self._find_slack(job, target, tokens_made))
         yield min(slack, self._find_timeout(job, target))
-        while self.is_alive(target):
-            if not self._is_worth_waiting(job, target, tokens_made):
-                raise TargetLateError(
-                    f'{target.name} is not the fastest target'
-                )
+        tried |= {target.name}
+        while self._is_worth_waiting(job, target, tokens_made, tried):
             yield RECHECK_SECONDS
+        raise TargetLateError(f'{target.name} is not the fastest target')
+
+    def may_leave(self, job: StageRun, tried: frozenset[str]) -> bool:
+        """Tell whether a stream that stalls goes on at another target.
+
+        The retry budget is used for it.
+
+        :param tried: names of targets that get the stream no more.
+        """
+        work = job.work._replace(now=asyncio.get_running_loop().time())
+        if self._dispatcher.choose(job.stage, work, tried) is None:
+            return False
+        return self._budgets.retries(job.stage.pool).acquire()
 
     def is_alive(self, target: Target) -> bool:
         """Tell whether a target has reported its load recently."""
@@ -100,17 +111,16 @@
         job: StageRun,
         target: Target,
         tokens_made: int,
+        tried: frozenset[str],
     ) -> bool:
         work = job.work._replace(now=asyncio.get_running_loop().time())
-        other = self._dispatcher.choose(
-            job.stage,
-            work,
-            frozenset((target.name,)),
-        )
+        other = self._dispatcher.choose(job.stage, work, tried)
         if self._find_slack(job, target, tokens_made) <= 0:
             self.check_feasible(job, other or target, tokens_made)
         if other is None:
             return True
+        if not self.is_alive(target):
+            return not self.may_leave(job, tried)
         seconds_gained = self._dispatcher.predict(target, work)
         seconds_gained -= self._dispatcher.predict(other, work)
         if seconds_gained < STALL_SECONDS:
--- a/galenaswitch/pipelines/streams.py
+++ b/galenaswitch/pipelines/streams.py
@@ -1,34 +1,103 @@
-"""Puts the tokens of one stream in order and checks that none is missing."""
+"""Puts the tokens of one stream in order and checks that none is missing.
+
+A stream that stalls is left only if it can go on elsewhere: its target may be
+silent for a while and go on.
+"""
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator, Iterable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Iterable
+from typing import Any
 
-from galenaswitch.errors import TargetBrokenError
+from galenaswitch.errors import TargetBrokenError, TargetLateError
 from galenaswitch.targets.messages import StreamEnd, Token
 from galenaswitch.targets.sequence import TokenSequence
 
 STALL_SECONDS = 1.0
+# Seconds between two looks for a better target while a stream stalls.
+RECHECK_SECONDS = 0.25
+
+
+class StallWatch:
+    """Watches one stream and leaves it when it stalls and has a better target.
+
+    One timer watches all reads, which costs less than a timeout for each.
+    """
+
+    def __init__(self, may_leave: Callable[[], bool]) -> None:
+        """Build a watch over a stream that is not read yet.
+
+        :param may_leave: tells whether the stream goes on elsewhere, for which
+            it uses the retry budget.
+        """
+        self._may_leave = may_leave
+        self._task: asyncio.Task[Any] | None = None
+        self._read_at = 0.0
+        self._is_left = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def read(
+        self, stream: AsyncGenerator[list[Token] | StreamEnd, None]
+    ) -> list[Token] | StreamEnd:
+        """Return the next part of a stream.
+
+        :raises TargetLateError: when the stream goes on elsewhere.
+        """
+        loop = asyncio.get_running_loop()
+        self._read_at = loop.time()
+        self._task = asyncio.current_task()
+        if self._timer is None:
+            self._timer = loop.call_later(STALL_SECONDS, self._check)
+        try:
+            return await anext(stream)
+        except asyncio.CancelledError:
+            if self._is_left and self._task and not self._task.uncancel():
+                raise TargetLateError('the stream stalled') from None
+            raise
+        finally:
+            self._task = None
+
+    def close(self) -> None:
+        """End the watch."""
+        if self._timer:
+            self._timer.cancel()
+
+    def _check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = None
+        if self._task is None:
+            return
+        stall_left = self._read_at + STALL_SECONDS - loop.time()
+        if stall_left <= 0 and self._may_leave():
+            self._is_left = True
+            self._task.cancel()
+            return
+        wait = stall_left if stall_left > 0 else RECHECK_SECONDS
+        self._timer = loop.call_later(wait, self._check)
 
 
 async def order_tokens(
     stream: AsyncGenerator[list[Token] | StreamEnd, None],
     waits: Iterable[float],
     sequence: TokenSequence,
+    watch: StallWatch,
 ) -> AsyncIterator[list[Token]]:
     """Yield tokens in order until the answer is complete.
 
-    :param stream: groups of tokens; the stream itself fails when it stalls
-        after the first group.
+    :param stream: groups of tokens.
     :param waits: timeouts in seconds of successive waits for the first group.
-    :raises TargetBrokenError: when no token arrives in time or the answer is
-        incomplete.
+    :param watch: leaves a stream that stalls after the first group.
+    :raises TargetBrokenError: when the answer is incomplete.
+    :raises TargetLateError: when the stream goes on elsewhere.
     """
     received = await _wait_first_tokens(stream, waits)
-    while not isinstance(received, StreamEnd):
-        ready = sequence.accept(received)
-        if ready:
-            yield ready
-        received = await anext(stream)
+    try:
+        while not isinstance(received, StreamEnd):
+            ready = sequence.accept(received)
+            if ready:
+                yield ready
+            received = await watch.read(stream)
+    finally:
+        watch.close()
     _check_complete(sequence, received)
 
 
