--- a/galenaswitch/platform/tests/test_late_batches.py
+++ b/galenaswitch/platform/tests/test_late_batches.py
@@ -313,14 +313,25 @@
     assert not batcher._batch_queue.pending_stages
 
 
-# Guards against a late answer to a cancelled request that stays held.
+# Guards against a late answer to a cancelled request that stays held, and
+# against copies of its work items.
 async def test_late_answer_to_a_cancelled_request_is_released(open_batcher):
-    batcher, (only,) = await open_batcher((SILENCE, 0))
+    batcher, (first, second) = await open_batcher((SILENCE, 0), (0, 0))
     results = asyncio.create_task(batcher.make_results(make_query()))
-    await asyncio.sleep(0.7)
+    await asyncio.sleep(0.3)
     batcher.cancel(PiecesCancel('intake', 'r'))
     assert not (await results).handles
     await wait_until_idle(batcher)
+    assert (first.lost, first.released) == (0, 1)
+    assert second.batches == count_retries(batcher) == 0
+    assert batcher.dump()['held_bytes'] == 0
+
+
+# Guards against a failure of a target that answers after a short deadline.
+async def test_batch_is_not_late_before_its_usual_time(open_batcher):
+    batcher, (only,) = await open_batcher((0.45, 0))
+    assert not (await batcher.make_results(make_query(left=0.3))).handles
+    await wait_until_idle(batcher)
     assert (only.lost, only.released) == (0, 1)
     assert batcher.dump()['held_bytes'] == 0
 
