Batches: tests that copies use retries only if another target takes them

The own target of a late batch is paused while the batch is late, so a line that left it out decided nothing and is gone.

--- a/galenaswitch/gateway/late_batches.py
+++ b/galenaswitch/gateway/late_batches.py
@@ -82,15 +82,15 @@
         )
         while True:
             target_state.pause_until(time.monotonic() + PAUSE_SECONDS)
-            if self._has_other_target(batch, sent_at):
+            if self._has_other_target(sent_at):
                 self._queue_copies(batch)
             await asyncio.sleep(POLL_SECONDS)
 
-    def _has_other_target(self, batch: Batch, sent_at: float) -> bool:
+    def _has_other_target(self, sent_at: float) -> bool:
         """Tell whether another target takes batches, now or after others.
 
-        One that is at work may be silent, too, unless it has answered since
-        ``sent_at``.
+        Those of late batches are paused. One that is at work may be silent,
+        too, unless it has answered since ``sent_at``.
         """
         limits = self._service.find_limits(self._service.name)
         slots = limits.slots if limits else 0
@@ -99,7 +99,6 @@
         target_states = [
             self._batch_queue.target_state(one)
             for one in self._notices.select(usable)
-            if one.incarnation != batch.target.incarnation
         ]
         return any(
             one.is_idle(slots, now)
--- a/galenaswitch/platform/tests/test_late_batches.py
+++ b/galenaswitch/platform/tests/test_late_batches.py
@@ -192,7 +192,9 @@
     results = asyncio.create_task(batcher.make_results(query))
     await asyncio.sleep(0.05)
     change(batcher)
+    used = count_retries(batcher)
     reply = await results
+    assert count_retries(batcher) == used
     assert reply.handles == (f'{first.target.address}/h1',)
     assert (first.batches, first.lost, second.batches) == (1, 0, 0)
 
@@ -255,7 +257,9 @@
     await asyncio.sleep(0.3)
     other.answered_at = time.monotonic() if answers else 0
     await asyncio.sleep(0.4)
-    assert batcher.dump()['waiting_pieces'] == count_retries(batcher) == answers
+    (pending,) = batcher._batch_queue.pending_stages.values()
+    assert len(pending.queued) == pending.retries == answers
+    assert count_retries(batcher) == answers
     # The late answer ends the copy that is queued.
     assert (await results).handles == (f'{first.target.address}/h1',)
     other.calls = 0
