caller_left takes who closed from the connection's end

Failed before: test_log_takes_who_closed_from_the_connection, which got the message of the error instead of `given up by the kernel`. Change: the value of `connection_end` if the writer has one, otherwise the message of the error; a test for each.

--- a/galenaswitch/gateway/outcomes.py
+++ b/galenaswitch/gateway/outcomes.py
@@ -127,4 +127,5 @@
 
     A connection that knows it says so; otherwise the error's message stands.
     """
-    return getattr(writer, 'closed_by', '') or str(error)
+    end = getattr(writer, 'connection_end', None)
+    return str(end.value if end else error)
--- a/galenaswitch/platform/tests/test_outcomes.py
+++ b/galenaswitch/platform/tests/test_outcomes.py
@@ -162,6 +162,13 @@
 # Guards against a connection that the kernel gave up and that looks like a
 # caller who closed.
 async def test_log_takes_who_closed_from_the_connection(end_request, writer):
-    writer.closed_by = 'timed out'
+    writer.connection_end = Mock(value='given up by the kernel')
     line, _ = await end_request(leave, age=1.5)
-    assert line['closed_by'] == 'timed out'
+    assert line['closed_by'] == 'given up by the kernel'
+
+
+# Guards against a departure without a reason while the connection knows none.
+async def test_log_takes_the_reason_of_the_error_otherwise(end_request, writer):
+    writer.connection_end = None
+    line, _ = await end_request(leave, age=1.5)
+    assert line['closed_by'] == 'the caller stopped reading its response'
