Soak: bursts of pipelined requests, and soaks of planned work only

Why: beside kills and cut links few requests of a soak are left that nothing excuses. Fake targets: a refusal with 421 or 409 had no X-Attempt-Id, which PROTOCOL.md asks of targets.

--- a/galenaswitch/platform/soak/__main__.py
+++ b/galenaswitch/platform/soak/__main__.py
@@ -63,6 +63,7 @@
     machines: int = 4,
     callers: int = 16,
     seconds: float = 9.0,
+    planned_only: bool = False,
 ) -> int:
     """Run soak tests of real processes under random faults.
 
@@ -72,10 +73,18 @@
     :param machines: number of processes under test in each soak
     :param callers: number of callers in each soak
     :param seconds: span in seconds in which all faults start and end
+    :param planned_only: inject only planned work and silences of targets
     """
     chosen = seeds or [random.randrange(10**9) for _ in range(count)]
     plans = [
-        Plan(seed, FIRST_NETWORK + index % 100, machines, callers, seconds)
+        Plan(
+            seed,
+            FIRST_NETWORK + index % 100,
+            machines,
+            callers,
+            seconds,
+            planned_only=planned_only,
+        )
         for index, seed in enumerate(chosen)
     ]
     return 0 if asyncio.run(_run_all(plans, side_by_side)) else 1
--- a/galenaswitch/platform/soak/answers.py
+++ b/galenaswitch/platform/soak/answers.py
@@ -6,7 +6,6 @@
 
 MISDIRECTED = 421
 FREE_MEMORY_MB = 2.0
-NOT_RUN_HEADERS = {'X-Not-Executed': '1'}
 
 
 async def answer_report(request: web.Request) -> web.Response:
@@ -20,9 +19,23 @@
     :param name: name of this target.
     """
     expected = request.headers.get('X-Expect-Instance', name)
-    if expected != name:
-        return web.Response(status=MISDIRECTED, headers=NOT_RUN_HEADERS)
-    return None
+    return None if expected == name else refuse(request, MISDIRECTED)
+
+
+def refuse(
+    request: web.Request, status: int, retry_after: float = 0
+) -> web.Response:
+    """Refuse a request that has not run.
+
+    :param retry_after: seconds for which no request shall come, 0 for none.
+    """
+    headers = {'X-Not-Executed': '1'}
+    ident = request.headers.get('X-Attempt-Id')
+    if ident:
+        headers['X-Attempt-Id'] = ident
+    if retry_after:
+        headers['Retry-After'] = f'{retry_after:.2f}'
+    return web.Response(status=status, headers=headers)
 
 
 def make_limit_header(rate: float) -> dict[str, str]:
--- a/galenaswitch/platform/soak/faults.py
+++ b/galenaswitch/platform/soak/faults.py
@@ -4,8 +4,10 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 from typing import NamedTuple
 
+from galenaswitch.platform.soak.bursts import Burst
 from galenaswitch.platform.soak.configuration import Operator
 from galenaswitch.platform.soak.machines import GRACE_SECONDS, Machine
 from galenaswitch.platform.soak.proxy import PROXY_MODES
@@ -189,7 +191,7 @@
 
 
 def _draw_series(seed: int, seconds: float, machines: int) -> list[Fault]:
-    """Return a storm of changes, and signals to all machines in turn."""
+    """Return a storm of changes, signals to all machines, and a burst."""
     rng = random.Random(f'series/{seed}')
     at = rng.uniform(0, seconds - MAX_FAULT_SECONDS)
     series = [Fault(at, 'storm', NO_SUBJECT, MAX_FAULT_SECONDS)]
@@ -198,6 +200,10 @@
     for number in range(machines):
         later = at + number * SERIES_INTERVAL_SECONDS
         series.append(Fault(later, kind, number, 0))
+    at = rng.uniform(0, seconds)
+    series.append(
+        Fault(at, 'burst', NO_SUBJECT, 0, str(rng.randrange(machines)))
+    )
     return series
 
 
@@ -233,7 +239,8 @@
             'leave': self._leave,
             'pause': self._pause,
             'silence': self._silence,
-            'storm': self._change_configuration,
+            'storm': partial(_change_configuration, subjects.operator),
+            'burst': self._send_burst,
         }
 
     async def run(self, faults: Sequence[Fault]) -> None:
@@ -342,5 +349,10 @@
         for target in silent:
             target.change_silences(())
 
-    async def _change_configuration(self, fault: Fault) -> None:
-        await self._subjects.operator.change_often(fault.seconds)
+    async def _send_burst(self, fault: Fault) -> None:
+        machine = self._subjects.machines[int(fault.variant)]
+        await Burst(machine, self._records, self._now).send()
+
+
+async def _change_configuration(operator: Operator, fault: Fault) -> None:
+    await operator.change_often(fault.seconds)
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -11,10 +11,10 @@
 from aiohttp import web
 
 from galenaswitch.platform.soak.answers import (
-    NOT_RUN_HEADERS,
     answer_report,
     check_instance,
     make_limit_header,
+    refuse,
     send_in_parts,
 )
 from galenaswitch.platform.soak.proxy import Proxy
@@ -224,14 +224,11 @@
             Arrival(ident, self.name, self._now(), pause)
         )
         if pause or self.mode == 'full':
-            headers = {**NOT_RUN_HEADERS, 'X-Attempt-Id': ident}
-            if pause:
-                headers['Retry-After'] = f'{pause:.2f}'
-            return web.Response(status=UNAVAILABLE, headers=headers)
+            return refuse(request, UNAVAILABLE, pause)
         body = (await request.read()).decode()
         inputs = request.headers.get('X-Inputs', '')
         if inputs and self._has_lost_inputs(ident, inputs):
-            return web.Response(status=CONFLICT, headers=NOT_RUN_HEADERS)
+            return refuse(request, CONFLICT)
         after = int(request.headers.get('Last-Event-Id', '0'))
         self._records.ran.append(
             TargetRun(
--- a/galenaswitch/platform/soak/soak.py
+++ b/galenaswitch/platform/soak/soak.py
@@ -17,6 +17,7 @@
 )
 from galenaswitch.platform.soak.configuration import Operator
 from galenaswitch.platform.soak.faults import (
+    PLANNED_KINDS,
     FaultInjector,
     FaultSubjects,
     draw_faults,
@@ -47,6 +48,8 @@
     :param callers: number of callers that send requests during the soak.
     :param seconds: span in which all faults start and end.
     :param services: service of each target.
+    :param planned_only: whether all faults are planned work or silences, so
+        that nothing excuses an answer that ends early.
     """
 
     seed: int
@@ -55,6 +58,7 @@
     callers: int = 16
     seconds: float = 9.0
     services: tuple[str, ...] = TARGET_SERVICES
+    planned_only: bool = False
 
 
 class Verdict(NamedTuple):
@@ -188,6 +192,8 @@
             plan.machines,
             len(self._targets),
         )
+        if plan.planned_only:
+            faults = [one for one in faults if one.kind in PLANNED_KINDS]
         await FaultInjector(subjects, self.records, self._now).run(faults)
         await asyncio.sleep(RECOVERY_SECONDS)
         recovered_at = self._now()
--- a/galenaswitch/platform/tests/test_silent_targets.py
+++ b/galenaswitch/platform/tests/test_silent_targets.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from galenaswitch.platform.soak.callers import REQUEST_KINDS
+from galenaswitch.platform.soak.bursts import Burst
+from galenaswitch.platform.soak.callers import OK, REQUEST_KINDS
 from galenaswitch.platform.soak.machines import GRACE_SECONDS
 from galenaswitch.platform.soak.records import InjectedFault
 from galenaswitch.platform.soak.silences import ALL_SILENCES
@@ -133,3 +134,22 @@
         if span.silent_seconds and span.ending == 'complete'
     ]
     assert len(silent_answers) >= MIN_SILENT_ANSWERS
+
+
+# Guards against connections and pipelined requests of a burst that are closed
+# without a word, while limits change and the settings are read again.
+@pytest.mark.timeout(60)
+async def test_burst_of_pipelined_requests_is_answered(open_driver):
+    soak = (await open_driver(137)).soak
+    async with asyncio.TaskGroup() as group:
+        group.create_task(soak._operator.change_often(3))
+        for _ in range(3):
+            for machine in soak._machines:
+                burst = Burst(machine, soak.records, soak._now)
+                group.create_task(burst.send())
+                machine.change_settings()
+            await asyncio.sleep(1)
+    assert not [*check_cut_answers(soak.records), *check_words(soak.records)]
+    statuses = [request.status for request in soak.records.sent]
+    assert statuses.count(OK) > len(statuses) / 2
+    assert all(request.complete for request in soak.records.sent)
