Plain requests: a race with a single attempt ends without a wait

Cause: attempts that had ended were cancelled and gathered once more, which takes a turn of the loop and a future for each.

Change: only attempts that are still in flight are cancelled and awaited.

--- a/galenaswitch/pipelines/calls.py
+++ b/galenaswitch/pipelines/calls.py
@@ -101,8 +101,8 @@
     """
     tasks = {first}
     waiting = {first}
-    left = iter(delays)
-    delay = next(left, None)
+    times = iter(delays)
+    delay = next(times, None)
     try:
         while True:
             done, waiting = await asyncio.wait(
@@ -117,8 +117,10 @@
                 hedges = hedge()
                 tasks |= hedges
                 waiting |= hedges
-                delay = next(left, None)
+                delay = next(times, None)
     finally:
-        for task in tasks:
+        left = {task for task in tasks if not task.done()}
+        for task in left:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if left:
+            await asyncio.wait(left)
