Soak: entries of targets that are gone expire, as on the platform

All 80 of the last failed attempts were "the target answered 421" of i-5-fcbd3b, whose entry a restored store had brought back; its engine had started again under another name. 103 streams got 503 in that time. Cause: PROTOCOL.md says that an entry is removed after three heartbeat intervals of silence; the fake kept such an entry for ever. Change: entries of names that no target has are removed after three intervals. Left for the gateway: for as long as the entry is there, placements go on to an engine that answers 421 (TargetBusyError), and streams are refused beside idle ones.

--- a/galenaswitch/platform/soak/soak.py
+++ b/galenaswitch/platform/soak/soak.py
@@ -25,7 +25,11 @@
 from galenaswitch.platform.soak.machines import Machine
 from galenaswitch.platform.soak.promises import check_all
 from galenaswitch.platform.soak.records import Records, open_records
-from galenaswitch.platform.soak.runners import FakeTarget, ResultHandles
+from galenaswitch.platform.soak.runners import (
+    HEARTBEAT_SECONDS,
+    FakeTarget,
+    ResultHandles,
+)
 from galenaswitch.platform.soak.store import FakeStore
 
 ZONES = ('north', 'south')
@@ -36,6 +40,8 @@
 # and the time without faults that follows it.
 RECOVERY_SECONDS = 9.0
 FAULT_FREE_SECONDS = 3.0
+# Heartbeat intervals without a heartbeat after which a target is gone.
+EXPIRY_HEARTBEATS = 3
 
 
 class Plan(NamedTuple):
@@ -159,6 +165,7 @@
                 (store_address[0], store_address[1])
             )
             self._start_task(machine.run())
+        self._start_task(self._expire_targets())
         self._start_task(self._balancer.watch())
         async with asyncio.timeout(STARTUP_TIMEOUT_SECONDS):
             while not self._balancer.all_ready():
@@ -214,6 +221,14 @@
         for server in self._servers:
             await server.cleanup()
 
+    async def _expire_targets(self) -> None:
+        """Remove entries of targets that are gone, as the platform does."""
+        while True:
+            names = self._store.find_names('servers')
+            await asyncio.sleep(EXPIRY_HEARTBEATS * HEARTBEAT_SECONDS)
+            for name in names - {target.name for target in self._targets}:
+                self._store.remove('servers', name)
+
     def _start_task(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         self._tasks.append(asyncio.create_task(coroutine))
 
--- a/galenaswitch/platform/soak/store.py
+++ b/galenaswitch/platform/soak/store.py
@@ -82,6 +82,10 @@
             self.revision += 1
             self._record_change(kind, entry, deleted=True)
 
+    def find_names(self, kind: str) -> set[str]:
+        """Return the names of all objects of a kind."""
+        return {name for found, name in self._objects if found == kind}
+
     def compact_history(self) -> None:
         """Delete the history of changes; watches have to list all objects."""
         self._history.clear()
