Soak: bursts count as planned work

Cause: the kind "burst" was missing among PLANNED_KINDS, so that soaks of planned work only left bursts out, and the others took one for an excuse of overlaps. Failed before: test_planned_work_of_each_kind_is_drawn[burst], "assert 'burst' in ({...} & frozenset({'hup', 'leave', 'silence', 'storm', 'term'}))".

--- a/galenaswitch/platform/soak/faults.py
+++ b/galenaswitch/platform/soak/faults.py
@@ -100,7 +100,7 @@
     'leave': lambda rng, _, runners: (rng.randrange(runners), ''),
 }
 # Kinds of faults that are planned maintenance and must not interrupt requests.
-PLANNED_KINDS = frozenset(('term', 'hup', 'leave', 'silence', 'storm'))
+PLANNED_KINDS = frozenset(('term', 'hup', 'leave', 'silence', 'storm', 'burst'))
 
 
 def draw_faults(
--- a/galenaswitch/platform/tests/test_soak.py
+++ b/galenaswitch/platform/tests/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from galenaswitch.platform.soak.faults import PLANNED_KINDS, draw_faults
 from galenaswitch.platform.soak.promises import (
     CHECKS,
     check_leaving,
@@ -367,6 +368,15 @@
     assert len(verdict.records.sent) > 100
 
 
+# Guards against silences, changes and bursts that excuse what they meet.
+@pytest.mark.parametrize('kind', ['silence', 'storm', 'burst', 'hup', 'term'])
+def test_planned_work_of_each_kind_is_drawn(kind):
+    drawn = {
+        fault.kind for seed in range(9) for fault in draw_faults(seed, 9, 4, 8)
+    }
+    assert kind in drawn & PLANNED_KINDS
+
+
 # Guards against answers that end early beside planned work alone, where no
 # fault can excuse it.
 @pytest.mark.timeout(120)
