A table in force knows since when, and keeps limits of requests in progress

Faults: nothing told the age of the configuration in force; and a service that stays but loses its engine (or batch) limits left requests in progress without them: a stream that had begun found no engine for its rest and was cut. Change: ActiveRouteTable stamps `applied_at`; `RouteTable.keep_services` keeps former services as before, and former limits of services that stay.

--- a/galenaswitch/gateway/routes.py
+++ b/galenaswitch/gateway/routes.py
@@ -146,6 +146,13 @@
     engine: EngineLimits | None = None
     batches: BatchLimits | None = None
 
+    def keep_limits(self, former: 'Service') -> 'Service':
+        """Return the service with the former limits that it has no more."""
+        return self._replace(
+            engine=self.engine or former.engine,
+            batches=self.batches or former.batches,
+        )
+
 
 class Workspace(NamedTuple):
     """Workspace of a customer.
@@ -178,6 +185,20 @@
     limits: InboundLimits
     applied_at: float = -math.inf
 
+    def keep_services(
+        self, former: dict[str, Service], most: int
+    ) -> 'RouteTable':
+        """Return the table with services and limits that it has no more.
+
+        :param former: services by name, those of earlier tables included.
+        :param most: most services that only earlier tables have.
+        """
+        gone = [name for name in former if name not in self.services]
+        services = {name: former[name] for name in gone[-most:]}
+        for name, service in self.services.items():
+            services[name] = service.keep_limits(former.get(name, service))
+        return self._replace(services=services)
+
     @property
     def engine_services(self) -> set[str]:
         """Names of the services whose targets are engines."""
--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -116,15 +116,9 @@
         table = self.read(item.body)
         if table is None:
             return
-        self.current = table
-        former = [
-            service
-            for service in self.with_former_services.services.values()
-            if service.name not in table.services
-        ]
-        kept = {one.name: one for one in former[-MAX_FORMER_SERVICES:]}
-        self.with_former_services = table._replace(
-            services=kept | table.services
+        self.current = table._replace(applied_at=time.monotonic())
+        self.with_former_services = self.current.keep_services(
+            self.with_former_services.services, MAX_FORMER_SERVICES
         )
         get_logger().info(
             'route_table_in_force',
--- a/galenaswitch/platform/tests/test_configuration_changes.py
+++ b/galenaswitch/platform/tests/test_configuration_changes.py
@@ -85,6 +85,7 @@
     },
     'no-route': {'routes': []},
     'no-service': {'routes': [], 'services': [OTHER]},
+    'no-engine': {'services': [{**DESK, 'engine': None}, OTHER]},
     'no-key': {'tenants': [{**LAB, 'api-keys': ['k2']}]},
     'no-tenant': {'tenants': []},
     'smaller-limits': {'limits': {'max-header-bytes': 1, 'max-body-bytes': 0}},
--- a/galenaswitch/platform/tests/test_outcomes.py
+++ b/galenaswitch/platform/tests/test_outcomes.py
@@ -8,13 +8,19 @@
 import pytest
 from structlog.testing import capture_logs
 
+from galenaswitch.configuration.catalog import Item
 from galenaswitch.connections.errors import CallerGoneError
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.connections.requests import InboundRequest
 from galenaswitch.gateway.handling import Gateway
 from galenaswitch.gateway.outcomes import AFTER_CHANGE_SECONDS
 from galenaswitch.gateway.routes import CallKind
+from galenaswitch.gateway.state_sync import (
+    CONFIGURATION_ITEM_KIND,
+    ActiveRouteTable,
+)
 from galenaswitch.operations.metrics import open_metrics
+from galenaswitch.platform.documents import PlatformDocuments
 from galenaswitch.platform.headers import PlatformWire
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 
@@ -172,3 +178,12 @@
     writer.connection_end = None
     line, _ = await end_request(leave, age=1.5)
     assert line['closed_by'] == 'the caller stopped reading its response'
+
+
+# Guards against cut answers that never count as ended after a change.
+def test_table_in_force_tells_since_when(configuration):
+    active = ActiveRouteTable(PlatformDocuments())
+    began_at = time.monotonic()
+    assert active.current.applied_at < began_at
+    active.apply(Item(CONFIGURATION_ITEM_KIND, 'main', 7, configuration))
+    assert began_at <= active.current.applied_at <= time.monotonic()
