A VM that stood still doesn't take that for a silent store

A VM that follows the store probes it once a second, for 0.8 s. A VM that stood still meanwhile counted the store as silent, told its peers and followed anew, although the answer lay in its socket.

The probe uses the timeout that other calls use. The VM's metrics receive the hold-ups of its loop (loop_held_up), which were logged only.

test_hold_up_is_no_silence_of_the_store fails on the code before (is_answered is false); test_silent_store_is_found guards the inverse.

--- a/galenaswitch/following/probe.py
+++ b/galenaswitch/following/probe.py
@@ -8,6 +8,7 @@
 from galenaswitch.errors import StoreError
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
+from galenaswitch.operations.timeouts import Timeout
 from galenaswitch.store.registry import Registry
 
 # Kind with few objects.
@@ -61,7 +62,7 @@
     async def _run(self) -> None:
         was_answered = self.is_answered
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+            async with Timeout(PROBE_TIMEOUT_SECONDS):
                 await self._store.list_kind(PROBE_KIND, stale=True)
         except (StoreError, TimeoutError) as error:
             self.is_answered = False
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -48,6 +48,7 @@
 from galenaswitch.membership.mesh import Leaving, Mesh, Ping
 from galenaswitch.membership.messages import ListQuestion
 from galenaswitch.operations.exposition import serve_metrics
+from galenaswitch.operations.lag import find_clock
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import open_metrics
 from galenaswitch.operations.process import (
@@ -239,6 +240,7 @@
         :raises OSError: when a port can't be opened.
         """
         settings = self._settings
+        find_clock().metrics = self.metrics
         loop = asyncio.get_running_loop()
         readiness = Listener(
             Readiness(self.is_ready), InboundLimits, self.metrics
