--- a/galenaswitch/pipelines/tests/test_silent_streams.py
+++ b/galenaswitch/pipelines/tests/test_silent_streams.py
@@ -170,3 +170,10 @@
     task.cancel()
     with pytest.raises(asyncio.CancelledError):
         await task
+
+
+# Guards against a stream that is left though it has gone on meanwhile.
+async def test_stream_with_short_gaps_is_not_left(open_streams):
+    attempts, client, read = open_streams((0, 0.6, 0.6), (0, 0, 0))
+    assert await read() == '0123'
+    assert client.calls == ['engine0']
