--- a/galenaswitch/pipelines/tests/test_batch_queue.py
+++ b/galenaswitch/pipelines/tests/test_batch_queue.py
@@ -329,3 +329,9 @@
     )
     assert batch_queue.next_batch(TARGETS, LIMITS, 0.0) is None
     assert not ranked
+
+
+# Guards against late work items that wait though other targets answer.
+def test_answer_without_a_load_is_recorded(batch_queue):
+    batch_queue.record_load(TARGETS[0], None, 5.0)
+    assert batch_queue.target_state(TARGETS[0]).answered_at == 5.0
