A VM's process loads the race of attempts without the own face's messages

test_vm_process_loads_no_part_of_other_programs failed on the merged code: gateway/plain.py took find_first_success from pipelines/calls.py, which imports the messages of the product's own targets.

The race stands in pipelines/hedging.py, without other imports; calls.py adds the own face's delays to it. The test passes again, and so do the tests of the package pipelines.

--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -31,7 +31,7 @@
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
-from galenaswitch.pipelines.calls import find_first_success
+from galenaswitch.pipelines.hedging import find_first_success
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.quarantine.screening import Screening
 from galenaswitch.refusals import (
--- a/galenaswitch/pipelines/attempts.py
+++ b/galenaswitch/pipelines/attempts.py
@@ -24,10 +24,9 @@
 from galenaswitch.pipelines.budgets import Budget, Budgets
 from galenaswitch.pipelines.calls import (
     SentCalls,
-    find_first_success,
-    find_hedge_delay,
     find_timeout,
     make_call,
+    race_calls,
 )
 from galenaswitch.pipelines.dispatch import Dispatcher
 from galenaswitch.pipelines.first_token import FirstTokenTimeout
@@ -183,9 +182,10 @@
         budgets = iter(
             (self._budgets.hedges(pool), self._budgets.retries(pool))
         )
-        return await find_first_success(
+        return await race_calls(
+            job,
             asyncio.create_task(self._call_once(job, target, sent)),
-            (find_hedge_delay(latency), find_timeout(job, latency)),
+            latency,
             lambda: self._hedge(job, tried, sent, next(budgets)),
         )
 
--- a/galenaswitch/pipelines/calls.py
+++ b/galenaswitch/pipelines/calls.py
@@ -1,10 +1,11 @@
-"""Calls of attempts at one stage, and the first success of several."""
+"""Calls of attempts at one stage, sent besides one another."""
 
 import asyncio
 import secrets
-from collections.abc import Callable, Iterable
-from typing import Any, TypeVar
+from collections.abc import Callable
+from typing import Any
 
+from galenaswitch.pipelines.hedging import Outcome, find_first_success
 from galenaswitch.pipelines.requests import StageRun
 from galenaswitch.targets.messages import StageCall
 
@@ -15,7 +16,6 @@
 MIN_HEDGE_DELAY_SECONDS = 0.03
 TIMEOUT_FACTOR = 10
 MIN_TIMEOUT_SECONDS = 0.4
-Outcome = TypeVar('Outcome')
 
 
 class SentCalls:
@@ -85,42 +85,17 @@
     return max(MIN_TIMEOUT_SECONDS, seconds)
 
 
-async def find_first_success(
+async def race_calls(
+    job: StageRun,
     first: asyncio.Task[Outcome],
-    delays: Iterable[float],
+    latency: float,
     hedge: Callable[[], set[asyncio.Task[Outcome]]],
 ) -> Outcome:
-    """Return the first successful result of an attempt and its hedges.
-
-    A failure ends no other attempt. At the end, all that are left are
-    cancelled.
+    """Return the first successful result of a call and its hedges.
 
-    :param delays: seconds before each hedge in which no attempt ends.
+    :param latency: usual seconds of an attempt, 0 when unknown.
     :param hedge: starts another attempt, or none if there can't be one.
     :raises GalenaError: the last failure, when all attempts have failed.
     """
-    tasks = {first}
-    waiting = {first}
-    times = iter(delays)
-    delay = next(times, None)
-    try:
-        while True:
-            done, waiting = await asyncio.wait(
-                waiting,
-                timeout=delay,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            succeeded = [task for task in done if not task.exception()]
-            if succeeded or not waiting:
-                return (succeeded or list(done))[0].result()
-            if not done:
-                hedges = hedge()
-                tasks |= hedges
-                waiting |= hedges
-                delay = next(times, None)
-    finally:
-        left = {task for task in tasks if not task.done()}
-        for task in left:
-            task.cancel()
-        if left:
-            await asyncio.wait(left)
+    delays = (find_hedge_delay(latency), find_timeout(job, latency))
+    return await find_first_success(first, delays, hedge)
