A stopping VM closes its port before its end, and answers what it accepted

Callers who opened a connection in the last moments of a stop, on a VM whose process then ended, got no answer to a request that had been read: the port stayed open to the end of the process, so that there was always one that had just been accepted.

The port closes 0.3 s before the end, or when all connections have ended; what was accepted until then is read and answered, or refused as not run.

--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -59,10 +59,7 @@
 from galenaswitch.platform.documents import PlatformDocuments
 from galenaswitch.platform.headers import PlatformWire
 from galenaswitch.platform.objects import PlatformStore
-from galenaswitch.platform.settings import (
-    VmSettings,
-    load_vm_settings,
-)
+from galenaswitch.platform.settings import VmSettings, load_vm_settings
 from galenaswitch.programs.link_service import make_link_service
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.quarantine.fingerprints import Fingerprints
@@ -76,6 +73,9 @@
 # cut off.
 KILL_MARGIN_SECONDS = 0.6
 STOP_POLL_SECONDS = 0.05
+# The port of callers closes these seconds before the end of a stop, so that
+# each connection that was accepted gets its answer.
+CLOSED_PORT_SECONDS = 0.3
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 # Port of the metrics endpoint; the deploy file names the same port.
 METRICS_PORT = 9464
@@ -97,6 +97,7 @@
         self._settings = settings
         self._path = path
         self._tasks = tasks
+        self._caller_port: asyncio.Server | None = None
         self.metrics = open_metrics()
         self.stopping = False
         self.pool = ConnectionPool(settings.address)
@@ -245,11 +246,10 @@
         readiness = Listener(
             Readiness(self.is_ready), InboundLimits, self.metrics
         )
-        for listener, endpoint in (
-            (readiness, settings.readiness),
-            (self.callers, settings.callers),
-        ):
-            await loop.create_server(listener.open_connection, *endpoint)
+        await loop.create_server(readiness.open_connection, *settings.readiness)
+        self._caller_port = await loop.create_server(
+            self.callers.open_connection, *settings.callers
+        )
         await listen(*settings.peers, self.service, self._tasks)
         await serve_metrics(
             self.metrics, MetricSettings(settings.address, METRICS_PORT)
@@ -317,11 +317,18 @@
         self.gateway.drain_until(end)
         await asyncio.sleep(UNREADY_DETECTION_SECONDS)
         self.callers.draining = True
-        while time.monotonic() < end:
+        while time.monotonic() < end - CLOSED_PORT_SECONDS:
             self.callers.close_idle()
             if not self.callers.connections:
                 break
             await asyncio.sleep(STOP_POLL_SECONDS)
+        if self._caller_port:
+            self._caller_port.close()
+        # What was accepted before the port closed is read first.
+        await asyncio.sleep(STOP_POLL_SECONDS)
+        while self.callers.connections and time.monotonic() < end:
+            self.callers.close_idle()
+            await asyncio.sleep(STOP_POLL_SECONDS)
 
     async def answer_list_query(
         self,
