--- a/galenaswitch/gateway/handover.py
+++ b/galenaswitch/gateway/handover.py
@@ -291,7 +291,9 @@
     if run.attempt is None:
         return None
     try:
-        return await run.attempt.read_head(min(OVERLAP_SECONDS, job.left))
+        return await run.attempt.read_head(
+            min(OVERLAP_SECONDS, job.left), limit_seconds=OVERLAP_SECONDS
+        )
     except TargetLateError:
         return None
 
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -3,6 +3,7 @@
 Each request is sent exactly once; retries are decided elsewhere.
 """
 
+import math
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from functools import partial
@@ -45,14 +46,18 @@
         self.exchange = exchange
         self._on_head = on_head
 
-    async def read_head(self, seconds: float) -> AnswerHead:
+    async def read_head(
+        self, seconds: float, limit_seconds: float = math.inf
+    ) -> AnswerHead:
         """Return the head of the answer.
 
+        :param seconds: longest wait on a loop that isn't held up.
+        :param limit_seconds: longest wait at any odds.
         :raises TargetBrokenError: when the connection ended first.
         :raises TargetLateError: when the head did not arrive in time.
         """
         try:
-            async with Timeout(seconds) as timeout:
+            async with Timeout(seconds, limit_seconds) as timeout:
                 head = await self.exchange.read_head()
         except TimeoutError as error:
             raise self._make_late_error('answer head', timeout) from error
