Own face: tokens that arrived while the loop was held up are read first

Callers of the own face lost tokens, and a retry, as a stream was left as stalled though its tokens lay in the socket: the timer of StallWatch ran before the loop read what had arrived.

A stall that is due gives the loop the same turns of reading as other timeouts.

--- a/galenaswitch/pipelines/streams.py
+++ b/galenaswitch/pipelines/streams.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from galenaswitch.errors import TargetBrokenError, TargetLateError
+from galenaswitch.operations.timeouts import READING_TURNS
 from galenaswitch.targets.messages import StreamEnd, Token
 from galenaswitch.targets.sequence import TokenSequence
 
@@ -33,7 +34,7 @@
         self._task: asyncio.Task[Any] | None = None
         self._read_at = 0.0
         self._is_left = False
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.Handle | None = None
 
     async def read(
         self, stream: AsyncGenerator[list[Token] | StreamEnd, None]
@@ -46,7 +47,9 @@
         self._read_at = loop.time()
         self._task = asyncio.current_task()
         if self._timer is None:
-            self._timer = loop.call_later(STALL_SECONDS, self._check)
+            self._timer = loop.call_later(
+                STALL_SECONDS, self._check, READING_TURNS
+            )
         try:
             return await anext(stream)
         except asyncio.CancelledError:
@@ -61,18 +64,22 @@
         if self._timer:
             self._timer.cancel()
 
-    def _check(self) -> None:
+    def _check(self, turns: int) -> None:
         loop = asyncio.get_running_loop()
         self._timer = None
         if self._task is None:
             return
         stall_left = self._read_at + STALL_SECONDS - loop.time()
+        if stall_left <= 0 and turns:
+            # What has arrived while the loop was held up is read first.
+            self._timer = loop.call_soon(self._check, turns - 1)
+            return
         if stall_left <= 0 and self._may_leave():
             self._is_left = True
             self._task.cancel()
             return
         wait = stall_left if stall_left > 0 else RECHECK_SECONDS
-        self._timer = loop.call_later(wait, self._check)
+        self._timer = loop.call_later(wait, self._check, READING_TURNS)
 
 
 async def order_tokens(
