--- a/galenaswitch/gateway/tests/version_fakes.py
+++ b/galenaswitch/gateway/tests/version_fakes.py
@@ -185,3 +185,9 @@
     """Let all VMs record what they list."""
     for _ in range(MANY_TURNS):
         await asyncio.sleep(0)
+
+
+def tell(vm, store):
+    """Let a VM hear of the records from one that follows the store."""
+    listing = Listing(store._revision, tuple(store.objects.values()))
+    vm.records.follower.receive_listing(listing)
