Tests: the bound of a timeout, and its turns for what has arrived

Two lines of operations/timeouts.py could go without a failing test. Without `self._left_extension,` hold-ups in series put a timeout off for as long as they last. With `elif False:` for `elif turns:` an answer that has arrived isn't read at the end of the longest time, if the callback of another socket held up uvloop, which runs timers before the next sockets.

Shown by runs, 3 of each: without the first line test_hold_ups_in_series_ give_at_most_the_same_time_again failed 3 times, without the second one test_answer_that_arrived_before_the_limit_is_read[uvloop] failed 3 times. [asyncio] passes either way, as that loop reads sockets before timers. Both pass on the code as it is. A first form of the second test, with a timer that holds up the loop, noticed nothing and was replaced.

--- a/galenaswitch/operations/tests/test_lag.py
+++ b/galenaswitch/operations/tests/test_lag.py
@@ -6,6 +6,7 @@
 import pytest
 from structlog.testing import capture_logs
 
+from galenaswitch.operations import lag
 from galenaswitch.operations.lag import find_clock
 from galenaswitch.operations.metrics import LocalMetrics
 from galenaswitch.operations.timeouts import Timeout
@@ -107,3 +108,25 @@
     task.cancel()
     with pytest.raises(asyncio.CancelledError):
         await task
+
+
+# Guards against a timeout that hold-ups in series put off for ever.
+async def test_hold_ups_in_series_give_at_most_the_same_time_again(monkeypatch):
+    monkeypatch.setattr(lag, 'TICK_SECONDS', 0.01)
+    loop = asyncio.get_running_loop()
+
+    def hold_up():
+        time.sleep(0.2)
+        nonlocal again
+        again = loop.call_later(0.005, hold_up)
+
+    async def wait():
+        async with Timeout(0.4):
+            await asyncio.sleep(3)
+
+    again = loop.call_later(0.005, hold_up)
+    began = time.monotonic()
+    with pytest.raises(TimeoutError):
+        await wait()
+    again.cancel()
+    assert 0.79 < time.monotonic() - began < 1.5
--- a/galenaswitch/platform/tests/test_held_up.py
+++ b/galenaswitch/platform/tests/test_held_up.py
@@ -129,6 +129,27 @@
     assert run([(1.15, HEAD + LAST)], read) == 200
 
 
+# Guards against an answer that has arrived and isn't read, as another socket's
+# callback took the rest of the time and timers run before the next sockets.
+def test_answer_that_arrived_before_the_limit_is_read(run):
+    async def read(attempt):
+        loop = asyncio.get_running_loop()
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            loop.add_reader(ours, read_long, ours)
+            loop.call_later(0.1, theirs.send, b'x')
+            try:
+                return (await attempt.read_head(0.5, limit_seconds=0.5)).status
+            finally:
+                loop.remove_reader(ours)
+
+    def read_long(ours):
+        ours.recv(1)
+        time.sleep(0.6)
+
+    assert run([(0.3, HEAD + LAST)], read) == 200
+
+
 def read_once(address):
     """Read an answer within 1 s; run in a process that gets stopped."""
 
