A gentle close doesn't ask whether its transport is closing already

The two lines in _close_gently decided nothing: on a transport that closes, write_eof and resume_reading do nothing on uvloop and on asyncio, and the timer is cancelled as the connection is lost. Trial (scratch test, not kept), with and without the lines, on both loops: a paused transport that was aborted, closed ones with and without 9 MB to send, paused and not, an aborted one with 9 MB, and answers to a caller that has reset its connection, after 0 to 2 turns. What the caller got, the connection's end, the logs and the loop's errors were the same in all 16 cases; only a timer that was cancelled again differed. galenaswitch/connections passes without the lines: 469 tests, one run.

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -332,8 +332,6 @@
         self.end = self.end or end
         self._closed = True
         self.timer.stop()
-        if self._transport.is_closing():
-            return
         self._transport.write_eof()
         self._transport.resume_reading()
         loop = asyncio.get_running_loop()
