--- a/galenaswitch/platform/tests/test_hand_over_limits.py
+++ b/galenaswitch/platform/tests/test_hand_over_limits.py
@@ -30,6 +30,7 @@
     stream,
 )
 from galenaswitch.quarantine.messages import CrashReport, ImplicatedPart
+from galenaswitch.refusals import RefusedError
 
 # Retries that the budget allows after one request.
 RETRIES = 8
@@ -176,6 +177,53 @@
     assert count_retries() == 0
 
 
+def use_up(budgets, containment):
+    """Use up the retry budget."""
+    while budgets.of('desk').acquire(time.monotonic()):
+        pass
+
+
+def implicate(budgets, containment):
+    """Let the part of a request be implicated in two crashes."""
+    parts = (ImplicatedPart('bad', 0, False, 0.1),)
+    for number in range(2):
+        report = CrashReport(f'e{number}/1', parts, age=9 - number)
+        containment._add_crash(report, None)
+
+
+# Guards against a successor that is sent though what it needs was lost while it
+# waited for its placement.
+@pytest.mark.parametrize('obstruct', [use_up, implicate])
+async def test_successor_is_checked_again_after_its_placement(
+    start_engines,
+    generate,
+    budgets,
+    containment,
+    place_successors_after,
+    obstruct,
+):
+    place_successors_after(0.3)
+    loop = asyncio.get_running_loop()
+    engines = await start_engines(pause(2.0, 'head'))
+    loop.call_later(1.35, obstruct, budgets, containment)
+    await generate(engines, **PROMPT)
+    assert len(engines.works) == 1
+
+
+# Guards against a request that outlives its deadline, as the end of its time
+# counts as a failure of its engine and its successor is waited for.
+async def test_deadline_ends_the_wait_for_a_successor(
+    start_engines, generate, place_successors_after
+):
+    place_successors_after(FOREVER)
+    engines = await start_engines([FOREVER])
+    began = time.monotonic()
+    with pytest.raises(RefusedError, match='deadline'):
+        async with asyncio.timeout(4):
+            await generate(engines, **{'X-Deadline-Ms': '1800'})
+    assert time.monotonic() - began < 2
+
+
 # Guards against a retry for each engine that can't be reached.
 async def test_retry_that_is_not_sent_is_used_for_the_next_engine(
     start_engines, generate, count_retries
