Stand-ins: a cut ends connections that are being opened, too

test_zone_cut_off_serves_and_syncs_without_revert failed once, in a whole run at a load of 20 on 8 cores: "assert 12 == 7", the zone that was cut off had the new version. By its logs all four VMs had it within 12 ms, 0.5 s after the start, as their controls were dialling each other.

Cause: the stand-in of the network checked its cuts before it opened a connection to the target, and recorded the connection after it. A cut in between neither refused nor ended it.

The cut is checked again once the connection is open. test_cut.py makes the order happen: it got the target's byte before, and gets nothing now. The failed test itself wasn't made to fail again.

--- a/standins/cut.py
+++ b/standins/cut.py
@@ -56,6 +56,11 @@
         except OSError:
             writer.transport.abort()
             return
+        if pair in self.cuts and len(pair) > 1:
+            # The cut came while the connection was being opened.
+            upstream_writer.transport.abort()
+            writer.transport.abort()
+            return
         self.zones_by_writer[writer] = pair
         self.zones_by_writer[upstream_writer] = pair
         await asyncio.gather(
