--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,13 +1,14 @@
 """A machine that is stopped takes streams that it then breaks off."""
 
 import asyncio
+import contextlib
 import secrets
 import signal
 import time
 
 from aiohttp import web
 
-from review.kit import FRONT_PORT, Deployment, run_case
+from review.kit import FRONT_PORT, Deployment, Machine, run_case
 
 HOST = 'review.example'
 KEY = 'key-of-the-lab'
@@ -15,9 +16,10 @@
 # Requests sent up to this many seconds after SIGTERM are excused when their
 # runner is still at work at the end of the grace time.
 EXCUSED_SECONDS = 3.0
-SEND_SECONDS = tuple(number * 0.25 for number in range(16))
 EVENTS, GAP_SECONDS = 45, 0.1
-ROUNDS = 2
+CLIENTS = 16
+REQUESTS_PER_CONNECTION = 4
+ROUNDS = 3
 
 
 class Engine:
@@ -78,38 +80,120 @@
         return answer
 
 
-async def send(deployment: Deployment, ip: str) -> tuple[str, str, bytes]:
-    """Send a stream's request on a new connection.
+class Platform:
+    """Sends new connections to machines in rotation, as the platform does."""
 
-    :returns: id of the attempt, how it ended, and the status line.
+    def __init__(self, deployment: Deployment) -> None:
+        """Build a platform for which all machines are in rotation."""
+        self._deployment = deployment
+        self._misses = {one.name: 0 for one in deployment.machines}
+
+    async def run(self) -> None:
+        """Ask each machine once a second."""
+        while True:
+            for machine in self._deployment.machines:
+                is_ready = await machine.is_ready()
+                misses = 0 if is_ready else self._misses[machine.name] + 1
+                self._misses[machine.name] = misses
+            await asyncio.sleep(1)
+
+    def pick(self, zone: str) -> Machine:
+        """Return the machine of a zone, or of the other one."""
+        machines = sorted(
+            self._deployment.machines, key=lambda one: one.zone != zone
+        )
+        rotation = [one for one in machines if self._misses[one.name] < 2]
+        return (rotation or machines)[0]
+
+
+class Client:
+    """Client that sends one stream's request after the other.
+
+    It keeps its connection as long as the machine allows that.
     """
-    ident = secrets.token_hex(8)
-    record = deployment.record
-    body = b'{}'
-    head = (
-        f'POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {ident}\r\n'
-        f'X-Deadline-Ms: 15000\r\nAuthorization: Bearer {KEY}\r\n'
-        f'X-Token-Usage: 300,140\r\nX-Prompt-Prefix: aa:200,{ident}:100\r\n'
-        f'Content-Length: {len(body)}\r\n\r\n'
-    ).encode()
-    content = bytearray()
-    ending = 'closed'
-    record.write(f'client sends {ident}')
-    try:
-        reader, writer = await asyncio.open_connection(ip, FRONT_PORT)
-        writer.write(head + body)
-        while chunk := await reader.read(65536):
-            content += chunk
-            if is_complete(bytes(content)):
-                ending = 'complete'
-                break
-        writer.close()
-    except OSError as error:
-        ending = type(error).__name__
-    status = bytes(content).partition(b'\r\n')[0]
-    events = content.count(b'\n\n')
-    record.write(f'client has {ident}: {ending} {status!r} {events} events')
-    return ident, ending, status
+
+    def __init__(
+        self, deployment: Deployment, platform: Platform, name: str
+    ) -> None:
+        """Build a client of zone a."""
+        self.sent: list[Sent] = []
+        self._name = name
+        self._deployment = deployment
+        self._platform = platform
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        while True:
+            machine = self._platform.pick('a')
+            try:
+                async with asyncio.timeout(1):
+                    reader, writer = await asyncio.open_connection(
+                        machine.ip, FRONT_PORT
+                    )
+            except (OSError, TimeoutError):
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                for _ in range(REQUESTS_PER_CONNECTION):
+                    if not await self._send(machine, reader, writer):
+                        break
+            finally:
+                writer.close()
+
+    async def _send(
+        self,
+        machine: Machine,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Send a request; tell whether the connection may be used again."""
+        ident = secrets.token_hex(8)
+        record = self._deployment.record
+        sent = Sent(ident, machine, record.now())
+        head = (
+            f'POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'X-Attempt-Id: {ident}\r\nX-Deadline-Ms: 15000\r\n'
+            f'Authorization: Bearer {KEY}\r\nX-Token-Usage: 300,140\r\n'
+            f'X-Prompt-Prefix: aa:200,{ident}:100\r\nContent-Length: 2\r\n\r\n'
+        )
+        record.write(f'{self._name} sends {ident} to {machine.name}')
+        content = bytearray()
+        try:
+            writer.write(head.encode() + b'{}')
+            while not is_complete(bytes(content)):
+                chunk = await reader.read(65536)
+                if not chunk:
+                    break
+                content += chunk
+        except OSError as error:
+            record.write(f'{self._name}: {error!r}')
+        sent.has_ended = True
+        sent.is_complete = is_complete(bytes(content))
+        sent.status = bytes(content).partition(b'\r\n')[0]
+        self.sent.append(sent)
+        record.write(
+            f'{self._name} has {ident}: complete {sent.is_complete}, '
+            f'{sent.status!r}, {content.count(b"id: ")} events'
+        )
+        if b' 503 ' in sent.status:
+            await asyncio.sleep(0.05)
+        is_closed = (
+            b'connection: close' in content.partition(b'\r\n\r\n')[0].lower()
+        )
+        return sent.is_complete and not is_closed
+
+
+class Sent:
+    """A request that a client has sent, and its end."""
+
+    def __init__(self, ident: str, machine: Machine, sent_at: float) -> None:
+        """Build a request without an answer."""
+        self.ident = ident
+        self.machine = machine
+        self.sent_at = sent_at
+        self.has_ended = False
+        self.is_complete = False
+        self.status = b''
 
 
 def is_complete(content: bytes) -> bool:
@@ -134,46 +218,65 @@
     deployment.store.put('config', 'main', make_configuration())
     await deployment.start_machines(['a', 'b'])
     await asyncio.sleep(4)
+    platform = Platform(deployment)
+    deployment.start_task(platform.run())
+    clients = [
+        Client(deployment, platform, f'client-{number}')
+        for number in range(CLIENTS)
+    ]
+    for client in clients:
+        deployment.start_task(client.run())
+        await asyncio.sleep(EVENTS * GAP_SECONDS / CLIENTS)
     for _ in range(ROUNDS):
-        await play_round(deployment, engines, is_troubled)
+        await play_round(deployment, is_troubled)
+    judge(deployment, clients, engines, is_troubled)
 
 
-async def play_round(
-    deployment: Deployment, engines: list[Engine], is_troubled: bool
-) -> None:
+async def play_round(deployment: Deployment, is_troubled: bool) -> None:
     """Send SIGTERM, and SIGKILL after the grace time, and start again."""
     machine = deployment.machines[0]
     record = deployment.record
-    began_at = record.now()
-    sends = []
-    if is_troubled:
-        machine.send_signal(signal.SIGTERM)
-    for seconds in SEND_SECONDS:
-        await asyncio.sleep(began_at + seconds - record.now())
-        # Zone a has one machine. While it isn't ready, fewer than half of the
-        # zone's machines are in rotation, so the platform uses all of them.
-        sends.append(
-            (seconds, asyncio.ensure_future(send(deployment, machine.ip)))
+    await asyncio.sleep(EVENTS * GAP_SECONDS)
+    if not is_troubled or machine.process is None:
+        await asyncio.sleep(GRACE_SECONDS + 12)
+        return
+    machine.send_signal(signal.SIGTERM)
+    machine.stopped_at.append(record.now())
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(GRACE_SECONDS):
+            await machine.process.wait()
+    machine.send_signal(signal.SIGKILL)
+    await machine.process.wait()
+    record.write(f'machine {machine.name} has ended')
+    await machine.start()
+    while not await machine.is_ready():
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(12)
+
+
+def judge(
+    deployment: Deployment,
+    clients: list[Client],
+    engines: list[Engine],
+    is_troubled: bool,
+) -> None:
+    """Check the rule on all requests that have ended."""
+    for sent in (one for client in clients for one in client.sent):
+        was_run = any(sent.ident in engine.ran for engine in engines)
+        if not was_run or sent.is_complete:
+            continue
+        ages = [
+            sent.sent_at - stopped_at
+            for stopped_at in sent.machine.stopped_at
+            if -GRACE_SECONDS <= sent.sent_at - stopped_at <= GRACE_SECONDS + 1
+        ]
+        if is_troubled and (not ages or ages[-1] <= EXCUSED_SECONDS):
+            continue
+        deployment.record.add_broken(
+            f'{sent.ident}, sent on a kept connection {ages} s after SIGTERM, '
+            'was passed on to a sound runner, and its connection ended '
+            f'without a complete answer: {sent.status!r}'
         )
-    await asyncio.sleep(began_at + GRACE_SECONDS - record.now())
-    if is_troubled:
-        machine.send_signal(signal.SIGKILL)
-    for seconds, sending in sends:
-        ident, ending, status = await sending
-        was_run = any(ident in engine.ran for engine in engines)
-        is_excused = is_troubled and seconds <= EXCUSED_SECONDS
-        if was_run and ending != 'complete' and not is_excused:
-            record.add_broken(
-                f'{ident}, sent {seconds} s after SIGTERM, was passed on to a '
-                'sound runner, and its connection ended without a complete '
-                f'answer: {ending} {status!r}'
-            )
-    if is_troubled and machine.process:
-        await machine.process.wait()
-        await machine.start()
-        while not await machine.is_ready():
-            await asyncio.sleep(0.1)
-    await asyncio.sleep(4)
 
 
 def make_configuration() -> dict[str, object]:
--- a/review/kit.py
+++ b/review/kit.py
@@ -209,6 +209,7 @@
         self.seeds = ''
         self.process: asyncio.subprocess.Process | None = None
         self._starts = 0
+        self.stopped_at: list[float] = []
         self._settings = folder / f'{name}.conf'
         self.log = folder / f'{name}.log'
         self._record = record
