--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,282 +1,228 @@
-"""A machine that is stopped takes streams that it then breaks off."""
+"""Runners crash as they begin to write, and the part that does it goes on."""
 
 import asyncio
-import contextlib
+import itertools
+import os
 import secrets
-import signal
 import time
 
 from aiohttp import web
 
+from galenaswitch.platform.soak.proxy import Proxy
 from review.kit import FRONT_PORT, Deployment, Machine, run_case
 
 HOST = 'review.example'
 KEY = 'key-of-the-lab'
-GRACE_SECONDS = 8
-# Requests sent up to this many seconds after SIGTERM are excused when their
-# runner is still at work at the end of the grace time.
-EXCUSED_SECONDS = 3.0
-EVENTS, GAP_SECONDS = 45, 0.1
-CLIENTS = 16
-REQUESTS_PER_CONNECTION = 4
-ROUNDS = 3
+ZONES = ['a', 'b', 'c']
+RUNNERS = 6
+EVENTS, GAP_SECONDS = 8, 0.05
+# Time from the first event of a harmful request until its runner crashes, and
+# for which the runner is down.
+CRASH_SECONDS = 0.03
+DOWN_SECONDS = 2.0
+HEARTBEAT_SECONDS = 1.2
+HARMFUL_PART = '5c1e07a2'
+# Requests a second, and the share and length of the page's day.
+PER_SECOND = 20.0
+HARMFUL_SHARE = 0.05
+HARMFUL_SECONDS = 22.0
+CONTACT_SECONDS = 3.0
+CRASHES, ALLOWED = 5, 3
+# Where a harmful request crashes its runner: behind its first event, or, to
+# compare, before it.
+WRITES_FIRST_EVENT = os.environ.get('BEFORE_EVENT') != '1'
 
 
 class Engine:
-    """Sound model runner: an event each 100 ms, 45 events a stream."""
+    """Model runner that a part of a prompt may crash."""
 
-    def __init__(self, deployment: Deployment, number: int) -> None:
+    def __init__(
+        self, deployment: Deployment, number: int, *, is_troubled: bool
+    ) -> None:
         """Build a runner that isn't serving."""
-        self.name = f'i-{number}'
+        self.arrivals: list[tuple[str, float]] = []
+        self.crashes: list[float] = []
+        self._number = number
+        self._is_troubled = is_troubled
         self._deployment = deployment
-        self._born = int(time.time() * 1000)
-        self.ran: dict[str, float] = {}
-        self.failed: set[str] = set()
-
-    async def start(self, zone: str, number: int) -> None:
+        self._address = ('', 0)
+        self._proxy = Proxy(lambda: self._address)
+        self._starts = itertools.count(1)
+        self._name = ''
+        self._is_down = False
+
+    async def start(self) -> None:
+        """Serve behind a proxy that can go down, and register."""
         app = web.Application()
         app.router.add_route('*', '/{rest:.*}', self._handle)
-        host, port = await self._deployment.serve(app, number)
-        entry = {
+        self._address = await self._deployment.serve(app, 20 + self._number)
+        await self._proxy.start(self._address[0])
+        self._deployment.start_task(self._keep_registered())
+
+    async def stop(self) -> None:
+        """Stop the proxy."""
+        await self._proxy.stop()
+
+    async def _keep_registered(self) -> None:
+        """Write the entry as long as the runner is up."""
+        sequence, known, born = 0, '', 0
+        while True:
+            if not self._is_down:
+                if not known or known != self._name:
+                    known = f'i-{self._number}-{next(self._starts)}'
+                    self._name = known
+                    sequence, born = 0, int(time.time() * 1000)
+                sequence += 1
+                self._deployment.store.put(
+                    'servers', known, self._make_entry(sequence, born)
+                )
+            await asyncio.sleep(HEARTBEAT_SECONDS if self._name else 0.05)
+
+    def _make_entry(self, sequence: int, born: int) -> dict[str, object]:
+        return {
             'service': 'llm',
-            'address': f'{host}:{port}',
-            'zone': zone,
+            'address': self._proxy.address,
+            'zone': ZONES[self._number % len(ZONES)],
             'version': 'v1',
             'slots': 64,
             'state': 'ready',
             'cold-left-ms': 0,
-            'sequence': 1,
-            'born': self._born,
+            'sequence': sequence,
+            'born': born,
         }
-        self._deployment.store.put('servers', self.name, entry)
+
+    async def _crash(self) -> None:
+        """End without a notice; start again under another id."""
+        if self._is_down:
+            return
+        record = self._deployment.record
+        self._is_down = True
+        self.crashes.append(record.now())
+        record.write(f'runner {self._name} crashes')
+        gone, self._name = self._name, ''
+        expiry = asyncio.create_task(self._expire(gone))
+        await self._proxy.go_down(DOWN_SECONDS)
+        self._is_down = False
+        await expiry
+
+    async def _expire(self, name: str) -> None:
+        """Let the store remove an entry after three heartbeats of silence."""
+        await asyncio.sleep(3 * HEARTBEAT_SECONDS)
+        self._deployment.store.remove('servers', name)
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         ident = request.headers.get('X-Attempt-Id', '')
-        if request.headers.get('X-Expect-Instance', self.name) != self.name:
+        headers = {'X-Attempt-Id': ident}
+        if request.headers.get('X-Expect-Instance', '') != self._name:
             return web.Response(
-                status=421,
-                headers={'X-Not-Executed': '1', 'X-Attempt-Id': ident},
+                status=421, headers={'X-Not-Executed': '1', **headers}
             )
         await request.read()
         record = self._deployment.record
-        self.ran[ident] = record.now()
-        left = request.headers.get('X-Deadline-Ms')
-        record.write(f'runner {self.name} begins {ident} deadline {left} ms')
-        answer = web.StreamResponse(
-            headers={'X-Attempt-Id': ident, 'X-Server-Seal': f'{self.name}.1'}
-        )
+        is_harmful = HARMFUL_PART in request.headers['X-Prompt-Prefix']
+        if is_harmful:
+            self.arrivals.append((ident, record.now()))
+        kind = 'harmful' if is_harmful else 'sound'
+        record.write(f'runner {self._name} begins {kind} {ident}')
+        headers['X-Server-Seal'] = f'{self._name}.1'
+        answer = web.StreamResponse(headers=headers)
         answer.content_type = 'text/event-stream'
-        number = 0
-        try:
-            await answer.prepare(request)
-            for number in range(1, EVENTS + 1):
-                await asyncio.sleep(GAP_SECONDS)
-                await answer.write(f'id: {number}\ndata: x\n\n'.encode())
-            await answer.write_eof()
-        except (asyncio.CancelledError, ConnectionError):
-            record.write(f'runner {self.name}: {ident} was closed at {number}')
-            raise
-        record.write(f'runner {self.name} ends {ident}')
+        if is_harmful and self._is_troubled and not WRITES_FIRST_EVENT:
+            await asyncio.sleep(CRASH_SECONDS)
+            self._deployment.start_task(self._crash())
+            await asyncio.sleep(DOWN_SECONDS)
+        await answer.prepare(request)
+        for number in range(1, EVENTS + 1):
+            await asyncio.sleep(GAP_SECONDS)
+            await answer.write(f'id: {number}\ndata: x\n\n'.encode())
+            if is_harmful and self._is_troubled:
+                await asyncio.sleep(CRASH_SECONDS)
+                self._deployment.start_task(self._crash())
+                await asyncio.sleep(DOWN_SECONDS)
+        await answer.write_eof()
         return answer
 
 
-class Platform:
-    """Sends new connections to machines in rotation, as the platform does."""
-
-    def __init__(self, deployment: Deployment) -> None:
-        """Build a platform for which all machines are in rotation."""
-        self._deployment = deployment
-        self._misses = {one.name: 0 for one in deployment.machines}
-
-    async def run(self) -> None:
-        """Ask each machine once a second."""
-        while True:
-            for machine in self._deployment.machines:
-                is_ready = await machine.is_ready()
-                misses = 0 if is_ready else self._misses[machine.name] + 1
-                self._misses[machine.name] = misses
-            await asyncio.sleep(1)
-
-    def pick(self, zone: str) -> Machine:
-        """Return the machine of a zone, or of the other one."""
-        machines = sorted(
-            self._deployment.machines, key=lambda one: one.zone != zone
-        )
-        rotation = [one for one in machines if self._misses[one.name] < 2]
-        return (rotation or machines)[0]
-
-
-class Client:
-    """Client that sends one stream's request after the other.
-
-    It keeps its connection as long as the machine allows that.
-    """
-
-    def __init__(
-        self, deployment: Deployment, platform: Platform, name: str
-    ) -> None:
-        """Build a client of zone a."""
-        self.sent: list[Sent] = []
-        self._name = name
-        self._deployment = deployment
-        self._platform = platform
-
-    async def run(self) -> None:
-        """Send requests until cancelled."""
-        while True:
-            machine = self._platform.pick('a')
-            try:
-                async with asyncio.timeout(1):
-                    reader, writer = await asyncio.open_connection(
-                        machine.ip, FRONT_PORT
-                    )
-            except (OSError, TimeoutError):
-                await asyncio.sleep(0.1)
-                continue
-            try:
-                for _ in range(REQUESTS_PER_CONNECTION):
-                    if not await self._send(machine, reader, writer):
-                        break
-            finally:
-                writer.close()
-
-    async def _send(
-        self,
-        machine: Machine,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> bool:
-        """Send a request; tell whether the connection may be used again."""
-        ident = secrets.token_hex(8)
-        record = self._deployment.record
-        sent = Sent(ident, machine, record.now())
-        head = (
-            f'POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\n'
-            f'X-Attempt-Id: {ident}\r\nX-Deadline-Ms: 15000\r\n'
-            f'Authorization: Bearer {KEY}\r\nX-Token-Usage: 300,140\r\n'
-            f'X-Prompt-Prefix: aa:200,{ident}:100\r\nContent-Length: 2\r\n\r\n'
-        )
-        record.write(f'{self._name} sends {ident} to {machine.name}')
-        content = bytearray()
-        try:
-            writer.write(head.encode() + b'{}')
-            while not is_complete(bytes(content)):
-                chunk = await reader.read(65536)
-                if not chunk:
-                    break
-                content += chunk
-        except OSError as error:
-            record.write(f'{self._name}: {error!r}')
-        sent.has_ended = True
-        sent.is_complete = is_complete(bytes(content))
-        sent.status = bytes(content).partition(b'\r\n')[0]
-        self.sent.append(sent)
-        record.write(
-            f'{self._name} has {ident}: complete {sent.is_complete}, '
-            f'{sent.status!r}, {content.count(b"id: ")} events'
-        )
-        if b' 503 ' in sent.status:
-            await asyncio.sleep(0.05)
-        is_closed = (
-            b'connection: close' in content.partition(b'\r\n\r\n')[0].lower()
-        )
-        return sent.is_complete and not is_closed
-
-
-class Sent:
-    """A request that a client has sent, and its end."""
-
-    def __init__(self, ident: str, machine: Machine, sent_at: float) -> None:
-        """Build a request without an answer."""
-        self.ident = ident
-        self.machine = machine
-        self.sent_at = sent_at
-        self.has_ended = False
-        self.is_complete = False
-        self.status = b''
-
-
-def is_complete(content: bytes) -> bool:
-    """Tell whether an answer has ended as HTTP/1.1 says."""
-    head, separator, body = content.partition(b'\r\n\r\n')
-    if not separator:
-        return False
-    if b'transfer-encoding: chunked' in head.lower():
-        return body.endswith(b'0\r\n\r\n')
-    for line in head.lower().split(b'\r\n'):
-        if line.startswith(b'content-length:'):
-            return len(body) >= int(line.partition(b':')[2])
-    return False
+async def send(
+    deployment: Deployment, machine: Machine, *, is_harmful: bool
+) -> None:
+    """Send a request on a new connection and wait for its end."""
+    ident = secrets.token_hex(8)
+    part = HARMFUL_PART if is_harmful else 'e4402b7d'
+    record = deployment.record
+    head = (
+        f'POST /notes/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {ident}\r\n'
+        f'X-Deadline-Ms: 8000\r\nAuthorization: Bearer {KEY}\r\n'
+        'X-Token-Usage: 900,24\r\n'
+        f'X-Prompt-Prefix: 91bd3f06:500,{part}:300,{ident}:100\r\n'
+        f'Content-Length: {len(ident)}\r\nConnection: close\r\n\r\n{ident}'
+    ).encode()
+    if is_harmful:
+        record.write(f'client sends harmful {ident} to {machine.name}')
+    content = b''
+    try:
+        async with asyncio.timeout(10):
+            reader, writer = await asyncio.open_connection(
+                machine.ip, FRONT_PORT
+            )
+            writer.write(head)
+            content = await reader.read()
+            writer.close()
+    except (OSError, TimeoutError):
+        pass
+    ended = 'complete' if content.endswith(b'0\r\n\r\n') else 'incomplete'
+    record.write(
+        f'client has {"harmful" if is_harmful else "sound"} {ident}: '
+        f'{content[9:12].decode()} {ended}'
+    )
 
 
 async def play(deployment: Deployment, is_troubled: bool) -> None:
-    """Stop the only machine of a zone while its clients send streams."""
+    """Send sound requests, and among them some with the harmful part."""
     await deployment.start_store()
-    engines = [Engine(deployment, number) for number in range(2)]
-    for number, engine in enumerate(engines):
-        await engine.start(('a', 'b')[number], 20 + number)
     deployment.store.put('config', 'main', make_configuration())
-    await deployment.start_machines(['a', 'b'])
-    await asyncio.sleep(4)
-    platform = Platform(deployment)
-    deployment.start_task(platform.run())
-    clients = [
-        Client(deployment, platform, f'client-{number}')
-        for number in range(CLIENTS)
+    engines = [
+        Engine(deployment, number, is_troubled=is_troubled)
+        for number in range(RUNNERS)
     ]
-    for client in clients:
-        deployment.start_task(client.run())
-        await asyncio.sleep(EVENTS * GAP_SECONDS / CLIENTS)
-    for _ in range(ROUNDS):
-        await play_round(deployment, is_troubled)
-    judge(deployment, clients, engines, is_troubled)
-
-
-async def play_round(deployment: Deployment, is_troubled: bool) -> None:
-    """Send SIGTERM, and SIGKILL after the grace time, and start again."""
-    machine = deployment.machines[0]
+    for engine in engines:
+        await engine.start()
+    await deployment.start_machines(ZONES)
+    await asyncio.sleep(4)
     record = deployment.record
-    await asyncio.sleep(EVENTS * GAP_SECONDS)
-    if not is_troubled or machine.process is None:
-        await asyncio.sleep(GRACE_SECONDS + 12)
-        return
-    machine.send_signal(signal.SIGTERM)
-    machine.stopped_at.append(record.now())
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(GRACE_SECONDS):
-            await machine.process.wait()
-    machine.send_signal(signal.SIGKILL)
-    await machine.process.wait()
-    record.write(f'machine {machine.name} has ended')
-    await machine.start()
-    while not await machine.is_ready():
-        await asyncio.sleep(0.1)
-    await asyncio.sleep(12)
-
-
-def judge(
-    deployment: Deployment,
-    clients: list[Client],
-    engines: list[Engine],
-    is_troubled: bool,
-) -> None:
-    """Check the rule on all requests that have ended."""
-    for sent in (one for client in clients for one in client.sent):
-        was_run = any(sent.ident in engine.ran for engine in engines)
-        if not was_run or sent.is_complete:
-            continue
-        ages = [
-            sent.sent_at - stopped_at
-            for stopped_at in sent.machine.stopped_at
-            if -GRACE_SECONDS <= sent.sent_at - stopped_at <= GRACE_SECONDS + 1
-        ]
-        if is_troubled and (not ages or ages[-1] <= EXCUSED_SECONDS):
-            continue
-        deployment.record.add_broken(
-            f'{sent.ident}, sent on a kept connection {ages} s after SIGTERM, '
-            'was passed on to a sound runner, and its connection ended '
-            f'without a complete answer: {sent.status!r}'
-        )
+    began_at = record.now()
+    count = int(HARMFUL_SECONDS * PER_SECOND)
+    for number in range(count):
+        machine = deployment.machines[number % len(ZONES)]
+        is_harmful = number % int(1 / HARMFUL_SHARE) == 0
+        deployment.start_task(send(deployment, machine, is_harmful=is_harmful))
+        due = began_at + (number + 1) / PER_SECOND
+        await asyncio.sleep(max(0, due - record.now()))
+    await asyncio.sleep(5)
+    judge(deployment, engines)
+    for engine in engines:
+        await engine.stop()
+
+
+def judge(deployment: Deployment, engines: list[Engine]) -> None:
+    """Check the rule on what the runners saw."""
+    crashes = sorted(at for engine in engines for at in engine.crashes)
+    arrivals = sorted(
+        (at, ident) for engine in engines for ident, at in engine.arrivals
+    )
+    late: list[str] = []
+    if len(crashes) >= CRASHES:
+        since = crashes[CRASHES - 1] + CONTACT_SECONDS
+        late = [ident for at, ident in arrivals if at > since]
+    summary = (
+        f'{len(crashes)} crashes of runners; {len(arrivals)} requests with the '
+        f'harmful part reached runners, {len(late)} of them later than '
+        f'{CONTACT_SECONDS} s after the fifth crash'
+    )
+    deployment.record.write(summary)
+    print(summary)
+    if len(late) > ALLOWED:
+        deployment.record.add_broken(summary)
 
 
 def make_configuration() -> dict[str, object]:
@@ -285,13 +231,13 @@
         'version': 3,
         'routes': [
             {
-                'name': 'chat',
+                'name': 'notes',
                 'host': HOST,
-                'path-prefix': '/chat/',
+                'path-prefix': '/notes/',
                 'kind': 'streaming',
-                'target-latency-ms': 400,
+                'target-latency-ms': 1900,
                 'target-itl-ms': 300,
-                'timeout-ms': 15000,
+                'timeout-ms': 6000,
                 'priority': 1,
                 'service': 'llm',
                 'max-attempts': 1,
--- a/review/kit.py
+++ b/review/kit.py
@@ -385,14 +385,22 @@
     sys.exit(code)
 
 
+async def _play(deployment: Deployment, case: Case, is_troubled: bool) -> None:
+    async with asyncio.timeout(CASE_SECONDS):
+        await case(deployment, is_troubled)
+
+
 async def _run(record: Record, case: Case, is_troubled: bool) -> int:
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(record, Path(folder))
+        task = asyncio.ensure_future(_play(deployment, case, is_troubled))
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
-            async with asyncio.timeout(CASE_SECONDS):
-                await case(deployment, is_troubled)
-        except (CannotRunError, OSError, TimeoutError) as error:
+            await task
+        except (Exception, asyncio.CancelledError) as error:
             record.write(f'the case could not run: {error!r}')
+            print(f'the case could not run: {error!r}')
             return NOT_RUN
         finally:
             await deployment.close()
