--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -1,4 +1,4 @@
-"""HTTP connections to targets, kept alive in a pool.
+"""HTTP connections to targets, one request at a time on each.
 
 Each request is sent once, on one connection; this module never retries. A
 response is complete only when its Content-Length, its last chunk or an
@@ -8,9 +8,7 @@
 """
 
 import asyncio
-import math
 import time
-from collections import deque
 from typing import Any
 
 import httptools
@@ -26,20 +24,9 @@
 )
 from galenaswitch.connections.memory import MemoryAccount
 from galenaswitch.connections.requests import HTTP_VERSION
-from galenaswitch.connections.sockets import (
-    MAX_ADDRESS_LENGTH,
-    enable_dead_peer_detection,
-    split_address,
-)
+from galenaswitch.connections.sockets import enable_dead_peer_detection
 from galenaswitch.errors import TargetUnreachableError
-from galenaswitch.operations.timeouts import Timeout
 
-# Longest time in seconds for opening a connection to a target. Targets are in
-# the platform's own network.
-CONNECT_TIMEOUT_SECONDS = 0.6
-# Time for which a target must keep a new connection open to count as alive. A
-# proxy in front of a dead target accepts connections and closes them at once.
-LISTENING_CHECK_SECONDS = 0.05
 # Most bytes that a target may send without a byte of a body: its head, interim
 # responses, the framing of a chunk, or trailers.
 MAX_FRAMING_BYTES = 65_536
@@ -51,10 +38,6 @@
 # Share of the target's Keep-Alive timeout after which an idle connection is
 # no longer used.
 IDLE_TIMEOUT_SHARE = 0.7
-# Share of the memory of the process that all responses together may take.
-RESPONSE_SHARE = 0.15
-# Most idle connections that are kept open to one target.
-MAX_IDLE_PER_TARGET = 64
 # Responses with lower status codes are interim responses, which are ignored.
 FIRST_FINAL_STATUS = 200
 # Responses with these status codes have no body.
@@ -252,117 +235,3 @@
         self._exchange = None
         if exchange:
             exchange.end(reason)
-
-
-class ConnectionPool:
-    """Pool of connections to all targets; idle connections stay open."""
-
-    def __init__(
-        self, source_ip: str = '', memory_bytes: float = math.inf
-    ) -> None:
-        """Build an empty pool.
-
-        :param source_ip: local IP address of new connections, any address
-            when empty.
-        :param memory_bytes: memory of the process, of which all responses
-            together may take a share.
-        """
-        self.memory = MemoryAccount(memory_bytes * RESPONSE_SHARE)
-        self._local_address = (source_ip, 0) if source_ip else None
-        self._idle: dict[str, deque[TargetConnection]] = {}
-        self.opened_count = 0
-
-    async def acquire(
-        self,
-        address: str,
-        max_idle_seconds: float,
-    ) -> TargetConnection:
-        """Return an idle connection to a target, or open a new one.
-
-        :param address: IP address and port of the target.
-        :param max_idle_seconds: longest time that the returned connection may
-            have been idle.
-        :raises TargetUnreachableError: when no connection can be opened in
-            time.
-        """
-        connection = self._acquire_idle(address, max_idle_seconds)
-        return connection or await self._open(address)
-
-    def release(self, connection: TargetConnection) -> None:
-        """Return a connection to the pool, or close it if not reusable."""
-        if not connection.reusable:
-            connection.close()
-            return
-        connection.idle_since = asyncio.get_running_loop().time()
-        idle = self._idle.setdefault(connection.address, deque())
-        idle.append(connection)
-        while len(idle) > MAX_IDLE_PER_TARGET:
-            idle.popleft().close()
-
-    async def is_listening(self, address: str) -> bool:
-        """Tell whether a target accepts a connection and keeps it open."""
-        try:
-            connection = await self._open(address)
-        except TargetUnreachableError:
-            return False
-        await asyncio.sleep(LISTENING_CHECK_SECONDS)
-        is_open = connection.reusable
-        self.release(connection)
-        return is_open
-
-    def close_expired(self) -> None:
-        """Close all connections that exceed their idle timeout."""
-        now = asyncio.get_running_loop().time()
-        for address, idle in list(self._idle.items()):
-            while (
-                idle and now - idle[0].idle_since > idle[0].idle_timeout_seconds
-            ):
-                idle.popleft().close()
-            if not idle:
-                self._idle.pop(address)
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for idle in self._idle.values():
-            for connection in idle:
-                connection.close()
-        self._idle.clear()
-
-    def _acquire_idle(
-        self,
-        address: str,
-        max_idle_seconds: float,
-    ) -> TargetConnection | None:
-        now = asyncio.get_running_loop().time()
-        idle = self._idle.get(address, deque())
-        while idle:
-            connection = idle.pop()
-            limit_seconds = min(
-                max_idle_seconds, connection.idle_timeout_seconds
-            )
-            if (
-                connection.reusable
-                and now - connection.idle_since < limit_seconds
-            ):
-                return connection
-            connection.close()
-        return None
-
-    async def _open(self, address: str) -> TargetConnection:
-        loop = asyncio.get_running_loop()
-        self.opened_count += 1
-        try:
-            host, port = split_address(address)
-            async with Timeout(CONNECT_TIMEOUT_SECONDS):
-                _, connection = await loop.create_connection(
-                    lambda: TargetConnection(address, self.memory),
-                    host,
-                    port,
-                    local_addr=self._local_address,
-                )
-        except (OSError, TimeoutError, ValueError) as error:
-            raise TargetUnreachableError(
-                f'cannot connect to {address[:MAX_ADDRESS_LENGTH]}: '
-                f'{type(error).__name__}',
-            ) from error
-        return connection
--- /dev/null
+++ b/galenaswitch/connections/pool.py
@@ -0,0 +1,136 @@
+"""Pool of connections to targets, which keeps idle connections open."""
+
+import asyncio
+import math
+from collections import deque
+
+from galenaswitch.connections.memory import MemoryAccount
+from galenaswitch.connections.outbound import TargetConnection
+from galenaswitch.connections.sockets import MAX_ADDRESS_LENGTH, split_address
+from galenaswitch.errors import TargetUnreachableError
+from galenaswitch.operations.timeouts import Timeout
+
+# Longest time in seconds for opening a connection to a target. Targets are in
+# the platform's own network.
+CONNECT_TIMEOUT_SECONDS = 0.6
+# Time for which a target must keep a new connection open to count as alive. A
+# proxy in front of a dead target accepts connections and closes them at once.
+LISTENING_CHECK_SECONDS = 0.05
+# Share of the memory of the process that all responses together may take.
+RESPONSE_SHARE = 0.15
+# Most idle connections that are kept open to one target.
+MAX_IDLE_PER_TARGET = 64
+
+
+class ConnectionPool:
+    """Pool of connections to all targets; idle connections stay open."""
+
+    def __init__(
+        self, source_ip: str = '', memory_bytes: float = math.inf
+    ) -> None:
+        """Build an empty pool.
+
+        :param source_ip: local IP address of new connections, any address
+            when empty.
+        :param memory_bytes: memory of the process, of which all responses
+            together may take a share.
+        """
+        self.memory = MemoryAccount(memory_bytes * RESPONSE_SHARE)
+        self._local_address = (source_ip, 0) if source_ip else None
+        self._idle: dict[str, deque[TargetConnection]] = {}
+        self.opened_count = 0
+
+    async def acquire(
+        self,
+        address: str,
+        max_idle_seconds: float,
+    ) -> TargetConnection:
+        """Return an idle connection to a target, or open a new one.
+
+        :param address: IP address and port of the target.
+        :param max_idle_seconds: longest time that the returned connection may
+            have been idle.
+        :raises TargetUnreachableError: when no connection can be opened in
+            time.
+        """
+        connection = self._acquire_idle(address, max_idle_seconds)
+        return connection or await self._open(address)
+
+    def release(self, connection: TargetConnection) -> None:
+        """Return a connection to the pool, or close it if not reusable."""
+        if not connection.reusable:
+            connection.close()
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        idle = self._idle.setdefault(connection.address, deque())
+        idle.append(connection)
+        while len(idle) > MAX_IDLE_PER_TARGET:
+            idle.popleft().close()
+
+    async def is_listening(self, address: str) -> bool:
+        """Tell whether a target accepts a connection and keeps it open."""
+        try:
+            connection = await self._open(address)
+        except TargetUnreachableError:
+            return False
+        await asyncio.sleep(LISTENING_CHECK_SECONDS)
+        is_open = connection.reusable
+        self.release(connection)
+        return is_open
+
+    def close_expired(self) -> None:
+        """Close all connections that exceed their idle timeout."""
+        now = asyncio.get_running_loop().time()
+        for address, idle in list(self._idle.items()):
+            while (
+                idle and now - idle[0].idle_since > idle[0].idle_timeout_seconds
+            ):
+                idle.popleft().close()
+            if not idle:
+                self._idle.pop(address)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
+
+    def _acquire_idle(
+        self,
+        address: str,
+        max_idle_seconds: float,
+    ) -> TargetConnection | None:
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.get(address, deque())
+        while idle:
+            connection = idle.pop()
+            limit_seconds = min(
+                max_idle_seconds, connection.idle_timeout_seconds
+            )
+            if (
+                connection.reusable
+                and now - connection.idle_since < limit_seconds
+            ):
+                return connection
+            connection.close()
+        return None
+
+    async def _open(self, address: str) -> TargetConnection:
+        loop = asyncio.get_running_loop()
+        self.opened_count += 1
+        try:
+            host, port = split_address(address)
+            async with Timeout(CONNECT_TIMEOUT_SECONDS):
+                _, connection = await loop.create_connection(
+                    lambda: TargetConnection(address, self.memory),
+                    host,
+                    port,
+                    local_addr=self._local_address,
+                )
+        except (OSError, TimeoutError, ValueError) as error:
+            raise TargetUnreachableError(
+                f'cannot connect to {address[:MAX_ADDRESS_LENGTH]}: '
+                f'{type(error).__name__}',
+            ) from error
+        return connection
--- a/galenaswitch/connections/tests/test_endless.py
+++ b/galenaswitch/connections/tests/test_endless.py
@@ -6,10 +6,8 @@
 import pytest
 
 from galenaswitch.connections.heads import RequestHead
-from galenaswitch.connections.outbound import (
-    MAX_FRAMING_BYTES,
-    ConnectionPool,
-)
+from galenaswitch.connections.outbound import MAX_FRAMING_BYTES
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.errors import TargetBrokenError
 from standins.scripted import ScriptedTarget
 
--- a/galenaswitch/connections/tests/test_memory.py
+++ b/galenaswitch/connections/tests/test_memory.py
@@ -6,11 +6,8 @@
 
 from galenaswitch.connections.heads import RequestHead
 from galenaswitch.connections.memory import MIN_GIVEN_UP_BYTES, MemoryAccount
-from galenaswitch.connections.outbound import (
-    MAX_HEADERS,
-    RESPONSE_SHARE,
-    ConnectionPool,
-)
+from galenaswitch.connections.outbound import MAX_HEADERS
+from galenaswitch.connections.pool import RESPONSE_SHARE, ConnectionPool
 from galenaswitch.errors import TargetBrokenError
 from standins.scripted import ScriptedTarget
 
--- a/galenaswitch/connections/tests/test_outbound.py
+++ b/galenaswitch/connections/tests/test_outbound.py
@@ -5,7 +5,7 @@
 import pytest
 
 from galenaswitch.connections.heads import RequestHead
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.errors import TargetBrokenError, TargetUnreachableError
 
 GET = RequestHead(b'GET', b'/', ((b'Host', b'h'),))
--- a/galenaswitch/following/tests/conftest.py
+++ b/galenaswitch/following/tests/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 from aiohttp import web
 
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.following.following import Following
 from galenaswitch.gateway.vocabulary import VOCABULARY
 from galenaswitch.membership.links import Identity, LinkService, listen
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -10,7 +10,8 @@
 
 from galenaswitch.connections.exchange import Exchange
 from galenaswitch.connections.heads import AnswerHead, RequestHead
-from galenaswitch.connections.outbound import ConnectionPool, TargetConnection
+from galenaswitch.connections.outbound import TargetConnection
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.errors import (
     InvalidInputError,
     MismatchedAnswerError,
--- a/galenaswitch/gateway/tests/test_results.py
+++ b/galenaswitch/gateway/tests/test_results.py
@@ -7,7 +7,7 @@
 import pytest
 
 from galenaswitch.connections.heads import RequestHead
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.results import StoredResult, StoredResults
 from galenaswitch.gateway.sending import Sender
--- a/galenaswitch/platform/objects.py
+++ b/galenaswitch/platform/objects.py
@@ -19,7 +19,7 @@
     RequestHead,
     find_header_text,
 )
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.errors import (
     StoreConflictError,
     StoreError,
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -9,7 +9,7 @@
 import pytest
 
 from galenaswitch.connections.heads import RequestHead
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.connections.requests import InboundLimits, InboundRequest
 from galenaswitch.gateway.checks import check_request
 from galenaswitch.gateway.continuation import ContinuationPolicy
--- a/galenaswitch/platform/tests/scripts.py
+++ b/galenaswitch/platform/tests/scripts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.platform.objects import PlatformStore
 from galenaswitch.platform.tests.engines import Engines
 
--- a/galenaswitch/platform/tests/test_held_up.py
+++ b/galenaswitch/platform/tests/test_held_up.py
@@ -17,7 +17,7 @@
 import uvloop
 
 from galenaswitch.connections.heads import RequestHead
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.errors import TargetBrokenError, TargetLateError
 from galenaswitch.gateway.sending import Attempt
 from galenaswitch.membership.frames import Vocabulary
--- a/galenaswitch/platform/tests/test_objects.py
+++ b/galenaswitch/platform/tests/test_objects.py
@@ -5,7 +5,7 @@
 import orjson
 import pytest
 
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.errors import (
     StoreConflictError,
     StoreError,
--- a/galenaswitch/platform/tests/test_restored_store.py
+++ b/galenaswitch/platform/tests/test_restored_store.py
@@ -6,7 +6,7 @@
 import pytest
 from aiohttp import web
 
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.following.tests.fakes import follow_alone
 from galenaswitch.gateway.state_sync import (
     CONFIGURATION_ITEM_KIND,
--- a/galenaswitch/platform/tests/test_silent_streams.py
+++ b/galenaswitch/platform/tests/test_silent_streams.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.gateway.handover import (
     OVERLAP_SECONDS,
     RESUME_TIMEOUT_SECONDS,
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -13,7 +13,7 @@
 from galenaswitch.configuration.messages import Digest, Items, Versions
 from galenaswitch.configuration.relay import Relay
 from galenaswitch.connections.inbound import Listener
-from galenaswitch.connections.outbound import ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.connections.requests import InboundLimits
 from galenaswitch.errors import SettingsError
 from galenaswitch.following.following import Following
