Connections: log a request on the connection of its refusal

A copy of a refusal bears the id of the request; attempt_failed looks the same whether a target refused twice or its first refusal was written again. Each connection remembers now which requests it has carried to an error, and request_returned tells when one comes back.

--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -22,6 +22,7 @@
     find_header_text,
     find_header_values,
 )
+from galenaswitch.connections.history import RequestHistory
 from galenaswitch.connections.memory import MemoryAccount
 from galenaswitch.connections.requests import HTTP_VERSION
 from galenaswitch.connections.sockets import enable_dead_peer_detection
@@ -48,7 +49,8 @@
     """A connection to a target, which carries one request at a time.
 
     ``idle_since`` is the event loop's time at which the connection became
-    idle. ``was_used`` tells whether it has carried a request.
+    idle. ``was_used`` tells whether it has carried a request, ``history``
+    which requests it has carried.
     """
 
     def __init__(
@@ -73,11 +75,13 @@
         self._reading_paused = False
         self._framing_bytes = 0
         self._heard_at = 0.0
+        self.history = RequestHistory()
 
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
-        return not self._closed and self._keep_alive and self._exchange is None
+        is_kept = self._keep_alive and not self.history.is_full
+        return is_kept and not self._closed and self._exchange is None
 
     @property
     def silent_seconds(self) -> float:
@@ -157,6 +161,7 @@
         self._ends_at_close = (
             not has_length and status not in _BODILESS_STATUSES
         )
+        self.history.record(status)
         self._exchange.receive_head(AnswerHead(status, tuple(self._headers)))
 
     def on_body(self, body: bytes) -> None:
@@ -175,9 +180,10 @@
         self._exchange = None
         exchange.end()
 
-    def send(self, head: RequestHead, body: bytes) -> Exchange:
+    def send(self, head: RequestHead, body: bytes, ident: str = '') -> Exchange:
         """Send a request on the connection.
 
+        :param ident: id that responses to the request name, empty if none.
         :raises TargetUnreachableError: when the connection is closed or in
             use, so that nothing was sent.
         """
@@ -188,6 +194,7 @@
         self._exchange = Exchange(self._memory.open(self._give_up))
         self._heard_at = time.monotonic()
         self._framing_bytes = 0
+        self.history.ident = ident
         self.was_used = True
         self._transport.write(encode_request(head, body))
         return self._exchange
--- a/galenaswitch/connections/pool.py
+++ b/galenaswitch/connections/pool.py
@@ -8,6 +8,7 @@
 from galenaswitch.connections.outbound import TargetConnection
 from galenaswitch.connections.sockets import MAX_ADDRESS_LENGTH, split_address
 from galenaswitch.errors import TargetUnreachableError
+from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.timeouts import Timeout
 
 # Longest time in seconds for opening a connection to a target. Targets are in
@@ -44,16 +45,22 @@
         self,
         address: str,
         max_idle_seconds: float,
+        ident: str = '',
     ) -> TargetConnection:
         """Return an idle connection to a target, or open a new one.
 
         :param address: IP address and port of the target.
         :param max_idle_seconds: longest time that the returned connection may
             have been idle.
+        :param ident: id that responses to the request name, empty if none.
         :raises TargetUnreachableError: when no connection can be opened in
             time.
         """
         connection = self._acquire_idle(address, max_idle_seconds)
+        if connection and connection.history.has_error(ident):
+            get_logger().warning(
+                'request_returned', request=ident, address=address
+            )
         return connection or await self._open(address)
 
     def release(self, connection: TargetConnection) -> None:
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -238,6 +238,7 @@
                 head,
                 request.body,
                 MAX_IDLE_NON_IDEMPOTENT_SECONDS if once else MAX_IDLE_SECONDS,
+                ident=request.ident,
             ) as attempt:
                 answer = await attempt.read_head(seconds_left)
                 check_answer(request, answer, self._wire)
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -135,6 +135,7 @@
         body: bytes,
         max_idle_seconds: float,
         *,
+        ident: str = '',
         names_limit: bool = True,
     ) -> AsyncIterator[Attempt]:
         """Send a request and yield its attempt.
@@ -143,6 +144,7 @@
         completely, and is that to this request.
 
         :param max_idle_seconds: longest idle time of a reused connection.
+        :param ident: id that answers to the request name, empty if none.
         :param names_limit: whether an answer without a limit means that the
             target has none. Only answers to work do.
         :raises TargetUnreachableError: when no byte was sent.
@@ -150,11 +152,13 @@
         """
         is_probe = self.notices.start(target)
         exchange = None
-        connection = await self._pool.acquire(target.url, max_idle_seconds)
+        connection = await self._pool.acquire(
+            target.url, max_idle_seconds, ident
+        )
         try:
             # The target may have closed while the connection was opened.
             self.notices.check(target, is_probe=is_probe)
-            exchange = connection.send(head, body)
+            exchange = connection.send(head, body, ident)
             on_head = partial(self._observe, target, names_limit, is_probe)
             yield Attempt(connection, exchange, on_head)
         except (MismatchedAnswerError, InvalidInputError):
--- a/galenaswitch/platform/tests/test_silent_streams.py
+++ b/galenaswitch/platform/tests/test_silent_streams.py
@@ -269,11 +269,11 @@
         acquire = ConnectionPool.acquire
         addresses = []
 
-        async def acquire_late(pool, address, max_idle_seconds):
+        async def acquire_late(pool, address, *details):
             addresses.append(address)
             if len(addresses) > 1:
                 await asyncio.sleep(seconds)
-            return await acquire(pool, address, max_idle_seconds)
+            return await acquire(pool, address, *details)
 
         monkeypatch.setattr(ConnectionPool, 'acquire', acquire_late)
         return addresses
