Connections: no request goes on a connection where it got an error

Callers saw once-only requests run twice, and requests that ran after a refusal with a promise. A target may write a refusal once more where the next answer is due. The copy names the request that was refused; if that request was under way again on the same connection, the copy was taken for its answer and the request counted as not run while the target ran it.

What kept this from happening was that a request leaves out the names it has tried, while connections are kept by address: a target with a new name at its address, as after a 421, gets the request on the connection that carried the refusal, which is the one used last.

Each connection knows the requests that got a response of 400 or above on it, and the pool passes it over for these; request_returned tells when. So no copy of an error of a request can come where its answer is due, whichever part of the code sends it again.

The rule is in the connection and in the pool, not in the callers, as each of them has its own reasons to send a request again.

--- a/galenaswitch/connections/pool.py
+++ b/galenaswitch/connections/pool.py
@@ -56,11 +56,7 @@
         :raises TargetUnreachableError: when no connection can be opened in
             time.
         """
-        connection = self._acquire_idle(address, max_idle_seconds)
-        if connection and connection.history.has_error(ident):
-            get_logger().warning(
-                'request_returned', request=ident, address=address
-            )
+        connection = self._acquire_idle(address, max_idle_seconds, ident)
         return connection or await self._open(address)
 
     def release(self, connection: TargetConnection) -> None:
@@ -104,24 +100,37 @@
         self._idle.clear()
 
     def _acquire_idle(
-        self,
-        address: str,
-        max_idle_seconds: float,
+        self, address: str, max_idle_seconds: float, ident: str
     ) -> TargetConnection | None:
+        """Return the connection that has been idle for the shortest time.
+
+        A copy of an error that the request got on a connection couldn't be
+        told from its answer there, so it goes on another one.
+        """
         now = asyncio.get_running_loop().time()
         idle = self._idle.get(address, deque())
-        while idle:
+        found = None
+        passed_over: deque[TargetConnection] = deque()
+        while idle and not found:
             connection = idle.pop()
             limit_seconds = min(
                 max_idle_seconds, connection.idle_timeout_seconds
             )
             if (
-                connection.reusable
-                and now - connection.idle_since < limit_seconds
+                not connection.reusable
+                or now - connection.idle_since >= limit_seconds
             ):
-                return connection
-            connection.close()
-        return None
+                connection.close()
+            elif connection.history.has_error(ident):
+                passed_over.appendleft(connection)
+            else:
+                found = connection
+        idle.extend(passed_over)
+        if passed_over:
+            get_logger().info(
+                'request_returned', request=ident, address=address
+            )
+        return found
 
     async def _open(self, address: str) -> TargetConnection:
         loop = asyncio.get_running_loop()
