Links: a connection can be handed over to another protocol

The handshake has a module of its own. hand_over() ends a link in order, with bytes that have already arrived, and its connection goes on; a dial that is cancelled closes its connection. Nobody uses this yet; the tests of links, mesh, following and configuration pass.

--- a/galenaswitch/configuration/tests/test_relay.py
+++ b/galenaswitch/configuration/tests/test_relay.py
@@ -3,7 +3,7 @@
 from galenaswitch.configuration.catalog import Catalog, Item
 from galenaswitch.configuration.messages import Items, Versions
 from galenaswitch.configuration.relay import Relay
-from galenaswitch.membership.links import Identity
+from galenaswitch.membership.handshake import Identity
 
 ITEM = Item('contracts', 'lab', 3, {})
 
--- a/galenaswitch/following/tests/conftest.py
+++ b/galenaswitch/following/tests/conftest.py
@@ -9,7 +9,8 @@
 from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.following.following import Following
 from galenaswitch.gateway.vocabulary import VOCABULARY
-from galenaswitch.membership.links import Identity, LinkService, listen
+from galenaswitch.membership.handshake import Identity
+from galenaswitch.membership.links import LinkService, listen
 from galenaswitch.membership.lists import Machine, MemberList, Members
 from galenaswitch.membership.mesh import Mesh, Ping, answer_ping
 from galenaswitch.operations.process import TaskGroup
--- a/galenaswitch/gateway/tests/test_origins.py
+++ b/galenaswitch/gateway/tests/test_origins.py
@@ -11,7 +11,7 @@
 from galenaswitch.gateway import origins
 from galenaswitch.gateway.origin_messages import StreamOrigin
 from galenaswitch.gateway.origins import MAX_ORIGINS, StreamOrigins
-from galenaswitch.membership.links import Identity
+from galenaswitch.membership.handshake import Identity
 
 ZONES = ('north', 'south', 'west')
 STREAM_COUNT = 300
--- a/galenaswitch/membership/__init__.py
+++ b/galenaswitch/membership/__init__.py
@@ -1,12 +1,7 @@
 """Member lists, links between processes, and load reports of targets."""
 
-from galenaswitch.membership.links import (
-    Identity,
-    Link,
-    LinkService,
-    dial,
-    listen,
-)
+from galenaswitch.membership.handshake import Identity
+from galenaswitch.membership.links import Link, LinkService, dial, listen
 from galenaswitch.membership.lists import (
     LeavingSign,
     Machine,
--- a/galenaswitch/membership/links.py
+++ b/galenaswitch/membership/links.py
@@ -1,8 +1,7 @@
 """Authenticated links between the system's processes.
 
 A link is a TCP connection that carries frames in both directions. Both ends
-prove that they know the shared secret: each end sends a nonce and then an
-HMAC-SHA256 over both nonces and its own identity.
+prove that they know the shared secret.
 """
 
 import asyncio
@@ -29,6 +28,13 @@
     pack_message,
     unpack_frame,
 )
+from galenaswitch.membership.handshake import (
+    HANDSHAKE_VOCABULARY,
+    Hello,
+    Identity,
+    Proof,
+    compute_hmac,
+)
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.operations.timeouts import Timeout
@@ -40,39 +46,6 @@
 MAX_CONCURRENT_REQUESTS = 4096
 
 
-class Identity(NamedTuple):
-    """Identifies the process at one end of a link.
-
-    :param node: name of the VM that the process runs on.
-    :param zone: availability zone of that VM.
-    :param role: program of the process: ``edge``, ``entry``, ``control`` or
-        ``admin``.
-    :param incarnation: random id that changes when the process restarts.
-    """
-
-    node: str
-    zone: str
-    role: str
-    incarnation: str
-
-
-class Hello(NamedTuple):
-    """First handshake message in each direction: identity and nonce."""
-
-    identity: Identity
-    nonce: bytes
-
-
-class Proof(NamedTuple):
-    """Second handshake message in each direction.
-
-    :param mac: HMAC over both nonces and the sender's identity.
-    """
-
-    mac: bytes
-
-
-HANDSHAKE_VOCABULARY = Vocabulary(Hello, Proof)
 # Handles one message type. A coroutine function runs in a task of its own and
 # may return a reply; a plain function handles a one-way message immediately.
 Handler = Callable[['Link', Any], Awaitable[Any] | None]
@@ -131,6 +104,7 @@
         self._pending_replies: dict[int, asyncio.Future[Any]] = {}
         self._handler_tasks: set[asyncio.Task[None]] = set()
         self._frames = self._read_frames()
+        self._handed_over = False
         self.peer = Identity('', '', '', '')
 
     @property
@@ -196,19 +170,22 @@
         self.send(Hello(self._service.identity, nonce))
         try:
             async with Timeout(HANDSHAKE_TIMEOUT_SECONDS):
-                hello = await self._receive_handshake(Hello)
-                own_hmac = self._compute_hmac(
+                hello = await self._receive(Hello, HANDSHAKE_VOCABULARY)
+                own_hmac = compute_hmac(
+                    self._service.secret,
                     self._service.identity,
                     hello.nonce,
                     nonce,
                 )
                 self.send(Proof(own_hmac))
-                proof = await self._receive_handshake(Proof)
+                proof = await self._receive(Proof, HANDSHAKE_VOCABULARY)
         except TimeoutError as error:
             raise PeerTimeoutError('the handshake timed out') from error
         if hello.identity == self._service.identity:
             raise PeerRejectedError('the link leads to this process itself')
-        expected_hmac = self._compute_hmac(hello.identity, nonce, hello.nonce)
+        expected_hmac = compute_hmac(
+            self._service.secret, hello.identity, nonce, hello.nonce
+        )
         if not hmac.compare_digest(expected_hmac, proof.mac):
             raise PeerRejectedError('the peer does not hold the shared secret')
         self.peer = hello.identity
@@ -227,8 +204,37 @@
         finally:
             self.close()
 
+    async def receive(self, kind: type[Any]) -> Any:
+        """Return the next message on a link that isn't served.
+
+        :raises PeerRejectedError: when the message is missing or not of the
+            type ``kind``.
+        """
+        return await self._receive(kind, self._service.vocabulary)
+
+    async def hand_over(self, protocol: asyncio.Protocol) -> None:
+        """Let a protocol use the connection, which is no link any more.
+
+        The link must live as long as the connection, since the stream closes
+        the connection of a link that nobody refers to.
+        """
+        transport = self._writer.transport
+        is_closed = self._reader.at_eof()
+        self._handed_over = True
+        transport.set_protocol(protocol)
+        self._reader.feed_eof()
+        unread = await self._reader.read(READ_CHUNK_BYTES)
+        protocol.connection_made(transport)
+        if unread:
+            protocol.data_received(unread)
+        if is_closed:
+            protocol.eof_received()
+            transport.close()
+
     def close(self) -> None:
         """Close the connection and fail all requests without a reply."""
+        if self._handed_over:
+            return
         self._writer.close()
         self._service.last_received_at.pop(self.peer.incarnation, None)
         for future in self._pending_replies.values():
@@ -281,9 +287,9 @@
             with contextlib.suppress(PeerClosedError):
                 self.send(reply, sequence)
 
-    async def _receive_handshake(self, kind: type[Any]) -> Any:
+    async def _receive(self, kind: type[Any], vocabulary: Vocabulary) -> Any:
         frame = await anext(self._frames, None)
-        message = HANDSHAKE_VOCABULARY.decode(frame) if frame else None
+        message = vocabulary.decode(frame) if frame else None
         if not isinstance(message, kind):
             raise PeerRejectedError(f'{kind.__name__} message is missing')
         return message
@@ -310,16 +316,6 @@
             now = asyncio.get_running_loop().time()
             self._service.last_received_at[self.peer.incarnation] = now
 
-    def _compute_hmac(
-        self,
-        sender: Identity,
-        receiver_nonce: bytes,
-        sender_nonce: bytes,
-    ) -> bytes:
-        text = '/'.join(sender).encode()
-        key = self._service.secret.encode()
-        return hmac.digest(key, receiver_nonce + sender_nonce + text, 'sha256')
-
 
 def _decode_objects(unpacker: msgpack.Unpacker) -> list[Any]:
     try:
@@ -392,4 +388,7 @@
     except (PeerError, OSError) as error:
         link.close()
         raise PeerRejectedError(f'{address}:{port}: {error}') from error
+    except asyncio.CancelledError:
+        link.close()
+        raise
     return link
--- a/galenaswitch/membership/tests/test_mesh.py
+++ b/galenaswitch/membership/tests/test_mesh.py
@@ -7,7 +7,8 @@
 
 from galenaswitch.errors import PeerClosedError
 from galenaswitch.membership import mesh as mesh_module
-from galenaswitch.membership.links import Identity, LinkService
+from galenaswitch.membership.handshake import Identity
+from galenaswitch.membership.links import LinkService
 from galenaswitch.membership.lists import Machine, MemberList, Members
 from galenaswitch.membership.mesh import Mesh
 from galenaswitch.operations.process import TaskGroup
--- a/galenaswitch/platform/tests/test_held_up.py
+++ b/galenaswitch/platform/tests/test_held_up.py
@@ -21,7 +21,8 @@
 from galenaswitch.errors import TargetBrokenError, TargetLateError
 from galenaswitch.gateway.sending import Attempt
 from galenaswitch.membership.frames import Vocabulary
-from galenaswitch.membership.links import Identity, LinkService, dial, listen
+from galenaswitch.membership.handshake import Identity
+from galenaswitch.membership.links import LinkService, dial, listen
 from galenaswitch.membership.lists import Target
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.targets.client import TargetClient
--- a/galenaswitch/programs/admin.py
+++ b/galenaswitch/programs/admin.py
@@ -12,7 +12,8 @@
 from galenaswitch.administration.operators import OperatorSettings
 from galenaswitch.administration.overview import StoreOverview
 from galenaswitch.administration.server import OperatorApi
-from galenaswitch.membership.links import Identity, LinkService
+from galenaswitch.membership.handshake import Identity
+from galenaswitch.membership.links import LinkService
 from galenaswitch.operations.exposition import serve_metrics
 from galenaswitch.operations.logs import configure_logs, get_logger
 from galenaswitch.operations.metrics import open_metrics
--- a/galenaswitch/programs/control.py
+++ b/galenaswitch/programs/control.py
@@ -29,7 +29,8 @@
 from galenaswitch.configuration.watch import StoreWatch
 from galenaswitch.errors import DutyError
 from galenaswitch.limits.shared import SharedLimits
-from galenaswitch.membership.links import Identity, Link, LinkService, listen
+from galenaswitch.membership.handshake import Identity
+from galenaswitch.membership.links import Link, LinkService, listen
 from galenaswitch.membership.lists import LeavingSign, MemberChange, Members
 from galenaswitch.membership.loads import LoadCollector
 from galenaswitch.membership.mesh import Mesh, Ping, answer_ping
--- a/galenaswitch/programs/entry.py
+++ b/galenaswitch/programs/entry.py
@@ -19,7 +19,8 @@
 from galenaswitch.configuration.messages import Items
 from galenaswitch.errors import PeerError
 from galenaswitch.limits.admission import Admission
-from galenaswitch.membership.links import Identity, Link, LinkService
+from galenaswitch.membership.handshake import Identity
+from galenaswitch.membership.links import Link, LinkService
 from galenaswitch.membership.lists import (
     LeavingSign,
     MemberChange,
--- a/galenaswitch/programs/link_service.py
+++ b/galenaswitch/programs/link_service.py
@@ -5,7 +5,8 @@
 from collections import Counter
 
 from galenaswitch.gateway.vocabulary import VOCABULARY
-from galenaswitch.membership.links import Identity, LinkService
+from galenaswitch.membership.handshake import Identity
+from galenaswitch.membership.links import LinkService
 from galenaswitch.platform.settings import VmSettings
 
 SECRET_VARIABLE = 'GALENA_PEER_SECRET'
