VMs that are cut off from targets connect through peers

Cause: nothing told a VM that the fault was its own path and not the targets, and it knew one way to a target only. Class: a component that judges others by its own view alone.

A connection that is refused, or isn't established in 0.15 s, is now also opened through another VM: a tunnel, on a connection of its own to the peer port, behind the handshake of links. The exit connects directly and passes the bytes on. HTTP stays end to end, so at most once, deadlines, streams and budgets don't change: a lost exit is a broken connection, a tunnel that wasn't opened is one on which nothing was sent. Bytes of the target travel in frames, and an orderly close has a frame of its own, so an answer without a length isn't complete when its exit or its target breaks off.

Two targets that only an exit reached prove that the path is lost. Then tunnels come first, a direct probe every half second finds out when the path is back (two targets in a row), peers hear of it, don't use the VM as an exit and rank it last as an owner. Where exits don't reach a target either, it isn't asked for through them for a second.

--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -48,7 +48,8 @@
     """A connection to a target, which carries one request at a time.
 
     ``idle_since`` is the event loop's time at which the connection became
-    idle. ``was_used`` tells whether it has carried a request.
+    idle. ``was_used`` tells whether it has carried a request, ``is_retired``
+    whether it must not carry another one.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self.idle_since = 0.0
         self.idle_timeout_seconds = DEFAULT_IDLE_TIMEOUT_SECONDS
         self.was_used = False
+        self.is_retired = False
         self._transport: Any = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -77,7 +79,8 @@
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
-        return not self._closed and self._keep_alive and self._exchange is None
+        is_open = self._keep_alive and not (self._closed or self.is_retired)
+        return is_open and self._exchange is None
 
     @property
     def silent_seconds(self) -> float:
--- a/galenaswitch/connections/pool.py
+++ b/galenaswitch/connections/pool.py
@@ -4,9 +4,10 @@
 import math
 from collections import deque
 
+from galenaswitch.connections.dialing import Dialer, DirectDialer
 from galenaswitch.connections.memory import MemoryAccount
 from galenaswitch.connections.outbound import TargetConnection
-from galenaswitch.connections.sockets import MAX_ADDRESS_LENGTH, split_address
+from galenaswitch.connections.sockets import MAX_ADDRESS_LENGTH
 from galenaswitch.errors import TargetUnreachableError
 from galenaswitch.operations.timeouts import Timeout
 
@@ -26,17 +27,17 @@
     """Pool of connections to all targets; idle connections stay open."""
 
     def __init__(
-        self, source_ip: str = '', memory_bytes: float = math.inf
+        self, dialer: Dialer | None = None, memory_bytes: float = math.inf
     ) -> None:
         """Build an empty pool.
 
-        :param source_ip: local IP address of new connections, any address
-            when empty.
+        :param dialer: opens the connections; by default they are direct, from
+            any local address.
         :param memory_bytes: memory of the process, of which all responses
             together may take a share.
         """
         self.memory = MemoryAccount(memory_bytes * RESPONSE_SHARE)
-        self._local_address = (source_ip, 0) if source_ip else None
+        self._dialer = dialer or DirectDialer()
         self._idle: dict[str, deque[TargetConnection]] = {}
         self.opened_count = 0
 
@@ -117,20 +118,14 @@
         return None
 
     async def _open(self, address: str) -> TargetConnection:
-        loop = asyncio.get_running_loop()
         self.opened_count += 1
         try:
-            host, port = split_address(address)
             async with Timeout(CONNECT_TIMEOUT_SECONDS):
-                _, connection = await loop.create_connection(
-                    lambda: TargetConnection(address, self.memory),
-                    host,
-                    port,
-                    local_addr=self._local_address,
+                return await self._dialer.open(
+                    address, lambda: TargetConnection(address, self.memory)
                 )
         except (OSError, TimeoutError, ValueError) as error:
             raise TargetUnreachableError(
                 f'cannot connect to {address[:MAX_ADDRESS_LENGTH]}: '
                 f'{type(error).__name__}',
             ) from error
-        return connection
--- a/galenaswitch/gateway/owners.py
+++ b/galenaswitch/gateway/owners.py
@@ -47,10 +47,20 @@
 class OwnerRouter:
     """Finds the VM that owns a service and sends queries to it."""
 
-    def __init__(self, members: Members, mesh: Mesh) -> None:
-        """Build a router from the live ``members`` and links of ``mesh``."""
+    def __init__(
+        self,
+        members: Members,
+        mesh: Mesh,
+        is_path_lost: Callable[[str], bool] | None = None,
+    ) -> None:
+        """Build a router from the live ``members`` and links of ``mesh``.
+
+        :param is_path_lost: tells whether a VM, by its name, can't reach the
+            targets; by default all can.
+        """
         self._members = members
         self._mesh = mesh
+        self._is_path_lost = is_path_lost or (lambda node: False)
         self._suspects: dict[str, float] = {}
         self._started_at: dict[str, float] = {mesh.node: time.monotonic()}
         self._leaving_incarnations: dict[str, str] = {}
@@ -61,8 +71,8 @@
     def find_owner(self, service: str) -> str:
         """Return the VM that owns a service, as seen by this VM.
 
-        VMs that are leaving, suspect or in their warm-up rank last, and small
-        VMs rank after large ones.
+        VMs that are leaving, cut off from the targets, suspect or in their
+        warm-up rank last, and small VMs rank after large ones.
         """
         now = time.monotonic()
         counts_uptime = (
@@ -77,6 +87,11 @@
                 lowest = (penalty, node)
         return lowest[1] if lowest else self._mesh.node
 
+    def is_available(self, node: str) -> bool:
+        """Tell whether a VM reaches the targets and isn't leaving."""
+        is_leaving = node in self._leaving_incarnations
+        return not (is_leaving or self._is_path_lost(node))
+
     async def on_link_open(self, link: Link) -> None:
         """Ping a peer whose link has just opened.
 
@@ -201,7 +216,7 @@
 
         :param counts_uptime: whether a VM in its warm-up gets a penalty.
         """
-        if node in self._leaving_incarnations:
+        if not self.is_available(node):
             return 3
         if self._is_suspect(node, now):
             return 2
--- a/galenaswitch/gateway/tests/test_owners.py
+++ b/galenaswitch/gateway/tests/test_owners.py
@@ -145,6 +145,19 @@
     assert owner_router.find_owner(foreign_service) == owner
 
 
+# Guards against a VM that is cut off from all targets and stays the owner.
+async def test_vm_without_a_path_to_targets_is_no_owner(
+    owner_router, foreign_service
+):
+    lost = set()
+    owner_router._is_path_lost = lost.__contains__
+    owner = owner_router.find_owner(foreign_service)
+    lost.add(owner)
+    assert owner_router.find_owner(foreign_service) != owner
+    lost.update(NAMES)
+    assert owner_router.find_owner(foreign_service) == owner
+
+
 async def test_ping_on_link_open_finds_a_leaving_peer(
     owner_router, foreign_service
 ):
--- a/galenaswitch/gateway/vocabulary.py
+++ b/galenaswitch/gateway/vocabulary.py
@@ -36,6 +36,7 @@
 from galenaswitch.membership.lists import LeavingSign, MemberList
 from galenaswitch.membership.mesh import Leaving, Ping, Pong
 from galenaswitch.membership.messages import ListQuestion
+from galenaswitch.paths.messages import PathNote, TunnelQuery, TunnelReply
 from galenaswitch.quarantine.messages import (
     CrashReport,
     EvidenceQuery,
@@ -65,6 +66,7 @@
     OriginQuery,
     OriginReply,
     PartAnswered,
+    PathNote,
     PiecesCancel,
     PiecesQuestion,
     PiecesReply,
@@ -77,6 +79,8 @@
     ReleaseNote,
     StreamOrigin,
     TargetLimit,
+    TunnelQuery,
+    TunnelReply,
     TurnQuery,
     TurnReply,
     Versions,
--- /dev/null
+++ b/galenaswitch/paths/messages.py
@@ -0,0 +1,50 @@
+"""Messages by which VMs open tunnels and tell each other of lost paths."""
+
+from typing import Annotated, NamedTuple
+
+from pydantic import Field
+
+from galenaswitch.connections.sockets import MAX_ADDRESS_LENGTH
+
+Address = Annotated[str, Field(max_length=MAX_ADDRESS_LENGTH)]
+
+
+class TunnelQuery(NamedTuple):
+    """Asks the receiver to connect this connection to a target.
+
+    :param address: IP address and port of the target.
+    """
+
+    address: Address
+
+
+class TunnelReply(NamedTuple):
+    """Tells whether the connection now leads to the target.
+
+    After a reply without failure, the connection carries frames no longer.
+
+    :param failure: empty, :data:`UNREACHABLE` or :data:`UNAVAILABLE`.
+    """
+
+    failure: str = ''
+
+
+class PathNote(NamedTuple):
+    """Tells all VMs whether one of them can reach the targets directly.
+
+    :param node: name of the VM.
+    :param incarnation: id of its process.
+    :param sequence: number that grows with each note of the process.
+    :param is_lost: whether the VM can't reach the targets.
+    """
+
+    node: str
+    incarnation: str
+    sequence: int
+    is_lost: bool
+
+
+# The exit can't connect to the target either.
+UNREACHABLE = 'unreachable'
+# The exit opens no tunnel to the address now, and hasn't tried to.
+UNAVAILABLE = 'unavailable'
--- /dev/null
+++ b/galenaswitch/paths/service.py
@@ -0,0 +1,57 @@
+"""The paths of one VM: its dialer, its tunnels, and those that it serves."""
+
+from collections.abc import Callable
+from typing import Any
+
+from galenaswitch.connections.dialing import DirectDialer
+from galenaswitch.membership.links import Link, LinkService
+from galenaswitch.membership.lists import Members
+from galenaswitch.membership.mesh import Leaving, Mesh
+from galenaswitch.operations.metrics import Metrics
+from galenaswitch.operations.process import TaskGroup
+from galenaswitch.paths.dialer import PathDialer
+from galenaswitch.paths.exits import Exits
+from galenaswitch.paths.notes import PathNotes
+from galenaswitch.paths.tunnels import Tunnels
+
+
+class Paths:
+    """Connects the components that open connections to targets."""
+
+    def __init__(
+        self,
+        service: LinkService,
+        members: Members,
+        mesh: Mesh,
+        tasks: TaskGroup,
+        metrics: Metrics,
+        direct: DirectDialer,
+    ) -> None:
+        """Build the paths of the VM that ``service`` identifies."""
+        self._members = members
+        self.is_available: Callable[[str], bool] = lambda node: True
+        self.notes = PathNotes(service.identity, mesh)
+        self.tunnels = Tunnels(
+            service, members, mesh, self._may_be_exit, metrics
+        )
+        self.dialer = PathDialer(
+            direct, self.tunnels, members, self.notes, tasks, metrics
+        )
+        self.exits = Exits(direct, self._may_connect, metrics)
+
+    def handlers(self) -> dict[type[Any], Any]:
+        """Return the handlers of the messages from other VMs."""
+        return self.exits.handlers() | self.notes.handlers()
+
+    def receive_leaving(self, link: Link, message: Leaving) -> None:
+        """Retire the tunnels through a VM that is about to stop."""
+        self.tunnels.retire(link.peer.node)
+
+    def _may_be_exit(self, node: str) -> bool:
+        return self.is_available(node)
+
+    def _may_connect(self, address: str) -> bool:
+        """Tell whether this VM may connect to an address for another VM."""
+        if self.dialer.monitor.is_lost:
+            return False
+        return bool(self._members.find_targets_by_url(address))
--- /dev/null
+++ b/galenaswitch/paths/tunnels.py
@@ -0,0 +1,213 @@
+"""Opens connections to targets through exits."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from galenaswitch.connections.outbound import TargetConnection
+from galenaswitch.errors import PeerError
+from galenaswitch.membership.links import Link, LinkService, dial
+from galenaswitch.membership.lists import Machine, Members
+from galenaswitch.membership.mesh import Mesh
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.metrics import Metrics
+from galenaswitch.paths.frames import FrameReader
+from galenaswitch.paths.messages import UNREACHABLE, TunnelQuery, TunnelReply
+from galenaswitch.paths.races import race
+
+# Seconds after which another exit is asked beside one that hasn't answered.
+SECOND_EXIT_SECONDS = 0.15
+# Seconds for which an exit that has failed or took too long is chosen last.
+FAILED_SECONDS = 2.0
+
+
+class TunnelUnreachableError(OSError):
+    """All exits that were asked failed to connect to the target."""
+
+
+class TunnelUnavailableError(OSError):
+    """No exit has tried to connect to the target."""
+
+
+class Tunnels:
+    """Opens tunnels, and keeps those that are open by their exits."""
+
+    def __init__(
+        self,
+        service: LinkService,
+        members: Members,
+        mesh: Mesh,
+        is_available: Callable[[str], bool],
+        metrics: Metrics,
+    ) -> None:
+        """Build tunnels of which none is open.
+
+        :param is_available: tells whether a VM may be chosen as an exit.
+        """
+        self._service = service
+        self._members = members
+        self._mesh = mesh
+        self._is_available = is_available
+        self._metrics = metrics
+        self._open: dict[str, set[_Tunnel]] = {}
+        self._failed_at: dict[str, float] = {}
+
+    @property
+    def count(self) -> int:
+        """Number of open tunnels."""
+        return sum(map(len, self._open.values()))
+
+    async def open(
+        self, address: str, make_connection: Callable[[], TargetConnection]
+    ) -> TargetConnection:
+        """Connect to a target through an exit.
+
+        A second exit, in another zone if there is one, is asked when the first
+        fails or takes long.
+
+        :raises TunnelUnreachableError: when the exits can't connect either.
+        :raises TunnelUnavailableError: when there is no exit.
+        """
+        openers = [
+            partial(self._open_through, machine, address, make_connection)
+            for machine in self._choose_exits()
+        ]
+        return await race(openers, SECOND_EXIT_SECONDS)
+
+    def retire(self, node: str = '') -> None:
+        """Use no tunnel for another request.
+
+        :param node: name of the exit, empty for all exits.
+        """
+        for exit_node, tunnels in list(self._open.items()):
+            if node in {'', exit_node}:
+                for tunnel in list(tunnels):
+                    tunnel.retire()
+
+    def _choose_exits(self) -> list[Machine]:
+        """Return the exits to ask in their order."""
+        machines = [
+            machine
+            for machine in self._members.machines()
+            if machine.name != self._mesh.node
+            and self._mesh.find_link(machine.name)
+            and self._is_available(machine.name)
+        ]
+        random.shuffle(machines)
+        machines.sort(key=self._rank)
+        first = machines[:1]
+        if not first:
+            raise TunnelUnavailableError('no VM can be an exit')
+        others = sorted(
+            machines[1:], key=lambda other: other.zone == first[0].zone
+        )
+        return [*first, *others[:1]]
+
+    def _rank(self, machine: Machine) -> tuple[bool, bool, int]:
+        failed_at = self._failed_at.get(machine.name, 0)
+        return (
+            time.monotonic() - failed_at < FAILED_SECONDS,
+            machine.zone != self._mesh.zone,
+            len(self._open.get(machine.name, ())),
+        )
+
+    async def _open_through(
+        self,
+        machine: Machine,
+        address: str,
+        make_connection: Callable[[], TargetConnection],
+    ) -> TargetConnection:
+        try:
+            link, reply = await self._ask(machine, address)
+        except (PeerError, OSError) as error:
+            self._report_failure(machine, address, type(error).__name__)
+            raise TunnelUnavailableError(str(error)) from error
+        if reply.failure:
+            link.close()
+            self._report_failure(machine, address, reply.failure)
+            if reply.failure == UNREACHABLE:
+                raise TunnelUnreachableError(f'{address}: no connection')
+            raise TunnelUnavailableError(f'{machine.name}: {reply.failure}')
+        self._failed_at.pop(machine.name, None)
+        connection = make_connection()
+        tunnel = _Tunnel(
+            link, connection, self._open.setdefault(machine.name, set())
+        )
+        await link.hand_over(tunnel)
+        self._metrics.count('tunnel_opened')
+        get_logger().info('tunnel_opened', exit=machine.name, address=address)
+        return connection
+
+    async def _ask(
+        self, machine: Machine, address: str
+    ) -> tuple[Link, TunnelReply]:
+        try:
+            link = await dial(machine.address, machine.port, self._service)
+        except asyncio.CancelledError:
+            self._failed_at[machine.name] = time.monotonic()
+            raise
+        try:
+            link.send(TunnelQuery(address))
+            return link, await link.receive(TunnelReply)
+        except (PeerError, OSError, asyncio.CancelledError):
+            self._failed_at[machine.name] = time.monotonic()
+            link.close()
+            raise
+
+    def _report_failure(
+        self, machine: Machine, address: str, reason: str
+    ) -> None:
+        self._failed_at[machine.name] = time.monotonic()
+        self._metrics.count('tunnel_failed')
+        get_logger().info(
+            'tunnel_failed', exit=machine.name, address=address, reason=reason
+        )
+
+
+class _Tunnel(asyncio.Protocol):
+    """End of a tunnel at the VM that has asked for it."""
+
+    def __init__(
+        self, link: Link, connection: TargetConnection, tunnels: 'set[_Tunnel]'
+    ) -> None:
+        # A link that nobody refers to closes its connection.
+        self._link = link
+        self._connection = connection
+        self._tunnels = tunnels
+        self._frames = FrameReader()
+        self._transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Open the connection to the target."""
+        self._transport = transport
+        self._tunnels.add(self)
+        self._connection.connection_made(transport)
+
+    def data_received(self, received: bytes) -> None:
+        """Pass on bytes of the target, and its orderly close."""
+        for chunk in self._frames.read(received):
+            if self._transport.is_closing():
+                return
+            self._connection.data_received(chunk)
+        if self._frames.is_closed:
+            self._connection.eof_received()
+            self._transport.close()
+
+    def eof_received(self) -> bool:
+        """Fail the connection, which the target hasn't closed in order."""
+        self._connection.connection_lost(ConnectionResetError())
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the connection."""
+        self._tunnels.discard(self)
+        self._connection.connection_lost(error)
+
+    def retire(self) -> None:
+        """Use the connection for no other request."""
+        if self._connection.reusable:
+            self._connection.close()
+        self._connection.is_retired = True
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -5,13 +5,13 @@
 """
 
 import asyncio
-import time
 from functools import partial
 from pathlib import Path
 from typing import Any
 
 from galenaswitch.configuration.messages import Digest, Items, Versions
 from galenaswitch.configuration.relay import Relay
+from galenaswitch.connections.dialing import DirectDialer
 from galenaswitch.connections.inbound import Listener
 from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.connections.requests import InboundLimits
@@ -54,11 +54,13 @@
 from galenaswitch.operations.metrics import open_metrics
 from galenaswitch.operations.process import TaskGroup, run_every
 from galenaswitch.operations.settings import MetricSettings
+from galenaswitch.paths.service import Paths
 from galenaswitch.platform.documents import PlatformDocuments
 from galenaswitch.platform.headers import PlatformWire
 from galenaswitch.platform.objects import PlatformStore
 from galenaswitch.platform.settings import VmSettings, load_vm_settings
 from galenaswitch.programs.link_service import make_link_service
+from galenaswitch.programs.vm_stop import Draining
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.quarantine.fingerprints import Fingerprints
 from galenaswitch.routing.choice import LeastOutstanding
@@ -67,13 +69,6 @@
 # Seconds until the balancer notices that a VM is not ready. It probes once a
 # second and acts on two failed probes.
 UNREADY_DETECTION_SECONDS = 2.5
-# Requests still running this many seconds before the platform's SIGKILL are
-# cut off.
-KILL_MARGIN_SECONDS = 0.6
-STOP_POLL_SECONDS = 0.05
-# The port of callers closes these seconds before the end of a stop, so that
-# each connection that was accepted gets its answer.
-CLOSED_PORT_SECONDS = 0.3
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 # Port of the metrics endpoint; the deploy file names the same port.
 METRICS_PORT = 9464
@@ -98,7 +93,6 @@
         self._caller_port: asyncio.Server | None = None
         self.metrics = open_metrics()
         self.stopping = False
-        self.pool = ConnectionPool(settings.address, settings.memory_bytes)
         own = Machine(
             settings.node, settings.zone, *settings.peers, cores=settings.cores
         )
@@ -106,6 +100,15 @@
         self.directory = Directory(self.members, own)
         self.service = make_link_service(settings)
         self.mesh = Mesh(self.service, self.members, tasks)
+        self.paths = Paths(
+            self.service,
+            self.members,
+            self.mesh,
+            tasks,
+            self.metrics,
+            DirectDialer(settings.address),
+        )
+        self.pool = ConnectionPool(self.paths.dialer, settings.memory_bytes)
         store = PlatformStore(self.pool, settings.store, self.metrics)
         self.state_sync = StateSync(
             store,
@@ -137,7 +140,11 @@
             settings.bounds.retry_slack,
             settings.bounds.retry_window,
         )
-        self._owner_router = OwnerRouter(self.members, self.mesh)
+        self._owner_router = OwnerRouter(
+            self.members, self.mesh, self.paths.notes.is_lost
+        )
+        self.paths.is_available = self._owner_router.is_available
+        self.paths.dialer.on_hang = self.pool.close
         self.turns = Turns(
             self.members, self.mesh, self._owner_router, self.metrics
         )
@@ -312,24 +319,13 @@
         self.stopping = True
         self._owner_router.leave()
         self.following.leave()
-        end = (
-            time.monotonic() + self._settings.bounds.grace - KILL_MARGIN_SECONDS
+        self.paths.exits.stopping = True
+        draining = Draining(
+            self.callers, self.paths.exits, self._settings.bounds.grace
         )
-        self.gateway.drain_until(end, UNREADY_DETECTION_SECONDS)
+        self.gateway.drain_until(draining.end, UNREADY_DETECTION_SECONDS)
         await asyncio.sleep(UNREADY_DETECTION_SECONDS)
-        self.callers.draining = True
-        while time.monotonic() < end - CLOSED_PORT_SECONDS:
-            self.callers.close_idle()
-            if not self.callers.connections:
-                break
-            await asyncio.sleep(STOP_POLL_SECONDS)
-        if self._caller_port:
-            self._caller_port.close()
-        # What was accepted before the port closed is read first.
-        await asyncio.sleep(STOP_POLL_SECONDS)
-        while self.callers.connections and time.monotonic() < end:
-            self.callers.close_idle()
-            await asyncio.sleep(STOP_POLL_SECONDS)
+        await draining.run(self._caller_port)
 
     async def answer_list_query(
         self,
@@ -348,6 +344,10 @@
         self._tasks.start(self.turns.on_link_open(link))
         self._tasks.start(self.origins.on_link_open(link))
 
+    async def _receive_leaving(self, link: Link, message: Leaving) -> None:
+        await self._owner_router.receive_leaving(link, message)
+        self.paths.receive_leaving(link, message)
+
     def _find_known_services(self) -> RouteTable:
         return self.state_sync.route_table.with_former_services
 
@@ -361,7 +361,7 @@
             ListQuestion: self.answer_list_query,
             PiecesCancel: lambda link, note: self.stages.receive_cancel(note),
             PiecesQuestion: self.stages.answer,
-            Leaving: self._owner_router.receive_leaving,
+            Leaving: self._receive_leaving,
             Ping: self._owner_router.answer_ping,
             PlaceEnd: lambda link, note: self.streams.receive_end(note),
             PlaceFirst: lambda _, note: self.streams.receive_first_event(note),
@@ -375,6 +375,7 @@
         handlers |= self.origins.handlers()
         handlers |= self.following.handlers()
         handlers |= self.recovery.handlers()
+        handlers |= self.paths.handlers()
         self.service.handlers.update(handlers)  # type: ignore[attr-defined]
 
     def _make_gateway(self) -> Gateway:
