--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -50,7 +50,8 @@
 
     ``idle_since`` is the event loop's time at which the connection became
     idle. ``was_used`` tells whether it has carried a request, ``history``
-    which requests it has carried.
+    which requests it has carried, ``is_retired`` whether it must not carry
+    another one.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         self.idle_since = 0.0
         self.idle_timeout_seconds = DEFAULT_IDLE_TIMEOUT_SECONDS
         self.was_used = False
+        self.is_retired = False
         self._transport: Any = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -81,7 +83,8 @@
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
         is_kept = self._keep_alive and not self.history.is_full
-        return is_kept and not self._closed and self._exchange is None
+        is_open = not (self._closed or self.is_retired)
+        return is_kept and is_open and self._exchange is None
 
     @property
     def silent_seconds(self) -> float:
