Connections: drop a response that names an earlier request

A request whose answer was due where a target wrote an earlier one again was answered 502: the response named another request, so its own outcome counted as unknown.

Each connection knows the requests it has carried. A response that names one of them, and not the one that is under way, is dropped if its end is known, and the request waits for its own. The check of the id in the answer stays as it was, so a response without the right id still counts for nothing. Dropped bytes count as framing, at most 65,536 (or one read of the socket) behind one request; the connection carries no more requests then.

test_copied_refusals.py and test_history.py: nine tests fail with the drop taken out, and pass with it. A test of odd framings first failed for its own bodies of 100 kB, which fit in one read; it uses 1 MB.

--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Any
 
 import httptools
@@ -29,7 +30,7 @@
 from galenaswitch.errors import TargetUnreachableError
 
 # Most bytes that a target may send without a byte of a body: its head, interim
-# responses, the framing of a chunk, or trailers.
+# or dropped responses, the framing of a chunk, or trailers.
 MAX_FRAMING_BYTES = 65_536
 # Most headers of a response. Short ones take many times their bytes in memory.
 MAX_HEADERS = 256
@@ -75,7 +76,7 @@
         self._reading_paused = False
         self._framing_bytes = 0
         self._heard_at = 0.0
-        self.history = RequestHistory()
+        self.history = RequestHistory(address)
 
     @property
     def reusable(self) -> bool:
@@ -146,6 +147,7 @@
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS or self._exchange is None:
             return
+        head = AnswerHead(status, tuple(self._headers))
         codings = find_header_values(self._headers, b'transfer-encoding')
         is_chunked = [one.lower() for one in codings] == [b'chunked']
         is_current = self._parser.get_http_version() == HTTP_VERSION
@@ -161,13 +163,20 @@
         self._ends_at_close = (
             not has_length and status not in _BODILESS_STATUSES
         )
+        # Only behind a response whose end is known comes the one that is due.
+        is_framed = not self._ends_at_close and self._parser.should_keep_alive()
+        if is_framed and self.history.names_earlier(head):
+            if self._keep_alive:
+                self.history.log_dropped(head)
+            self._keep_alive = False
+            return
         self.history.record(status)
-        self._exchange.receive_head(AnswerHead(status, tuple(self._headers)))
+        self._exchange.receive_head(head)
 
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the response body; called by the HTTP parser."""
-        self._framing_bytes = 0
-        if self._exchange:
+        if self._exchange and self._exchange.head:
+            self._framing_bytes = 0
             self._exchange.receive_body(body)
 
     def on_message_complete(self) -> None:
@@ -180,10 +189,21 @@
         self._exchange = None
         exchange.end()
 
-    def send(self, head: RequestHead, body: bytes, ident: str = '') -> Exchange:
+    def send(
+        self,
+        head: RequestHead,
+        body: bytes,
+        ident: str = '',
+        read_ident: Callable[[AnswerHead], str] | None = None,
+    ) -> Exchange:
         """Send a request on the connection.
 
+        A response that names an earlier request of the connection is dropped,
+        and the connection carries no more requests.
+
         :param ident: id that responses to the request name, empty if none.
+        :param read_ident: decodes the id in a response, ``None`` if responses
+            name no request.
         :raises TargetUnreachableError: when the connection is closed or in
             use, so that nothing was sent.
         """
@@ -194,7 +214,7 @@
         self._exchange = Exchange(self._memory.open(self._give_up))
         self._heard_at = time.monotonic()
         self._framing_bytes = 0
-        self.history.ident = ident
+        self.history.start(ident, read_ident)
         self.was_used = True
         self._transport.write(encode_request(head, body))
         return self._exchange
--- a/galenaswitch/connections/tests/test_history.py
+++ b/galenaswitch/connections/tests/test_history.py
@@ -1,10 +1,17 @@
-"""Connections that are passed over for the requests they have carried."""
+"""Connections and the requests they have carried.
+
+A request is passed to another connection than that of its error, and responses
+that come again are dropped.
+"""
+
+import asyncio
 
 import pytest
 
 from galenaswitch.connections import history
-from galenaswitch.connections.heads import RequestHead
+from galenaswitch.connections.heads import RequestHead, find_header_text
 from galenaswitch.connections.pool import ConnectionPool
+from galenaswitch.errors import TargetBrokenError
 
 POST = RequestHead(b'POST', b'/', ((b'Host', b'h'),))
 BUSY = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
@@ -54,3 +61,96 @@
     for number in range(7):
         await call(target, f'r{number}')
     assert target.connections == 3
+
+
+def read_ident(head):
+    """Return the id of the request that a response names."""
+    return find_header_text(head.headers, b'x-id')
+
+
+def respond(ident, framing=b'Content-Length: 4\r\n\r\nfine', status=b'200 OK'):
+    """Return a response that names a request."""
+    return b'HTTP/1.1 %b\r\nX-Id: %b\r\n%b' % (status, ident, framing)
+
+
+@pytest.fixture
+async def call_twice(scripted):
+    """Return a function that sends two requests on one connection.
+
+    It returns the second response and whether a third request may follow.
+    """
+    pool = ConnectionPool()
+
+    async def send(between):
+        target = await scripted(
+            [respond(b'a'), between + respond(b'b', status=b'201 Created')],
+            keep=True,
+        )
+        connection = await pool.acquire(target.address, 3)
+        for ident in ('a', 'b'):
+            exchange = connection.send(POST, b'', ident, read_ident)
+            async with asyncio.timeout(1):
+                head = await exchange.read_head()
+                body = await exchange.read_all(100)
+        return head.status, body, connection.reusable
+
+    yield send
+    pool.close()
+
+
+# Guards against requests that fail for a copy of an earlier response.
+@pytest.mark.parametrize(
+    'copy',
+    [
+        respond(b'a', status=b'503 Busy'),
+        respond(b'a') * 3,
+        respond(b'a', b'Content-Length: 0\r\n\r\n', b'421 Misdirected'),
+        respond(b'a', b'\r\n', b'204 No Content'),
+        respond(
+            b'a', b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+        ),
+        b'HTTP/1.1 103 Early Hints\r\nX-Id: a\r\n\r\n' + respond(b'a'),
+    ],
+)
+async def test_copy_of_an_earlier_response_is_dropped(call_twice, copy):
+    assert await call_twice(copy) == (201, b'fine', False)
+
+
+async def test_connection_without_copies_stays_reusable(call_twice):
+    assert await call_twice(b'') == (201, b'fine', True)
+
+
+# Guards against a response that is read as the body of a copy, and against
+# responses that are dropped though they name no earlier request.
+@pytest.mark.parametrize(
+    'response',
+    [
+        respond(b'a', b'\r\n'),
+        respond(b'a', b'Connection: close\r\nContent-Length: 0\r\n\r\n'),
+        respond(b'other'),
+        respond(b''),
+        respond(b'b'),
+    ],
+)
+async def test_response_that_is_no_framed_copy_is_passed_on(
+    call_twice, response
+):
+    try:
+        status, _, is_reusable = await call_twice(response)
+    except (TargetBrokenError, TimeoutError):
+        return
+    assert status == 200
+    assert not is_reusable
+
+
+# Guards against copies without end.
+@pytest.mark.parametrize(
+    'copy',
+    [
+        respond(b'a', b'Content-Length: 1000000\r\n\r\n' + b'x' * 1_000_000),
+        respond(b'a') * 20_000,
+    ],
+)
+async def test_copies_of_too_many_bytes_fail_the_request(call_twice, copy):
+    with pytest.raises(TargetBrokenError):
+        await call_twice(copy)
--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -212,6 +212,9 @@
         :param seconds: time left for each work item.
         """
 
+    def read_answer_ident(self, head: AnswerHead) -> str:
+        """Decode the id of the request that an answer names, empty if none."""
+
     def read_load(self, head: AnswerHead) -> Load | None:
         """Decode the load in an answer, ``None`` when not sent."""
 
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -116,16 +116,19 @@
         turns: Turns,
         notices: TargetNotices,
         read_rate_limit: Callable[[AnswerHead], float | None],
+        read_ident: Callable[[AnswerHead], str],
     ) -> None:
         """Build a sender that uses connections of ``pool``.
 
         :param read_rate_limit: decodes the limit in the head of an answer.
+        :param read_ident: decodes the id of the request in it.
         """
         self.turns = turns
         self.notices = notices
         self.draining = Draining()
         self._pool = pool
         self._read_rate_limit = read_rate_limit
+        self._read_ident = read_ident
 
     @asynccontextmanager
     async def send(
@@ -158,7 +161,7 @@
         try:
             # The target may have closed while the connection was opened.
             self.notices.check(target, is_probe=is_probe)
-            exchange = connection.send(head, body, ident)
+            exchange = connection.send(head, body, ident, self._read_ident)
             on_head = partial(self._observe, target, names_limit, is_probe)
             yield Attempt(connection, exchange, on_head)
         except (MismatchedAnswerError, InvalidInputError):
--- a/galenaswitch/gateway/tests/test_results.py
+++ b/galenaswitch/gateway/tests/test_results.py
@@ -54,6 +54,7 @@
                 Mock(spec=Turns),
                 Mock(spec=TargetNotices, **{'find_wait.return_value': 0}),
                 lambda head: None,
+                lambda head: '',
             ),
             StubWire(),
             tasks,
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -154,8 +154,7 @@
         encoded = bool(find_header_values(headers, b'content-encoding'))
         return AnswerFields(
             status=head.status,
-            echoes_attempt_id=find_header_text(headers, b'x-attempt-id')
-            == request.ident,
+            echoes_attempt_id=self.read_answer_ident(head) == request.ident,
             genuine=sealed and not encoded,
             not_run=self.is_not_run(head),
             misdirected=self.is_misdirected(head),
@@ -163,6 +162,10 @@
             load=self.read_load(head),
         )
 
+    def read_answer_ident(self, head: AnswerHead) -> str:
+        """Decode the id of the request that an answer names, empty if none."""
+        return find_header_text(head.headers, b'x-attempt-id')
+
     def read_load(self, head: AnswerHead) -> Load | None:
         """Decode the target's load in an answer, ``None`` when not sent."""
         counts = _read_integers(
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -262,7 +262,10 @@
 async def sender(turns, notices):
     """Return a sender; its connections are closed after the test."""
     pool = ConnectionPool()
-    yield Sender(pool, turns, notices, PlatformWire().read_rate_limit)
+    wire = PlatformWire()
+    yield Sender(
+        pool, turns, notices, wire.read_rate_limit, wire.read_answer_ident
+    )
     pool.close()
 
 
--- a/galenaswitch/platform/tests/test_copied_refusals.py
+++ b/galenaswitch/platform/tests/test_copied_refusals.py
@@ -121,3 +121,24 @@
     assert copier.runs == ['a1']
     assert writer.body == event(1) + event(2)
     assert writer.finished
+
+
+# Guards against requests that fail for the copy of another one's refusal.
+@REFUSALS
+async def test_request_that_meets_the_copy_of_another_refusal_is_answered(
+    make_plain_runner,
+    start_copier,
+    make_route,
+    make_caller_request,
+    writer,
+    make_answer,
+    refusal,
+):
+    runner = make_plain_runner()
+    copier = await start_copier(refusal, make_answer())
+    for ident in ('a1', 'a2'):
+        request = make_caller_request(make_route(CallKind.once), ident)
+        await runner.run(request, writer)
+    assert copier.runs == ['a1', 'a2']
+    assert copier.connections == 2
+    assert writer.body == b'fine' * 2
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -163,7 +163,11 @@
             self._wire, self.members, self.mesh, self.metrics
         )
         self._sender = Sender(
-            self.pool, self.turns, self.notices, self._wire.read_rate_limit
+            self.pool,
+            self.turns,
+            self.notices,
+            self._wire.read_rate_limit,
+            self._wire.read_answer_ident,
         )
         self.stages = StageRunner(
             settings.zone,
