Pauses of targets hold at both ends of a tunnel

A target asks for a pause of the VM that it sees, which is the exit of a tunnel.

Both tell the other end of pauses that they read, if a tunnel to that target is open between them; whoever hears of a pause that is new to it tells its own other ends.

Evidence: tests of both directions, and of the notices that they start from and end in.

--- a/galenaswitch/gateway/notices.py
+++ b/galenaswitch/gateway/notices.py
@@ -1,13 +1,14 @@
 """What targets say about themselves in any answer: that they leave, or pause.
 
 A target that leaves says so to all VMs: each VM records the notice and tells
-the others. A pause holds only for the VM that the target refused. Both are
-checked right before a request is sent, whichever VM chose the target.
+the others. A pause holds only for the VM that the target refused, and for those
+with a tunnel through it. Both are checked right before a request is sent,
+whichever VM chose the target.
 """
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from galenaswitch.connections.heads import AnswerHead
@@ -19,6 +20,7 @@
 from galenaswitch.membership.mesh import Mesh, push
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
+from galenaswitch.paths.messages import PauseNote
 
 # Longest time in seconds between two looks at a pause that requests wait for.
 # The answer to a probe ends a pause earlier.
@@ -45,6 +47,7 @@
         self._mesh = mesh
         self._metrics = metrics
         self._pauses = Pauses()
+        self.on_pause: Callable[[Target, float], Any] = lambda *_: None
 
     def handlers(self) -> dict[type[Any], Any]:
         """Return the handlers of the messages from other VMs."""
@@ -64,12 +67,19 @@
         :param is_probe: whether the request was the probe after a pause.
         """
         self._observe_leaving(target, head)
-        now = time.monotonic()
         seconds = self._wire.read_pause(head)
         if seconds:
-            self._pause(target, seconds, now)
+            self._pause(target.name, target.incarnation, seconds)
+            self.on_pause(target, seconds)
         elif is_probe:
-            self._pauses.end_probe(target.incarnation, now)
+            self._pauses.end_probe(target.incarnation, time.monotonic())
+
+    def apply_pause(self, note: PauseNote) -> bool:
+        """Pause a target that has asked for it at the end of a tunnel.
+
+        :returns: whether the target was not paused yet.
+        """
+        return self._pause(note.target, note.incarnation, note.seconds)
 
     def start(self, target: Target) -> bool:
         """Record that a request is about to be sent to a target.
@@ -166,13 +176,14 @@
         self._metrics.count('target_leaving')
         self._mesh.spread(notice, source)
 
-    def _pause(self, target: Target, seconds: float, now: float) -> None:
-        if not self._pauses.pause(target.incarnation, seconds, now):
-            return
+    def _pause(self, target: str, incarnation: str, seconds: float) -> bool:
+        if not self._pauses.pause(incarnation, seconds, time.monotonic()):
+            return False
         get_logger().info(
             'target_paused',
-            target=target.name,
-            incarnation=target.incarnation,
+            target=target,
+            incarnation=incarnation,
             seconds=round(seconds, 3),
         )
         self._metrics.count('target_paused')
+        return True
--- a/galenaswitch/gateway/owners.py
+++ b/galenaswitch/gateway/owners.py
@@ -61,6 +61,7 @@
         self._members = members
         self._mesh = mesh
         self._is_path_lost = is_path_lost or (lambda node: False)
+        self.on_leaving: Callable[[str], None] = lambda node: None
         self._suspects: dict[str, float] = {}
         self._started_at: dict[str, float] = {mesh.node: time.monotonic()}
         self._leaving_incarnations: dict[str, str] = {}
@@ -114,6 +115,7 @@
     async def receive_leaving(self, link: Link, message: Leaving) -> None:
         """Record that a peer is about to stop."""
         self._leaving_incarnations[link.peer.node] = link.peer.incarnation
+        self.on_leaving(link.peer.node)
         get_logger().info('peer_leaving', peer=link.peer.node)
 
     async def answer_ping(self, link: Link, message: Ping) -> Pong:
--- a/galenaswitch/gateway/vocabulary.py
+++ b/galenaswitch/gateway/vocabulary.py
@@ -36,7 +36,12 @@
 from galenaswitch.membership.lists import LeavingSign, MemberList
 from galenaswitch.membership.mesh import Leaving, Ping, Pong
 from galenaswitch.membership.messages import ListQuestion
-from galenaswitch.paths.messages import PathNote, TunnelQuery, TunnelReply
+from galenaswitch.paths.messages import (
+    PathNote,
+    PauseNote,
+    TunnelQuery,
+    TunnelReply,
+)
 from galenaswitch.quarantine.messages import (
     CrashReport,
     EvidenceQuery,
@@ -67,6 +72,7 @@
     OriginReply,
     PartAnswered,
     PathNote,
+    PauseNote,
     PiecesCancel,
     PiecesQuestion,
     PiecesReply,
--- a/galenaswitch/paths/exits.py
+++ b/galenaswitch/paths/exits.py
@@ -56,6 +56,12 @@
         """Return the handlers of the messages from other VMs."""
         return {TunnelQuery: self._answer}
 
+    def find_users(self, address: str) -> set[str]:
+        """Return the VMs with a tunnel through this VM to a target."""
+        return {
+            tunnel.user for tunnel in self._tunnels if tunnel.address == address
+        }
+
     async def _answer(
         self, link: Link, query: TunnelQuery
     ) -> TunnelReply | None:
@@ -77,7 +83,7 @@
     async def _join(
         self, link: Link, target: '_TargetEnd', address: str
     ) -> None:
-        tunnel = _TunnelEnd(link, target, self._tunnels)
+        tunnel = _TunnelEnd(link, address, target, self._tunnels)
         try:
             link.send(TunnelReply())
         except PeerClosedError:
@@ -157,14 +163,24 @@
     """Connection of an exit to the VM that has asked for a tunnel."""
 
     def __init__(
-        self, link: Link, target: _TargetEnd, tunnels: 'set[_TunnelEnd]'
+        self,
+        link: Link,
+        address: str,
+        target: _TargetEnd,
+        tunnels: 'set[_TunnelEnd]',
     ) -> None:
         # A link that nobody refers to closes its connection.
         self._link = link
+        self.address = address
         self._target = target
         self._tunnels = tunnels
         self._transport: Any = None
 
+    @property
+    def user(self) -> str:
+        """Name of the VM that has asked for the tunnel."""
+        return self._link.peer.node
+
     def connection_made(self, transport: Any) -> None:
         """Begin to pass on what the target sends."""
         self._transport = transport
--- a/galenaswitch/paths/service.py
+++ b/galenaswitch/paths/service.py
@@ -4,14 +4,15 @@
 from typing import Any
 
 from galenaswitch.connections.dialing import DirectDialer
-from galenaswitch.membership.links import Link, LinkService
+from galenaswitch.membership.links import LinkService
 from galenaswitch.membership.lists import Members
-from galenaswitch.membership.mesh import Leaving, Mesh
+from galenaswitch.membership.mesh import Mesh
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.paths.dialer import PathDialer
 from galenaswitch.paths.exits import Exits
 from galenaswitch.paths.notes import PathNotes
+from galenaswitch.paths.pauses import SharedPauses
 from galenaswitch.paths.tunnels import Tunnels
 
 
@@ -38,14 +39,15 @@
             direct, self.tunnels, members, self.notes, tasks, metrics
         )
         self.exits = Exits(direct, self._may_connect, metrics)
+        self.pauses = SharedPauses(mesh, self.tunnels, self.exits, tasks)
 
     def handlers(self) -> dict[type[Any], Any]:
         """Return the handlers of the messages from other VMs."""
-        return self.exits.handlers() | self.notes.handlers()
-
-    def receive_leaving(self, link: Link, message: Leaving) -> None:
-        """Retire the tunnels through a VM that is about to stop."""
-        self.tunnels.retire(link.peer.node)
+        return {
+            **self.exits.handlers(),
+            **self.notes.handlers(),
+            **self.pauses.handlers(),
+        }
 
     def _may_be_exit(self, node: str) -> bool:
         return self.is_available(node)
--- a/galenaswitch/paths/tests/conftest.py
+++ b/galenaswitch/paths/tests/conftest.py
@@ -75,6 +75,9 @@
         self.owners = OwnerRouter(
             self.members, self.mesh, self.paths.notes.is_lost
         )
+        self.pauses = []
+        self.paths.pauses.apply = self._pause
+        self.owners.on_leaving = self.paths.tunnels.retire
         self.paths.is_available = self.owners.is_available
         self.service.handlers.update(self.paths.handlers())
         self.pool = ConnectionPool(self.paths.dialer)
@@ -91,6 +94,10 @@
         port = self.server.sockets[0].getsockname()[1]
         return Machine(self.name, self.zone, '127.0.0.1', port)
 
+    def _pause(self, note):
+        self.pauses.append((note.incarnation, note.seconds))
+        return len(self.pauses) == 1
+
     async def stop(self):
         """Stop the VM as a kill would."""
         self.server.close()
--- a/galenaswitch/paths/tests/test_paths.py
+++ b/galenaswitch/paths/tests/test_paths.py
@@ -259,7 +259,7 @@
     (leaving,) = [vm for vm in vms[1:] if vm.paths.exits.count]
     leaving.paths.exits.stopping = True
     link = type('Link', (), {'peer': leaving.service.identity})()
-    vms[0].paths.receive_leaving(link, Leaving())
+    await vms[0].owners.receive_leaving(link, Leaving())
     await wait_until(lambda: not leaving.paths.exits.count)
     assert await fetch(vms[0], targets[0].address) == b'ok'
     assert not leaving.paths.exits.count
@@ -279,3 +279,28 @@
     link.send(TunnelQuery(address))
     assert await link.receive(TunnelReply) == TunnelReply(UNAVAILABLE)
     link.close()
+
+
+# Guards against an exit that goes on sending to a target that has refused, with
+# a pause, a request of the VM behind it.
+async def test_pause_that_was_read_through_a_tunnel_holds_at_the_exit(
+    vms, targets
+):
+    await lose_path(vms[0], targets)
+    address = targets[0].address
+    (exit_vm,) = [vm for vm in vms if vm.paths.exits.find_users(address)]
+    (target,) = vms[0].members.find_targets_by_url(address)
+    vms[0].paths.pauses.share(target, 2.0)
+    await wait_until(lambda: exit_vm.pauses)
+    assert exit_vm.pauses == [(target.incarnation, 2.0)]
+    assert not any(vm.pauses for vm in vms if vm is not exit_vm)
+
+
+async def test_pause_of_an_exit_holds_at_the_vm_behind_it(vms, targets):
+    await lose_path(vms[0], targets)
+    address = targets[0].address
+    (exit_vm,) = [vm for vm in vms if vm.paths.exits.find_users(address)]
+    (target,) = vms[0].members.find_targets_by_url(address)
+    exit_vm.paths.pauses.share(target, 2.0)
+    await wait_until(lambda: vms[0].pauses)
+    assert not any(vm.pauses for vm in vms[1:])
--- a/galenaswitch/paths/tunnels.py
+++ b/galenaswitch/paths/tunnels.py
@@ -87,6 +87,14 @@
                 for tunnel in list(tunnels):
                     tunnel.retire()
 
+    def find_exits(self, address: str) -> set[str]:
+        """Return the exits of the open tunnels to a target."""
+        return {
+            node
+            for node, tunnels in self._open.items()
+            if any(tunnel.address == address for tunnel in tunnels)
+        }
+
     def _choose_exits(self) -> list[Machine]:
         """Return the exits to ask in their order."""
         machines = [
@@ -180,6 +188,11 @@
         self._frames = FrameReader()
         self._transport: Any = None
 
+    @property
+    def address(self) -> str:
+        """IP address and port of the target."""
+        return self._connection.address
+
     def connection_made(self, transport: Any) -> None:
         """Open the connection to the target."""
         self._transport = transport
--- a/galenaswitch/platform/tests/test_pauses.py
+++ b/galenaswitch/platform/tests/test_pauses.py
@@ -6,6 +6,7 @@
 import pytest
 
 from galenaswitch.gateway.routes import CallKind
+from galenaswitch.paths.messages import PauseNote
 from galenaswitch.platform.soak.promises import check_pauses
 from galenaswitch.platform.soak.records import SentRequest
 from galenaswitch.refusals import ExecutionState, RefusedError
@@ -173,3 +174,24 @@
     assert any(one.pause > 2 for one in soak.records.arrivals)
     assert not list(check_pauses(soak.records))
     assert statuses.count(200) > len(statuses) * 0.9
+
+
+# Guards against pauses that the VM at the other end of a tunnel isn't told of.
+async def test_pause_is_passed_on_and_one_that_was_told_is_kept(
+    make_plain_runner, make_route, make_caller_request, writer, scripted
+):
+    shared = []
+    told = await scripted([refuse(b'30')])
+    runner = make_plain_runner(told)
+    notices = runner._sender.notices
+    notices.on_pause = lambda target, seconds: shared.append((target, seconds))
+    route = make_route(CallKind.once)
+    with pytest.raises(RefusedError):
+        await runner.run(make_caller_request(route), writer)
+    ((target, seconds),) = shared
+    assert (target.url, seconds) == (told.address, 30)
+    other = target._replace(incarnation='t0/2')
+    note = PauseNote(other.url, other.name, other.incarnation, 30)
+    assert notices.apply_pause(note)
+    assert not notices.apply_pause(note)
+    assert notices.find_wait((other,)) > 29
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -143,6 +143,7 @@
         self._owner_router = OwnerRouter(
             self.members, self.mesh, self.paths.notes.is_lost
         )
+        self._owner_router.on_leaving = self.paths.tunnels.retire
         self.paths.is_available = self._owner_router.is_available
         self.paths.dialer.on_hang = self.pool.close
         self.turns = Turns(
@@ -169,6 +170,8 @@
         self.notices = TargetNotices(
             self._wire, self.members, self.mesh, self.metrics
         )
+        self.notices.on_pause = self.paths.pauses.share
+        self.paths.pauses.apply = self.notices.apply_pause
         self._sender = Sender(
             self.pool, self.turns, self.notices, self._wire.read_rate_limit
         )
@@ -344,10 +347,6 @@
         self._tasks.start(self.turns.on_link_open(link))
         self._tasks.start(self.origins.on_link_open(link))
 
-    async def _receive_leaving(self, link: Link, message: Leaving) -> None:
-        await self._owner_router.receive_leaving(link, message)
-        self.paths.receive_leaving(link, message)
-
     def _find_known_services(self) -> RouteTable:
         return self.state_sync.route_table.with_former_services
 
@@ -361,7 +360,7 @@
             ListQuestion: self.answer_list_query,
             PiecesCancel: lambda link, note: self.stages.receive_cancel(note),
             PiecesQuestion: self.stages.answer,
-            Leaving: self._receive_leaving,
+            Leaving: self._owner_router.receive_leaving,
             Ping: self._owner_router.answer_ping,
             PlaceEnd: lambda link, note: self.streams.receive_end(note),
             PlaceFirst: lambda _, note: self.streams.receive_first_event(note),
