Brittle targets: seats from the owner of their service, none on trial

What callers would see: the targets of a service that say `Server-Brittle` fall over one after another while the load is above their capacity, and are gone for seconds each; most requests fail.

Cause: VMs learnt that a target is full by being refused. Each VM chose targets of plain services by its own requests alone, and the owner of an engine service counted against the slots of the service instead of those of the target. A limit for all VMs together was again kept by nobody.

Change: the adapter reads the notice; each VM tells the others which service is brittle and which target has turned a request away. While a service is brittle, a request needs a seat at a target: its owner keeps the requests in flight of all VMs within the slots of each target, and sends nothing for a second to one that has refused. First sends, retries and hedges of plain services ask the owner; placements and batches are decided there anyway. A new owner asks all VMs what they have in flight before the first seat, and again every two seconds, so that seats of lost VMs come back. A VM that isn't the owner in its own view, or reaches only some VMs, gives out only their share. What finds no seat in time is refused at once with Retry-After.

Observability: `target_brittle` (limit, end, refusing target), event counts `target_brittle` and `brittle_refused`.

Why it works: room is known before the send, and a wrong count costs at most the requests on their way when the first refusal is heard.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -223,7 +223,7 @@
         while limits:
             usable = self._members.usable(self._service)
             batch = self._batch_queue.next_batch(
-                self._notices.select(usable), limits, time.monotonic()
+                self._sender.select(usable), limits, time.monotonic()
             )
             if batch is None:
                 break
--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -221,6 +221,15 @@
         :returns: ``None`` when not sent.
         """
 
+    def read_brittleness(self, head: AnswerHead) -> int | None:
+        """Decode how many refusals in a second a brittle target survives.
+
+        :returns: ``None`` when the answer doesn't say that it is brittle.
+        """
+
+    def is_full(self, head: AnswerHead) -> bool:
+        """Tell whether the target had no room for the request."""
+
     def read_pause(self, head: AnswerHead) -> float | None:
         """Decode for how long a refusal says that no request may come.
 
--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -172,7 +172,11 @@
         )
         run.attempt = await run.resources.enter_async_context(
             self._sender.send(
-                run.target, head, job.request.body, MAX_IDLE_SECONDS
+                run.target,
+                head,
+                job.request.body,
+                MAX_IDLE_SECONDS,
+                seat=run.placement.ident,
             )
         )
         job.has_retry = False
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -17,6 +17,7 @@
     PlaceReply,
 )
 from galenaswitch.gateway.routes import EngineLimits
+from galenaswitch.gateway.seats import Seats
 from galenaswitch.limits.pacing import Pacer
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
@@ -63,14 +64,17 @@
         find_limits: Callable[[str], EngineLimits | None],
         members: Members,
         pacer: Pacer,
+        seats: Seats | None = None,
     ) -> None:
         """Build a scheduler for the ``members`` that serve ``service``.
 
         :param find_limits: returns the engine limits of a service, ``None``
             when the configuration has none.
         :param pacer: turns at engines that have named a limit.
+        :param seats: seats at engines, ``None`` if none is ever brittle.
         """
         self._pacer = pacer
+        self._seats = seats
         self._service = service
         self._find_limits = find_limits
         self._members = members
@@ -126,6 +130,8 @@
         self._waiting.pop(message.ident, None)
         self._expires_at.pop(message.ident, None)
         self._placements.record_end(message.ident)
+        if self._seats:
+            self._seats.end(message.ident)
         self._record_outcome(message)
         self._notify_waiting()
 
@@ -185,6 +191,8 @@
             for target in self._find_targets(query)
             if target.version not in reserved
         )
+        if self._seats:
+            targets = self._seats.select(targets)
         without_turn = frozenset(
             target.name
             for target in targets
@@ -195,6 +203,8 @@
         )
         if placement:
             self._pacer.take(placement.target.incarnation, now)
+        if placement and self._seats:
+            self._seats.take(placement.target, query.ident, query.left)
         return placement
 
     def _find_ahead(self, query: PlaceQuestion) -> list[Waiting]:
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -104,6 +104,8 @@
             if job.failed is None:
                 raise
             answer = job.failed
+        finally:
+            self._selection.release(job)
         await send_complete(writer, answer.head, answer.body)
 
     def dump(self) -> dict[str, float]:
@@ -238,6 +240,7 @@
                 head,
                 request.body,
                 MAX_IDLE_NON_IDEMPOTENT_SECONDS if once else MAX_IDLE_SECONDS,
+                seat=job.seats.pop(target.name, ''),
             ) as attempt:
                 answer = await attempt.read_head(seconds_left)
                 check_answer(request, answer, self._wire)
--- /dev/null
+++ b/galenaswitch/gateway/seat_owner.py
@@ -0,0 +1,205 @@
+"""Seats that the owner of a brittle service gives out to all VMs.
+
+An owner that is new asks all VMs what they have in flight before it gives out
+the first seat, and again from time to time, as a VM that is lost reports no
+end.
+"""
+
+import asyncio
+import itertools
+import math
+import time
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from galenaswitch.errors import PeerError
+from galenaswitch.gateway.owners import OwnerRouter
+from galenaswitch.gateway.seat_messages import (
+    SeatQuery,
+    SeatReply,
+    SeatsQuery,
+)
+from galenaswitch.limits.seats import HeldSeat, Seat, SeatLedger
+from galenaswitch.membership.lists import Machine, Members, Target
+from galenaswitch.membership.mesh import Mesh
+from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.process import TaskGroup
+
+# Seconds after which a VM that doesn't tell its seats counts as lost.
+COLLECT_TIMEOUT_SECONDS = 0.4
+# Seconds between two collections of the seats of all VMs, and age from which
+# the last one is too old to give out seats.
+COLLECT_INTERVAL_SECONDS = 2.0
+MAX_COLLECTION_AGE_SECONDS = 6.0
+# Seconds between two looks for seats that became free without a message.
+POLL_SECONDS = 0.1
+
+
+class Waiting(NamedTuple):
+    """A query that waits for a seat, the most urgent one first."""
+
+    start_by: float
+    number: int
+    query: SeatQuery
+    reply: asyncio.Future[SeatReply]
+
+
+class SeatOwner:
+    """Gives out the seats of the services that this VM owns."""
+
+    def __init__(
+        self,
+        members: Members,
+        mesh: Mesh,
+        owner_router: OwnerRouter,
+        tasks: TaskGroup,
+        ledger: SeatLedger,
+    ) -> None:
+        """Build an owner that knows the seats in ``ledger``."""
+        self._members = members
+        self._mesh = mesh
+        self._owner_router = owner_router
+        self._tasks = tasks
+        self._ledger = ledger
+        self._numbers = itertools.count()
+        self._waiting: dict[str, list[Waiting]] = {}
+        self._collections: dict[str, asyncio.Task[None]] = {}
+        self._collected_at: dict[str, float] = {}
+        self._told: dict[str, set[str]] = {}
+
+    async def give(self, query: SeatQuery) -> SeatReply:
+        """Give a seat, or wait for one as long as that is useful.
+
+        No more queries wait than the targets have seats.
+        """
+        service = query.service
+        if query.vm != self._mesh.node:
+            self._report(service, query.vm, query.held)
+        reply = self._try_give(query)
+        waiting = self._waiting.setdefault(service, [])
+        seats = sum(one.capacity for one in self._find_targets(query))
+        if reply or len(waiting) >= seats:
+            return reply or SeatReply('')
+        one = Waiting(
+            time.monotonic() + query.max_wait,
+            next(self._numbers),
+            query,
+            asyncio.get_running_loop().create_future(),
+        )
+        waiting.append(one)
+        waiting.sort()
+        try:
+            return await self._wait(one)
+        finally:
+            waiting.remove(one)
+
+    def serve(self, service: str) -> None:
+        """Give free seats to the queries that wait, the most urgent first."""
+        for one in self._waiting.get(service, ()):
+            reply = None if one.reply.done() else self._try_give(one.query)
+            if reply:
+                one.reply.set_result(reply)
+
+    def select(self, targets: Sequence[Target]) -> tuple[Target, ...]:
+        """Return the targets that have a free seat."""
+        return tuple(filter(self._has_room, targets))
+
+    async def _wait(self, one: Waiting) -> SeatReply:
+        """Return the reply to a query, without a seat if none is in time."""
+        while not one.reply.done():
+            left = one.start_by - time.monotonic()
+            if left <= 0:
+                return SeatReply('')
+            await asyncio.wait({one.reply}, timeout=min(left, POLL_SECONDS))
+            self.serve(one.query.service)
+        return one.reply.result()
+
+    def _try_give(self, query: SeatQuery) -> SeatReply | None:
+        """Give a seat at the emptiest target, the preferred one of equals."""
+        free = self.select(self._find_targets(query))
+        if not free:
+            return None
+        chosen = min(
+            free,
+            key=lambda one: (
+                self._ledger.count(one.incarnation) / one.capacity,
+                query.incarnations.index(one.incarnation),
+            ),
+        )
+        now = time.monotonic()
+        seat = Seat(query.vm, now, now + query.left)
+        self._ledger.take(chosen.incarnation, query.ident, seat)
+        return SeatReply(chosen.incarnation)
+
+    def _find_targets(self, query: SeatQuery) -> list[Target]:
+        return [
+            target
+            for target in self._members.usable(query.service)
+            if target.incarnation in query.incarnations
+        ]
+
+    def _has_room(self, target: Target) -> bool:
+        if not self._is_collected(target.pool):
+            return False
+        slots = max(1, round(target.capacity * self._find_share(target.pool)))
+        now = time.monotonic()
+        return self._ledger.has_room(target.incarnation, slots, now)
+
+    def _find_share(self, service: str) -> float:
+        """Return the share of all seats that this VM may give out.
+
+        VMs that are cut off from each other may have an owner each.
+        """
+        own = {self._mesh.node}
+        machines = {one.name for one in self._members.machines()} | own
+        is_owner = self._owner_router.find_owner(service) in own
+        told = self._told.get(service, set()) if is_owner else set()
+        return len(machines & (told | own)) / len(machines)
+
+    def _is_collected(self, service: str) -> bool:
+        """Tell whether the seats of all VMs are known, and ask if need be."""
+        age = time.monotonic() - self._collected_at.get(service, -math.inf)
+        if age > COLLECT_INTERVAL_SECONDS and service not in self._collections:
+            task = self._tasks.start(self._collect(service))
+            self._collections[service] = task
+        return age <= MAX_COLLECTION_AGE_SECONDS
+
+    async def _collect(self, service: str) -> None:
+        """Ask all other VMs which seats they have taken."""
+        try:
+            told = await asyncio.gather(
+                *(
+                    self._collect_from(machine, service)
+                    for machine in self._members.machines()
+                    if machine.name != self._mesh.node
+                )
+            )
+        finally:
+            self._collections.pop(service, None)
+        self._told[service] = set(told)
+        self._collected_at[service] = time.monotonic()
+        self.serve(service)
+
+    async def _collect_from(self, machine: Machine, service: str) -> str:
+        """Learn the seats of a VM and return its name, empty if it is lost."""
+        try:
+            link = await self._mesh.connect(
+                machine.name, COLLECT_TIMEOUT_SECONDS
+            )
+            reply = await link.request(
+                SeatsQuery(service), COLLECT_TIMEOUT_SECONDS
+            )
+        except PeerError as error:
+            get_logger().info(
+                'seats_unknown', peer=machine.name, reason=str(error)
+            )
+            return ''
+        self._report(service, machine.name, reply.held)
+        return machine.name
+
+    def _report(
+        self, service: str, vm: str, held: tuple[HeldSeat, ...]
+    ) -> None:
+        targets = self._members.targets(service)
+        incarnations = {one.incarnation for one in targets}
+        self._ledger.report(vm, incarnations, held, time.monotonic())
--- a/galenaswitch/gateway/selection.py
+++ b/galenaswitch/gateway/selection.py
@@ -16,6 +16,9 @@
 from galenaswitch.routing.choice import Chooser, WorkEstimate
 from galenaswitch.routing.ejection import Ejector
 
+# Seconds after which a request that found no room may be retried.
+RETRY_AFTER_SECONDS = 0.5
+
 
 class Answer(NamedTuple):
     """Complete answer of a target."""
@@ -34,6 +37,7 @@
     :ivar in_flight: names of the targets of attempts in flight.
     :ivar error: error of the attempt that failed last.
     :ivar failed: last answer with which a target itself failed.
+    :ivar seats: ids of seats that no attempt uses yet, by target.
     """
 
     def __init__(self, request: CallerRequest, screening: Screening) -> None:
@@ -45,6 +49,7 @@
         self.in_flight: set[str] = set()
         self.error: TargetError | None = None
         self.failed: Answer | None = None
+        self.seats: dict[str, str] = {}
 
     @property
     def has_attempts_left(self) -> bool:
@@ -107,10 +112,42 @@
             raise job.refuse(Reason.no_target, wait=wait)
         opened = await self._find_open(job, candidates, max_wait)
         chosen = self._choose_untried(opened, now)
+        if self._sender.turns.seats.is_brittle(chosen.pool):
+            chosen = await self._find_seat(job, opened, chosen, max_wait)
+            opened = (chosen,)
         if chosen.incarnation not in self._sender.turns.pacer.rates:
             return chosen
         return await self._find_turn(job, opened, chosen, max_wait)
 
+    def release(self, job: PlainJob) -> None:
+        """Free the seats of a job that no attempt has used."""
+        while job.seats:
+            _, ident = job.seats.popitem()
+            self._sender.turns.seats.release(job.request.service, ident)
+
+    async def _find_seat(
+        self,
+        job: PlainJob,
+        candidates: Sequence[Target],
+        chosen: Target,
+        max_wait: float,
+    ) -> Target:
+        """Return a target that has room for the request.
+
+        :raises RefusedError: when none of them has room in time.
+        """
+        others = (one for one in candidates if one is not chosen)
+        left = job.request.deadline - time.monotonic()
+        found = await self._sender.turns.seats.find_seat(
+            (chosen, *others), max_wait, left
+        )
+        if found is None:
+            detail = 'no target has room'
+            raise job.refuse(Reason.capacity, detail, RETRY_AFTER_SECONDS)
+        target, ident = found
+        job.seats[target.name] = ident
+        return target
+
     async def _find_open(
         self, job: PlainJob, candidates: Sequence[Target], max_wait: float
     ) -> Sequence[Target]:
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -4,8 +4,8 @@
 """
 
 import math
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import ExitStack, asynccontextmanager
 from functools import partial
 
 from galenaswitch.connections.exchange import Exchange
@@ -17,6 +17,7 @@
     MismatchedAnswerError,
     TargetLateError,
 )
+from galenaswitch.gateway.calls import Wire
 from galenaswitch.gateway.draining import Draining
 from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.turns import Turns
@@ -115,17 +116,18 @@
         pool: ConnectionPool,
         turns: Turns,
         notices: TargetNotices,
-        read_rate_limit: Callable[[AnswerHead], float | None],
+        wire: Wire,
     ) -> None:
-        """Build a sender that uses connections of ``pool``.
-
-        :param read_rate_limit: decodes the limit in the head of an answer.
-        """
+        """Build a sender that uses connections of ``pool``."""
         self.turns = turns
         self.notices = notices
         self.draining = Draining()
         self._pool = pool
-        self._read_rate_limit = read_rate_limit
+        self._wire = wire
+
+    def select(self, targets: Sequence[Target]) -> tuple[Target, ...]:
+        """Return the targets of a service of this VM that take a request."""
+        return self.turns.seats.select(self.notices.select(targets))
 
     @asynccontextmanager
     async def send(
@@ -136,6 +138,7 @@
         max_idle_seconds: float,
         *,
         names_limit: bool = True,
+        seat: str = '',
     ) -> AsyncIterator[Attempt]:
         """Send a request and yield its attempt.
 
@@ -145,9 +148,27 @@
         :param max_idle_seconds: longest idle time of a reused connection.
         :param names_limit: whether an answer without a limit means that the
             target has none. Only answers to work do.
+        :param seat: id of the seat of the request, empty for a new one.
         :raises TargetUnreachableError: when no byte was sent.
         :raises TargetClosedError: when the target takes no requests now.
         """
+        with ExitStack() as held:
+            if names_limit:
+                held.enter_context(self.turns.seats.hold(target, seat))
+            async with self._open(
+                target, head, body, max_idle_seconds, names_limit
+            ) as attempt:
+                yield attempt
+
+    @asynccontextmanager
+    async def _open(
+        self,
+        target: Target,
+        head: RequestHead,
+        body: bytes,
+        max_idle_seconds: float,
+        names_limit: bool,
+    ) -> AsyncIterator[Attempt]:
         is_probe = self.notices.start(target)
         exchange = None
         connection = await self._pool.acquire(target.url, max_idle_seconds)
@@ -173,6 +194,11 @@
         head: AnswerHead,
     ) -> None:
         self.notices.observe(target, head, is_probe=is_probe)
-        rate = self._read_rate_limit(head)
+        rate = self._wire.read_rate_limit(head)
         if names_limit or rate is not None:
             self.turns.observe(target, rate)
+        limit = self._wire.read_brittleness(head)
+        if names_limit or limit is not None:
+            refused = self._wire.is_full(head)
+            brittleness = self.turns.seats.brittleness
+            brittleness.observe(target, limit, refused=refused)
--- a/galenaswitch/gateway/tests/test_results.py
+++ b/galenaswitch/gateway/tests/test_results.py
@@ -8,8 +8,10 @@
 
 from galenaswitch.connections.heads import RequestHead
 from galenaswitch.connections.pool import ConnectionPool
+from galenaswitch.gateway.calls import Wire
 from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.results import StoredResult, StoredResults
+from galenaswitch.gateway.seats import Seats
 from galenaswitch.gateway.sending import Sender
 from galenaswitch.gateway.turns import Turns
 from galenaswitch.membership.lists import MemberList, Members, Target
@@ -51,9 +53,15 @@
             members,
             Sender(
                 pool,
-                Mock(spec=Turns),
+                Mock(spec=Turns, seats=Mock(spec=Seats)),
                 Mock(spec=TargetNotices, **{'find_wait.return_value': 0}),
-                lambda head: None,
+                Mock(
+                    spec=Wire,
+                    **{
+                        'read_rate_limit.return_value': None,
+                        'read_brittleness.return_value': None,
+                    },
+                ),
             ),
             StubWire(),
             tasks,
--- a/galenaswitch/gateway/tests/test_turns.py
+++ b/galenaswitch/gateway/tests/test_turns.py
@@ -15,6 +15,7 @@
 from galenaswitch.gateway.turns import Turns
 from galenaswitch.membership.lists import MemberList, Members, Target
 from galenaswitch.operations.metrics import LocalMetrics
+from galenaswitch.operations.process import TaskGroup
 
 ONE = Target('one', 'one/1', 'z', 'desk', 'a:1')
 TWO = Target('two', 'two/1', 'z', 'desk', 'a:2')
@@ -31,7 +32,7 @@
     """Return the turns of VM ``a``."""
     members = Members()
     members.accept(MemberList(1, (), (ONE, TWO)))
-    return Turns(members, mesh, LocalOwnerRouter(), LocalMetrics())
+    return Turns(members, mesh, LocalOwnerRouter(), LocalMetrics(), TaskGroup())
 
 
 async def test_target_with_the_nearest_turn_is_chosen(turns):
--- a/galenaswitch/gateway/turns.py
+++ b/galenaswitch/gateway/turns.py
@@ -17,18 +17,23 @@
     TurnReply,
 )
 from galenaswitch.gateway.owners import OwnerRouter
+from galenaswitch.gateway.seats import Seats
 from galenaswitch.limits.pacing import Pacer
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.membership.mesh import Mesh
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
+from galenaswitch.operations.process import TaskGroup
 
 REPLY_TIMEOUT_SECONDS = 1.0
 
 
 class Turns:
-    """Limits of targets, and the turns at them."""
+    """Limits of targets, and the turns at them.
+
+    :ivar seats: seats at targets that must not turn requests away.
+    """
 
     def __init__(
         self,
@@ -36,8 +41,10 @@
         mesh: Mesh,
         owner_router: OwnerRouter,
         metrics: Metrics,
+        tasks: TaskGroup,
     ) -> None:
         """Build turns without a known limit."""
+        self.seats = Seats(members, mesh, owner_router, metrics, tasks)
         self.pacer = Pacer()
         self._members = members
         self._mesh = mesh
@@ -50,6 +57,7 @@
             TargetLimit: self._receive_limit,
             LimitsQuery: self._answer_limits_query,
             TurnQuery: self._answer_turn_query,
+            **self.seats.handlers(),
         }
 
     async def on_link_open(self, link: Link) -> None:
@@ -109,7 +117,8 @@
         return now + self.pacer.find_wait(target.incarnation, now)
 
     def forget_ended(self) -> None:
-        """Forget the limits of targets that are gone."""
+        """Forget the limits of targets that are gone, and unused seats."""
+        self.seats.forget_ended()
         self.pacer.retain(
             {one.incarnation for one in self._members.member_list.targets}
         )
--- a/galenaswitch/gateway/vocabulary.py
+++ b/galenaswitch/gateway/vocabulary.py
@@ -28,6 +28,16 @@
     OriginReply,
     StreamOrigin,
 )
+from galenaswitch.gateway.seat_messages import (
+    BrittleNote,
+    BrittleQuery,
+    BrittleReply,
+    SeatEnd,
+    SeatQuery,
+    SeatReply,
+    SeatsQuery,
+    SeatsReply,
+)
 from galenaswitch.gateway.version_messages import (
     KnownVersionsQuery,
     KnownVersionsReply,
@@ -44,6 +54,9 @@
 )
 
 VOCABULARY = Vocabulary(
+    BrittleNote,
+    BrittleQuery,
+    BrittleReply,
     CrashReport,
     Digest,
     EvidenceQuery,
@@ -75,6 +88,11 @@
     PlaceReply,
     Pong,
     ReleaseNote,
+    SeatEnd,
+    SeatQuery,
+    SeatReply,
+    SeatsQuery,
+    SeatsReply,
     StreamOrigin,
     TargetLimit,
     TurnQuery,
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -8,6 +8,7 @@
   target with another name answers 421.
 - ``X-Server-Seal``: mark of an answer that a target itself produced.
 - ``X-Not-Executed``: statement of a target that it ran nothing.
+- ``Server-Brittle``: number of refusals in a second that a target survives.
 - ``Server-Leaving``: notice that the target which answers is leaving.
 - ``Resumes``: id of the attempt that brought a stream's first event.
 - ``X-Pieces``: number of work items of each stage.
@@ -178,6 +179,18 @@
         rate = _read_decimal(find_header_text(head.headers, b'server-limit'))
         return None if rate == math.inf else rate
 
+    def read_brittleness(self, head: AnswerHead) -> int | None:
+        """Decode how many refusals in a second a brittle target survives.
+
+        :returns: ``None`` when the answer doesn't say that it is brittle.
+        """
+        limit = find_header_text(head.headers, b'server-brittle').strip()
+        return int(limit) if _is_number(limit) else None
+
+    def is_full(self, head: AnswerHead) -> bool:
+        """Tell whether the target had no room for the request."""
+        return head.status == UNAVAILABLE and self.is_not_run(head)
+
     def read_pause(self, head: AnswerHead) -> float | None:
         """Decode for how long a refusal says that no request may come.
 
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -27,6 +27,7 @@
     TargetRun,
     WorkItemRun,
 )
+from galenaswitch.platform.soak.rooms import Room
 from galenaswitch.platform.soak.silences import (
     NO_SILENCE,
     Silence,
@@ -53,6 +54,8 @@
 SLOW_FACTOR = 6.0
 # Time for which a target is down after a request has ended it.
 CRASH_SECONDS = 0.6
+# Slots in the document of a target whose slots aren't limited.
+DEFAULT_SLOTS = 8
 # Versions of the software of targets.
 VERSIONS = ('v1', 'v2')
 # One of this many requests of a target fails in the modes errors, hang and cut.
@@ -104,6 +107,7 @@
         self._paused_until = 0.0
         self._silences: Iterator[Silence] = iter(())
         self._crash: asyncio.Task[None] | None = None
+        self._room = Room(now, self.crash, lambda: self.name)
         self.address = ('', 0)
         self.proxy = Proxy(lambda: self.address)
         self._records = records
@@ -139,7 +143,7 @@
 
     async def start(self, host: str) -> web.AppRunner:
         """Start the target's server, and its proxy, which others connect to."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._room.let_in])
         app.on_response_prepare.append(partial(_add_notice, self))
         app.router.add_get('/health', self._answer_health)
         app.router.add_get('/api/report', answer_report)
@@ -196,7 +200,7 @@
             'address': self.proxy.address,
             'zone': self.zone,
             'version': self.version,
-            'slots': 8,
+            'slots': self._room.slots or DEFAULT_SLOTS,
             'state': self.state,
             'cold-left-ms': 0,
             'sequence': self._sequence,
@@ -388,3 +392,4 @@
 ) -> None:
     if target.says_leaving:
         answer.headers['Server-Leaving'] = '1'
+    answer.headers.update(target._room.make_header())
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -262,7 +262,7 @@
 async def sender(turns, notices):
     """Return a sender; its connections are closed after the test."""
     pool = ConnectionPool()
-    yield Sender(pool, turns, notices, PlatformWire().read_rate_limit)
+    yield Sender(pool, turns, notices, PlatformWire())
     pool.close()
 
 
@@ -303,7 +303,8 @@
 def turns():
     """Return the turns of a VM that owns all services."""
     mesh = Mock(spec=Mesh, node='a', zone='z')
-    return Turns(Members(), mesh, LocalOwnerRouter(), LocalMetrics())
+    owner_router = LocalOwnerRouter()
+    return Turns(Members(), mesh, owner_router, LocalMetrics(), TaskGroup())
 
 
 @pytest.fixture
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -139,7 +139,7 @@
         )
         self._owner_router = OwnerRouter(self.members, self.mesh)
         self.turns = Turns(
-            self.members, self.mesh, self._owner_router, self.metrics
+            self.members, self.mesh, self._owner_router, self.metrics, tasks
         )
         self.containment = Containment(
             store,
@@ -162,9 +162,7 @@
         self.notices = TargetNotices(
             self._wire, self.members, self.mesh, self.metrics
         )
-        self._sender = Sender(
-            self.pool, self.turns, self.notices, self._wire.read_rate_limit
-        )
+        self._sender = Sender(self.pool, self.turns, self.notices, self._wire)
         self.stages = StageRunner(
             settings.zone,
             self.members,
@@ -221,6 +219,7 @@
                 self.find_engine_limits,
                 self.members,
                 self.turns.pacer,
+                self.turns.seats,
             )
         return self._schedulers[service]
 
@@ -346,6 +345,7 @@
         self._tasks.start(self.following.on_link_open(link))
         self._tasks.start(self.containment.exchange.on_link_open(link))
         self._tasks.start(self.turns.on_link_open(link))
+        self._tasks.start(self.turns.seats.brittleness.on_link_open(link))
         self._tasks.start(self.origins.on_link_open(link))
 
     def _find_known_services(self) -> RouteTable:
