--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -177,6 +177,7 @@
                 job.request.body,
                 MAX_IDLE_SECONDS,
                 ident=job.request.ident,
+                seat=run.placement.ident,
             )
         )
         job.has_retry = False
--- a/galenaswitch/gateway/vocabulary.py
+++ b/galenaswitch/gateway/vocabulary.py
@@ -28,6 +28,16 @@
     OriginReply,
     StreamOrigin,
 )
+from galenaswitch.gateway.seat_messages import (
+    BrittleNote,
+    BrittleQuery,
+    BrittleReply,
+    SeatEnd,
+    SeatQuery,
+    SeatReply,
+    SeatsQuery,
+    SeatsReply,
+)
 from galenaswitch.gateway.version_messages import (
     KnownVersionsQuery,
     KnownVersionsReply,
@@ -50,6 +60,9 @@
 )
 
 VOCABULARY = Vocabulary(
+    BrittleNote,
+    BrittleQuery,
+    BrittleReply,
     CrashReport,
     Digest,
     EvidenceQuery,
@@ -83,6 +96,11 @@
     PlaceReply,
     Pong,
     ReleaseNote,
+    SeatEnd,
+    SeatQuery,
+    SeatReply,
+    SeatsQuery,
+    SeatsReply,
     StreamOrigin,
     TargetLimit,
     TunnelQuery,
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -262,10 +262,7 @@
 async def sender(turns, notices):
     """Return a sender; its connections are closed after the test."""
     pool = ConnectionPool()
-    wire = PlatformWire()
-    yield Sender(
-        pool, turns, notices, wire.read_rate_limit, wire.read_answer_ident
-    )
+    yield Sender(pool, turns, notices, PlatformWire())
     pool.close()
 
 
@@ -306,7 +303,8 @@
 def turns():
     """Return the turns of a VM that owns all services."""
     mesh = Mock(spec=Mesh, node='a', zone='z')
-    return Turns(Members(), mesh, LocalOwnerRouter(), LocalMetrics())
+    owner_router = LocalOwnerRouter()
+    return Turns(Members(), mesh, owner_router, LocalMetrics(), TaskGroup())
 
 
 @pytest.fixture
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -147,7 +147,7 @@
         self.paths.is_available = self._owner_router.is_available
         self.paths.dialer.on_hang = self.pool.close
         self.turns = Turns(
-            self.members, self.mesh, self._owner_router, self.metrics
+            self.members, self.mesh, self._owner_router, self.metrics, tasks
         )
         self.containment = Containment(
             store,
@@ -172,13 +172,7 @@
         )
         self.notices.on_pause = self.paths.pauses.share
         self.paths.pauses.apply = self.notices.apply_pause
-        self._sender = Sender(
-            self.pool,
-            self.turns,
-            self.notices,
-            self._wire.read_rate_limit,
-            self._wire.read_answer_ident,
-        )
+        self._sender = Sender(self.pool, self.turns, self.notices, self._wire)
         self.stages = StageRunner(
             settings.zone,
             self.members,
@@ -235,6 +229,7 @@
                 self.find_engine_limits,
                 self.members,
                 self.turns.pacer,
+                self.turns.seats,
             )
         return self._schedulers[service]
 
@@ -349,6 +344,7 @@
         self._tasks.start(self.following.on_link_open(link))
         self._tasks.start(self.containment.exchange.on_link_open(link))
         self._tasks.start(self.turns.on_link_open(link))
+        self._tasks.start(self.turns.seats.brittleness.on_link_open(link))
         self._tasks.start(self.origins.on_link_open(link))
 
     def _find_known_services(self) -> RouteTable:
