Streams: a refused rerun of stages promises nothing once an engine was asked

Callers got 503, the promise that a request has not run and never will, for a stream that an engine may have run: the engine's connection was reset, the next one said that the stage results are lost, and the stages, run once more, were refused. Their refusal says "not run" of the stages, and was passed on as that of the request. Only streams that may be resumed were affected, as others aren't sent again after an unknown outcome.

--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -88,6 +88,7 @@
                 return await self._run_stages_once(job)
             except RefusedError as error:
                 if error.detail != LOST or job.stage_runs >= MAX_STAGE_RUNS:
+                    _check_not_sent(job, error)
                     raise
             get_logger().info('stages_lost', request=job.request.ident)
 
@@ -283,6 +284,17 @@
         self._owner_router.notify(owner, message, self.receive_end)
 
 
+def _check_not_sent(job: StreamJob, refusal: RefusedError) -> None:
+    """Check that no engine may have run a request whose stages are refused.
+
+    :raises RefusedError: when one may have, before the stages ran once more.
+    """
+    if job.sent:
+        raise RefusedError(
+            Reason.stage_failed, job.run, refusal.detail
+        ) from refusal
+
+
 def _is_failure(error: BaseException | None) -> bool:
     """Tell whether the error that ended an attempt is its engine's."""
     return isinstance(error, TargetError) and not isinstance(
