Paths: nearly all VMs cut off; tunnels that end as they are opened

A test in which four of five VMs are cut off: from 3 s on all of them are served. A tunnel that ends as it is opened isn't counted as open, a stop waits for tunnels in its last part, too, and a probe without targets doesn't fail.

--- a/galenaswitch/paths/dialer.py
+++ b/galenaswitch/paths/dialer.py
@@ -184,6 +184,8 @@
 
     async def _probe_target(self) -> None:
         addresses = self._find_addresses()
+        if not addresses:
+            return
         address = random.choice(
             sorted(addresses - self.monitor.regained or addresses)
         )
--- a/galenaswitch/paths/exits.py
+++ b/galenaswitch/paths/exits.py
@@ -193,6 +193,7 @@
 
     def eof_received(self) -> bool:
         """Reset the connection to the target, as the VM has closed."""
+        self._tunnels.discard(self)
         self._target.abort()
         return False
 
--- a/galenaswitch/paths/tests/test_paths.py
+++ b/galenaswitch/paths/tests/test_paths.py
@@ -1,6 +1,8 @@
 """Connections to targets through peers, while the direct path is cut."""
 
 import asyncio
+import random
+import time
 
 import pytest
 
@@ -27,6 +29,8 @@
 # Most bytes that the exit may hold of an answer that nobody reads.
 MAX_HELD_BYTES = 1024 * 1024
 CUTS = ('refused', 'hanging')
+# Seconds within which VMs must find out that they are cut off.
+CONTACT_SECONDS = 3
 # An address at which nothing listens.
 DOWN = '127.0.0.1:9'
 
@@ -304,3 +308,32 @@
     exit_vm.paths.pauses.share(target, 2.0)
     await wait_until(lambda: vms[0].pauses)
     assert not any(vm.pauses for vm in vms[1:])
+
+
+# Guards against VMs that take lost paths of their exits for targets that are
+# down.
+@pytest.mark.parametrize('cut', CUTS)
+async def test_nearly_all_vms_find_the_one_that_reaches_targets(
+    start_vms, scripted, cut
+):
+    targets = [await scripted([OK], keep=True) for _ in range(4)]
+    vms = await start_vms('nnssw', [one.address for one in targets])
+    for vm in vms[:-1]:
+        vm.direct.cut = cut
+    late_failures = []
+    began = time.monotonic()
+
+    async def keep_fetching(vm):
+        while time.monotonic() < began + CONTACT_SECONDS + 2:
+            started = time.monotonic()
+            address = random.choice(targets).address
+            try:
+                await fetch(vm, address)
+            except TargetUnreachableError:
+                if started > began + CONTACT_SECONDS:
+                    late_failures.append((vm.name, started - began))
+            await asyncio.sleep(0.1)
+
+    await asyncio.gather(*(keep_fetching(vm) for vm in vms for _ in range(3)))
+    assert not late_failures
+    assert [vm.is_lost for vm in vms] == [True] * 4 + [False]
--- a/galenaswitch/paths/tunnels.py
+++ b/galenaswitch/paths/tunnels.py
@@ -211,6 +211,7 @@
 
     def eof_received(self) -> bool:
         """Fail the connection, which the target hasn't closed in order."""
+        self._tunnels.discard(self)
         self._connection.connection_lost(ConnectionResetError())
         return False
 
--- a/galenaswitch/programs/vm_stop.py
+++ b/galenaswitch/programs/vm_stop.py
@@ -29,6 +29,10 @@
         self._exits = exits
         self.end = time.monotonic() + grace_seconds - KILL_MARGIN_SECONDS
 
+    @property
+    def _is_busy(self) -> bool:
+        return bool(self._callers.connections or self._exits.count)
+
     async def run(self, caller_port: asyncio.Server | None) -> None:
         """Close each connection as soon as it is idle.
 
@@ -37,13 +41,13 @@
         self._callers.draining = True
         while time.monotonic() < self.end - CLOSED_PORT_SECONDS:
             self._callers.close_idle()
-            if not self._callers.connections and not self._exits.count:
+            if not self._is_busy:
                 break
             await asyncio.sleep(STOP_POLL_SECONDS)
         if caller_port:
             caller_port.close()
         # What was accepted before the port closed is read first.
         await asyncio.sleep(STOP_POLL_SECONDS)
-        while self._callers.connections and time.monotonic() < self.end:
+        while self._is_busy and time.monotonic() < self.end:
             self._callers.close_idle()
             await asyncio.sleep(STOP_POLL_SECONDS)
