A connection that is accepted and ended proves no path

The connect succeeded, so that the path counted as sound and the evidence of detours was cleared; probes of a lost path as well.

A direct connection proves the path only with the first byte of an answer, and clears only evidence from before it was opened; a probe has to stay open for 0.05 s. One that the other side ends before a byte of an answer is checked, at most once a second an address and beside the request: a direct connection and one through an exit are opened at once, and if only the latter stays open, that is a detour. Nothing more is opened while answers come.

Open: connections that are accepted and never answered. A probe without a request can't tell them from a target that listens.

--- a/galenaswitch/connections/dialing.py
+++ b/galenaswitch/connections/dialing.py
@@ -8,6 +8,9 @@
 from galenaswitch.connections.sockets import split_address
 
 Connection = TypeVar('Connection', bound=asyncio.Protocol)
+# Time for which a target must keep a new connection open to count as alive. A
+# proxy in front of a dead target accepts connections and closes them at once.
+LISTENING_CHECK_SECONDS = 0.05
 
 
 class Dialer(Protocol):
--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -24,6 +24,7 @@
 )
 from galenaswitch.connections.history import RequestHistory
 from galenaswitch.connections.memory import MemoryAccount
+from galenaswitch.connections.outcomes import Outcome
 from galenaswitch.connections.requests import HTTP_VERSION
 from galenaswitch.connections.sockets import enable_dead_peer_detection
 from galenaswitch.errors import TargetUnreachableError
@@ -78,6 +79,7 @@
         self._framing_bytes = 0
         self._heard_at = 0.0
         self.history = RequestHistory()
+        self.outcome = Outcome()
 
     @property
     def reusable(self) -> bool:
@@ -102,6 +104,7 @@
             self.close()
             return
         self._heard_at = time.monotonic()
+        self.outcome.report(is_answer=True)
         self._framing_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
@@ -118,6 +121,7 @@
     def eof_received(self) -> bool:
         """Handle an orderly close, which ends a response without a length."""
         self._closed = True
+        self.outcome.report(is_answer=False)
         if self._exchange and self._ends_at_close and self._exchange.head:
             self._exchange.end()
         self._fail('the target closed the connection')
@@ -125,6 +129,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the request in progress on the lost connection."""
+        if not self._closed:
+            self.outcome.report(is_answer=False)
         self._closed = True
         self._fail('the connection was lost')
 
--- a/galenaswitch/connections/pool.py
+++ b/galenaswitch/connections/pool.py
@@ -4,7 +4,11 @@
 import math
 from collections import deque
 
-from galenaswitch.connections.dialing import Dialer, DirectDialer
+from galenaswitch.connections.dialing import (
+    LISTENING_CHECK_SECONDS,
+    Dialer,
+    DirectDialer,
+)
 from galenaswitch.connections.memory import MemoryAccount
 from galenaswitch.connections.outbound import TargetConnection
 from galenaswitch.connections.sockets import MAX_ADDRESS_LENGTH
@@ -15,9 +19,6 @@
 # Longest time in seconds for opening a connection to a target. Targets are in
 # the platform's own network.
 CONNECT_TIMEOUT_SECONDS = 0.6
-# Time for which a target must keep a new connection open to count as alive. A
-# proxy in front of a dead target accepts connections and closes them at once.
-LISTENING_CHECK_SECONDS = 0.05
 # Share of the memory of the process that all responses together may take.
 RESPONSE_SHARE = 0.15
 # Most idle connections that are kept open to one target.
--- a/galenaswitch/paths/dialer.py
+++ b/galenaswitch/paths/dialer.py
@@ -10,13 +10,15 @@
 
 from galenaswitch.connections.dialing import DirectDialer
 from galenaswitch.connections.outbound import TargetConnection
+from galenaswitch.connections.outcomes import Outcome
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.operations.process import TaskGroup
-from galenaswitch.operations.timeouts import Timeout
+from galenaswitch.paths.marks import Marks
 from galenaswitch.paths.monitor import PathMonitor
 from galenaswitch.paths.notes import NOTE_INTERVAL_SECONDS, PathNotes
+from galenaswitch.paths.probes import stays_open
 from galenaswitch.paths.races import race
 from galenaswitch.paths.tunnels import (
     Tunnels,
@@ -33,6 +35,10 @@
 # Seconds between two direct attempts while the path is lost.
 PROBE_INTERVAL_SECONDS = 0.5
 PROBE_TIMEOUT_SECONDS = 0.3
+# Seconds between two checks of a target that has ended a direct connection
+# without an answer, and longest time for the tunnel of such a check.
+CHECK_INTERVAL_SECONDS = 1.0
+CHECK_TIMEOUT_SECONDS = 0.5
 
 
 class _Attempt:
@@ -70,7 +76,8 @@
         self._notes = notes
         self._tasks = tasks
         self._metrics = metrics
-        self._unreachable_until: dict[str, float] = {}
+        self._unreachable = Marks(UNREACHABLE_SECONDS)
+        self._checked = Marks(CHECK_INTERVAL_SECONDS)
         self._locks: WeakValueDictionary[str, asyncio.Lock] = (
             WeakValueDictionary()
         )
@@ -95,59 +102,68 @@
             partial(self._open_direct, address, make_connection, attempt),
             partial(self._open_tunnel, address, make_connection, attempt),
         ]
-        if self._is_unreachable(address):
+        if self._unreachable.hold(address):
             openers.pop()
         return await race(openers, HEAD_START_SECONDS)
 
     async def _open_lost(
         self, address: str, make_connection: MakeConnection
     ) -> TargetConnection:
-        if self._is_unreachable(address):
+        if self._unreachable.hold(address):
             raise TunnelUnreachableError(f'{address}: no connection')
         try:
             return await self._tunnels.open(address, make_connection)
         except TunnelUnavailableError:
             return await self._direct.open(address, make_connection)
         except TunnelUnreachableError:
-            self._record_unreachable(address)
+            self._unreachable.set(address)
             raise
 
     async def _open_direct(
         self, address: str, make_connection: MakeConnection, attempt: _Attempt
     ) -> TargetConnection:
+        judge = partial(self._judge, address, time.monotonic())
+        make_judged = partial(_make_judged, make_connection, judge)
         try:
-            connection = await self._direct.open(address, make_connection)
+            return await self._direct.open(address, make_judged)
         finally:
             attempt.is_pending = False
-        self._record_direct(address)
-        return connection
 
     async def _open_tunnel(
         self, address: str, make_connection: MakeConnection, attempt: _Attempt
     ) -> TargetConnection:
         lock = self._locks.setdefault(address, asyncio.Lock())
         async with lock:
-            if self._is_unreachable(address):
+            if self._unreachable.hold(address):
                 raise TunnelUnreachableError(f'{address}: no connection')
             try:
                 connection = await self._tunnels.open(address, make_connection)
             except (OSError, asyncio.CancelledError):
-                self._record_unreachable(address)
+                self._unreachable.set(address)
                 raise
         self._record_detour(address, is_hanging=attempt.is_pending)
         return connection
 
-    def _is_unreachable(self, address: str) -> bool:
-        return self._unreachable_until.get(address, 0) > time.monotonic()
+    def _judge(self, address: str, opened_at: float, is_answer: bool) -> None:
+        """Judge the path by what became of a direct connection.
 
-    def _record_unreachable(self, address: str) -> None:
-        now = time.monotonic()
-        self._unreachable_until = {
-            other: end
-            for other, end in self._unreachable_until.items()
-            if end > now
-        }
-        self._unreachable_until[address] = now + UNREACHABLE_SECONDS
+        Something between may accept connections and end them, so that only
+        the byte of an answer proves a path.
+        """
+        if is_answer:
+            self._record_direct(address, opened_at)
+        elif not (self.monitor.is_lost or self._checked.hold(address)):
+            self._checked.set(address)
+            self._tasks.start(self._check(address))
+
+    async def _check(self, address: str) -> None:
+        """Check whether only an exit reaches a target."""
+        is_direct, is_reached = await asyncio.gather(
+            stays_open(self._direct, address, PROBE_TIMEOUT_SECONDS),
+            stays_open(self._tunnels, address, CHECK_TIMEOUT_SECONDS),
+        )
+        if is_reached and not is_direct:
+            self._record_detour(address, is_hanging=False)
 
     def _record_detour(self, address: str, *, is_hanging: bool) -> None:
         addresses = len(self._find_addresses())
@@ -159,15 +175,16 @@
         self._metrics.count('path_lost')
         if is_hanging:
             self.on_hang()
-        self._unreachable_until.clear()
+        self._unreachable.clear()
         self._tasks.start(self._probe())
 
-    def _record_direct(self, address: str) -> None:
-        if not self.monitor.record_direct(address, len(self._find_addresses())):
+    def _record_direct(self, address: str, opened_at: float) -> None:
+        addresses = len(self._find_addresses())
+        if not self.monitor.record_direct(address, addresses, opened_at):
             return
         get_logger().info('path_regained', address=address)
         self._metrics.count('path_regained')
-        self._unreachable_until.clear()
+        self._unreachable.clear()
         self._notes.send(is_lost=False)
         self._tunnels.retire()
 
@@ -187,21 +204,20 @@
         address = random.choice(
             sorted(addresses - self.monitor.regained or addresses)
         )
-        try:
-            async with Timeout(PROBE_TIMEOUT_SECONDS):
-                await self._direct.open(address, _Probe)
-        except (OSError, TimeoutError, ValueError):
-            self.monitor.record_failure()
+        opened_at = time.monotonic()
+        if await stays_open(self._direct, address, PROBE_TIMEOUT_SECONDS):
+            self._record_direct(address, opened_at)
         else:
-            self._record_direct(address)
+            self.monitor.record_failure()
 
     def _find_addresses(self) -> set[str]:
         return {target.url for target in self._members.member_list.targets}
 
 
-class _Probe(asyncio.Protocol):
-    """Connection that only shows that a target can be reached."""
-
-    def connection_made(self, transport: Any) -> None:
-        """Close the connection."""
-        transport.close()
+def _make_judged(
+    make_connection: MakeConnection, judge: Callable[[bool], Any]
+) -> TargetConnection:
+    """Return a new connection whose outcome is judged."""
+    connection = make_connection()
+    connection.outcome = Outcome(judge)
+    return connection
--- a/galenaswitch/paths/monitor.py
+++ b/galenaswitch/paths/monitor.py
@@ -26,9 +26,11 @@
     False
     >>> monitor.record_detour('10.0.0.2:80', 8, now=1), monitor.state
     (True, 'lost')
-    >>> monitor.record_direct('10.0.0.1:80', 8), monitor.state
+    >>> monitor.record_direct('10.0.0.1:80', 8, opened_at=0), monitor.state
     (False, 'lost')
-    >>> monitor.record_direct('10.0.0.2:80', 8), monitor.state
+    >>> monitor.record_direct('10.0.0.1:80', 8, opened_at=2), monitor.state
+    (False, 'lost')
+    >>> monitor.record_direct('10.0.0.2:80', 8, opened_at=3), monitor.state
     (True, 'sound')
     """
 
@@ -36,6 +38,7 @@
         """Build a monitor of a path that is sound."""
         self.state = SOUND
         self._detours: deque[tuple[float, str]] = deque()
+        self._lost_at = 0.0
         self.regained: set[str] = set()
 
     @property
@@ -59,17 +62,24 @@
         if self.is_lost or len(found) < min(LOST_TARGETS, target_count):
             return False
         self.state = LOST
+        self._lost_at = now
         self.regained.clear()
         return True
 
-    def record_direct(self, address: str, target_count: int) -> bool:
-        """Record a direct connection to a target.
+    def record_direct(
+        self, address: str, target_count: int, opened_at: float
+    ) -> bool:
+        """Record a direct connection that has reached a target.
+
+        It proves nothing about a path that was lost after it was opened.
 
         :param target_count: number of addresses of targets.
+        :param opened_at: monotonic time in seconds when it was opened.
         :returns: whether the path has just become sound again.
         """
-        self._detours.clear()
-        if not self.is_lost:
+        while self._detours and self._detours[0][0] < opened_at:
+            self._detours.popleft()
+        if not self.is_lost or opened_at < self._lost_at:
             return False
         self.regained.add(address)
         if len(self.regained) < min(REGAINED_CONNECTIONS, target_count):
--- a/galenaswitch/paths/tests/conftest.py
+++ b/galenaswitch/paths/tests/conftest.py
@@ -16,6 +16,7 @@
 from galenaswitch.operations.metrics import LocalMetrics
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.paths.service import Paths
+from standins.scripted import ScriptedTarget
 
 POLL_SECONDS = 0.01
 WAIT_SECONDS = 5
@@ -24,7 +25,8 @@
 class CutDialer(DirectDialer):
     """Direct dialer whose path can be cut.
 
-    :ivar cut: empty, ``refused`` or ``hanging``.
+    :ivar cut: empty, ``refused``, ``hanging``, or the address of a proxy to
+        which all connections lead.
     """
 
     def __init__(self):
@@ -40,7 +42,7 @@
             raise ConnectionRefusedError
         if self.cut == 'hanging':
             await asyncio.Event().wait()
-        return await super().open(address, make_connection)
+        return await super().open(self.cut or address, make_connection)
 
 
 class Vm:
@@ -128,3 +130,19 @@
     yield start
     for vm in vms:
         await vm.stop()
+
+
+@pytest.fixture
+async def run_target():
+    """Return a function that starts a target with a script of its own."""
+    started = []
+
+    async def start(script):
+        target = ScriptedTarget(script)
+        await target.start()
+        started.append(target)
+        return target
+
+    yield start
+    for target in started:
+        await target.stop()
--- a/galenaswitch/paths/tests/test_paths.py
+++ b/galenaswitch/paths/tests/test_paths.py
@@ -14,7 +14,6 @@
     TunnelReply,
 )
 from galenaswitch.paths.tests.conftest import wait_until
-from standins.scripted import ScriptedTarget
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 CHUNKED = (
@@ -54,22 +53,6 @@
     return await start_vms('nns', [one.address for one in targets])
 
 
-@pytest.fixture
-async def run_target():
-    """Return a function that starts a target with a script of its own."""
-    started = []
-
-    async def start(script):
-        target = ScriptedTarget(script)
-        await target.start()
-        started.append(target)
-        return target
-
-    yield start
-    for target in started:
-        await target.stop()
-
-
 async def lose_path(vm, targets, cut='refused'):
     """Cut the path of a VM, and let the VM notice."""
     vm.direct.cut = cut
