Soak: machines that are partitioned from all targets

Callers of a VM that alone can't reach the targets are refused. This adds the proof, without a change of the code under test: the soak's proxies cut single VMs off by the address that their connections come from. Packets are dropped by a filter of the socket, so that a new connection hangs in its handshake as behind a partition; or connections are reset, or live on while new ones hang.

check_partitions measures first tries from 3 s after the start of a partition: at VMs that are cut off served at least two thirds as often as at the others, or no more than 10 + 1 in 50 of all fail there.

--- a/galenaswitch/platform/soak/faults.py
+++ b/galenaswitch/platform/soak/faults.py
@@ -10,7 +10,7 @@
 from galenaswitch.platform.soak.bursts import Burst
 from galenaswitch.platform.soak.configuration import Operator
 from galenaswitch.platform.soak.machines import GRACE_SECONDS, Machine
-from galenaswitch.platform.soak.proxy import PROXY_MODES
+from galenaswitch.platform.soak.proxy import PARTITION_MODES, PROXY_MODES
 from galenaswitch.platform.soak.records import InjectedFault, Records
 from galenaswitch.platform.soak.runners import FakeTarget
 from galenaswitch.platform.soak.silences import ALL_SILENCES
@@ -39,6 +39,10 @@
 SERIES_INTERVAL_SECONDS = 0.7
 # Subject of faults that hit no single machine and no single target.
 NO_SUBJECT = -2
+# Share of the soaks in which machines are cut off from all targets, the bounds
+# of its duration, and the sets of machines: one, a zone, and all but one.
+PARTITION_SHARE = 0.4
+MIN_PARTITION_SECONDS, MAX_PARTITION_SECONDS = 4.5, 7.0
 TARGET_MODES = ('slow', 'errors', 'hang', 'cut')
 
 
@@ -134,6 +138,7 @@
     faults.extend(_draw_pauses(seed, seconds, runners))
     faults.extend(_draw_silences(seed, seconds, runners))
     faults.extend(_draw_series(seed, seconds, machines))
+    faults.extend(_draw_partition(seed, seconds, machines))
     return sorted(faults)
 
 
@@ -207,6 +212,30 @@
     return series
 
 
+def _draw_partition(seed: int, seconds: float, machines: int) -> list[Fault]:
+    """Return the partition of some machines, drawn apart from all others."""
+    rng = random.Random(f'partition/{seed}')
+    if rng.random() >= PARTITION_SHARE:
+        return []
+    numbers = list(range(machines))
+    first = rng.choice(numbers)
+    # Machines of a zone have numbers of the same parity.
+    subjects = rng.choice(
+        (
+            [first],
+            numbers[first % 2 :: 2],
+            numbers[:first] + numbers[first + 1 :],
+        )
+    )
+    duration_seconds = rng.uniform(MIN_PARTITION_SECONDS, MAX_PARTITION_SECONDS)
+    at = rng.uniform(0, max(0, seconds - duration_seconds))
+    mode = rng.choice(PARTITION_MODES)
+    return [
+        Fault(at, 'partition', number, duration_seconds, mode)
+        for number in subjects
+    ]
+
+
 class FaultInjector:
     """Injector that starts each fault at its time and records it."""
 
@@ -241,6 +270,7 @@
             'silence': self._silence,
             'storm': partial(_change_configuration, subjects.operator),
             'burst': self._send_burst,
+            'partition': partial(_cut_off, subjects),
         }
 
     async def run(self, faults: Sequence[Fault]) -> None:
@@ -356,3 +386,13 @@
 
 async def _change_configuration(operator: Operator, fault: Fault) -> None:
     await operator.change_often(fault.seconds)
+
+
+async def _cut_off(subjects: FaultSubjects, fault: Fault) -> None:
+    """Partition a machine from all targets."""
+    client = subjects.machines[fault.subject].address
+    for target in subjects.runners:
+        target.proxy.cut_off(client, fault.variant)
+    await asyncio.sleep(fault.seconds)
+    for target in subjects.runners:
+        target.proxy.reconnect(client)
--- a/galenaswitch/platform/soak/promises.py
+++ b/galenaswitch/platform/soak/promises.py
@@ -12,6 +12,7 @@
     OK,
     WORK_ITEM_COUNTS_FIELD,
 )
+from galenaswitch.platform.soak.reachability import check_partitions
 from galenaswitch.platform.soak.records import (
     Arrival,
     InjectedFault,
@@ -303,4 +304,5 @@
     check_cut_answers,
     check_words,
     check_overlaps,
+    check_partitions,
 )
--- a/galenaswitch/platform/soak/proxy.py
+++ b/galenaswitch/platform/soak/proxy.py
@@ -3,9 +3,15 @@
 import asyncio
 from collections.abc import Callable
 
+from galenaswitch.platform.soak.filters import drop_packets
+
 DELAY_SECONDS = 0.15
 CHUNK_BYTES = 65_536
 PROXY_MODES = ('delay', 'reset', 'silent', 'mute_answers', 'mute_requests')
+# Ways in which a proxy cuts a client off. ``hang`` drops all packets, and
+# ``live_on`` those of new connections only; ``reset`` resets connections and
+# drops new ones, ``refuse`` resets new ones as well.
+PARTITION_MODES = ('hang', 'live_on', 'reset', 'refuse')
 
 
 class Proxy:
@@ -31,6 +37,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._down_count = 0
+        self._partitions: dict[str, str] = {}
 
     async def start(self, host: str, port: int = 0) -> None:
         """Start to listen; port 0 chooses a free port."""
@@ -39,6 +46,7 @@
         )
         listen_address = self._server.sockets[0].getsockname()
         self.address = f'{listen_address[0]}:{listen_address[1]}'
+        self._filter_new_connections()
 
     async def go_down(self, seconds: float) -> None:
         """Reset all connections and refuse new ones for a time.
@@ -71,17 +79,54 @@
         if mode == 'reset' or is_over:
             self.cut()
 
+    def cut_off(self, client: str, mode: str) -> None:
+        """Partition a client from the server, which others still reach.
+
+        :param client: address that the client's connections come from.
+        :param mode: one of ``PARTITION_MODES``.
+        """
+        self._partitions[client] = mode
+        self._filter_new_connections()
+        for writer in self._find_writers(client):
+            if mode == 'hang':
+                _filter_connection(writer, (client,))
+            elif mode != 'live_on':
+                writer.transport.abort()
+
+    def reconnect(self, client: str) -> None:
+        """End the partition of a client, whose connections go on."""
+        self._partitions.pop(client, None)
+        self._filter_new_connections()
+        for writer in self._find_writers(client):
+            _filter_connection(writer, ())
+
     def cut(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def _filter_new_connections(self) -> None:
+        dropped = [
+            client
+            for client, mode in self._partitions.items()
+            if mode != 'refuse'
+        ]
+        if self._server:
+            for listener in self._server.sockets:
+                drop_packets(listener, dropped)
+
+    def _find_writers(self, client: str) -> list[asyncio.StreamWriter]:
+        return [
+            writer for writer in self._writers if _get_client(writer) == client
+        ]
+
     async def _forward_connection(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        if self.mode == 'reset':
+        partition = self._partitions.get(_get_client(writer))
+        if self.mode == 'reset' or partition == 'refuse':
             writer.transport.abort()
             return
         try:
@@ -125,3 +170,14 @@
                 writer.write_eof()
         except (OSError, RuntimeError):
             writer.transport.abort()
+
+
+def _get_client(writer: asyncio.StreamWriter) -> str:
+    peer = writer.get_extra_info('peername')
+    return str(peer[0]) if peer else ''
+
+
+def _filter_connection(
+    writer: asyncio.StreamWriter, dropped: tuple[str, ...]
+) -> None:
+    drop_packets(writer.get_extra_info('socket'), dropped)
--- a/galenaswitch/platform/soak/soundness.py
+++ b/galenaswitch/platform/soak/soundness.py
@@ -32,6 +32,8 @@
 OVERLAP_SECONDS = 0.4
 STAGE_SERVICE = 'scan'
 MACHINE_FAULTS = frozenset(('kill', 'freeze'))
+# Time after a partition began by which its machines have another path.
+CONTACT_SECONDS = 3.0
 TARGET_FAULTS = frozenset(('runner', 'runner_link', 'crash'))
 
 
@@ -175,11 +177,29 @@
             return True
         if kind in TARGET_FAULTS and fault.subject in targets:
             return True
-        if kind == 'herd_kill':
+        if kind == 'herd_kill' or _lost_its_path(records, fault, request):
             return True
     return False
 
 
+def _lost_its_path(
+    records: Records, fault: InjectedFault, request: SentRequest
+) -> bool:
+    """Tell whether a machine had lost its path to a request's targets.
+
+    After a time it has to reach them through another machine, unless a fault
+    hits any machine.
+    """
+    if not fault.kind.startswith('partition'):
+        return False
+    if fault.subject != request.machine or fault.ended_at < request.sent_at:
+        return False
+    near = _find_faults(records, request.sent_at, request.ended_at)
+    return request.sent_at < fault.started_at + CONTACT_SECONDS or any(
+        other.kind in MACHINE_FAULTS for other in near
+    )
+
+
 def _find_faults(
     records: Records, since: float, until: float
 ) -> list[InjectedFault]:
