Full targets are no lost path while others are reached

Two targets that accepted no connection from a VM (full, or refusing just this VM) made its path lost, though it reached a third one all along: its new connections went through peers, all its idle connections were closed, those to the store as well, and it stepped back as owner.

Before the path counts as lost, the VM tries two other targets directly, for 0.15 s, the one that answered last and one of another service if there are any. One that stays open shows that the path is sound. Only new connections count, so that a path whose open connections live on is still found to be lost. Only the idle connections to targets are closed when it hangs.

--- a/galenaswitch/connections/pool.py
+++ b/galenaswitch/connections/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections import deque
+from collections.abc import Collection
 
 from galenaswitch.connections.dialing import (
     LISTENING_CHECK_SECONDS,
@@ -94,12 +95,13 @@
             if not idle:
                 self._idle.pop(address)
 
-    def close(self) -> None:
-        """Close all idle connections."""
-        for idle in self._idle.values():
-            for connection in idle:
+    def close(self, addresses: Collection[str] | None = None) -> None:
+        """Close the idle connections to some addresses, by default to all."""
+        if addresses is None:
+            addresses = list(self._idle)
+        for address in addresses:
+            for connection in self._idle.pop(address, ()):
                 connection.close()
-        self._idle.clear()
 
     def _acquire_idle(
         self, address: str, max_idle_seconds: float, ident: str
--- a/galenaswitch/paths/dialer.py
+++ b/galenaswitch/paths/dialer.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import partial
 from typing import Any
 from weakref import WeakValueDictionary
@@ -39,6 +39,10 @@
 # without an answer, and longest time for the tunnel of such a check.
 CHECK_INTERVAL_SECONDS = 1.0
 CHECK_TIMEOUT_SECONDS = 0.5
+# Number of other targets that are tried before the path counts as lost, and
+# longest time for connecting to one. A target that is full doesn't answer.
+CONFIRMING_TARGETS = 2
+CONFIRM_TIMEOUT_SECONDS = 0.15
 
 
 class _Attempt:
@@ -69,7 +73,7 @@
             aren't those of targets.
         """
         self.monitor = PathMonitor()
-        self.on_hang: Callable[[], Any] = lambda: None
+        self.on_hang: Callable[[Collection[str]], Any] = lambda addresses: None
         self._direct = direct
         self._tunnels = tunnels
         self._members = members
@@ -78,6 +82,8 @@
         self._metrics = metrics
         self._unreachable = Marks(UNREACHABLE_SECONDS)
         self._checked = Marks(CHECK_INTERVAL_SECONDS)
+        self._is_confirming = False
+        self._last_answered = ''
         self._locks: WeakValueDictionary[str, asyncio.Lock] = (
             WeakValueDictionary()
         )
@@ -151,6 +157,7 @@
         the byte of an answer proves a path.
         """
         if is_answer:
+            self._last_answered = address
             self._record_direct(address, opened_at)
         elif not (self.monitor.is_lost or self._checked.hold(address)):
             self._checked.set(address)
@@ -167,14 +174,59 @@
 
     def _record_detour(self, address: str, *, is_hanging: bool) -> None:
         addresses = len(self._find_addresses())
-        if not self.monitor.record_detour(address, addresses, time.monotonic()):
-            return
-        get_logger().warning(
-            'path_lost', address=address, is_hanging=is_hanging
+        now = time.monotonic()
+        is_suspect = self.monitor.record_detour(address, addresses, now)
+        if is_suspect and not self._is_confirming:
+            self._is_confirming = True
+            self._tasks.start(self._confirm(is_hanging=is_hanging))
+
+    async def _confirm(self, *, is_hanging: bool) -> None:
+        """Take the path for lost unless another target is reached directly.
+
+        Targets that are full, or refuse just this VM, look like a lost path.
+        """
+        opened_at = time.monotonic()
+        others = self._choose_others()
+        try:
+            are_open = await asyncio.gather(
+                *(
+                    stays_open(self._direct, other, CONFIRM_TIMEOUT_SECONDS)
+                    for other in others
+                )
+            )
+        finally:
+            self._is_confirming = False
+        addresses = self._find_addresses()
+        for other, is_open in zip(others, are_open, strict=True):
+            if is_open:
+                self._record_direct(other, opened_at)
+                return
+        if self.monitor.is_suspect(len(addresses)):
+            self._record_lost(addresses, is_hanging=is_hanging)
+
+    def _choose_others(self) -> list[str]:
+        """Return the targets to try before the path counts as lost.
+
+        The one that answered last comes first, then those of other services.
+        """
+        suspects = self.monitor.suspects
+        targets = list(self._members.member_list.targets)
+        pools = {target.pool for target in targets if target.url in suspects}
+        random.shuffle(targets)
+        targets.sort(
+            key=lambda one: (one.url != self._last_answered, one.pool in pools)
+        )
+        others = dict.fromkeys(
+            target.url for target in targets if target.url not in suspects
         )
+        return list(others)[:CONFIRMING_TARGETS]
+
+    def _record_lost(self, addresses: set[str], *, is_hanging: bool) -> None:
+        self.monitor.record_lost(time.monotonic())
+        get_logger().warning('path_lost', is_hanging=is_hanging)
         self._metrics.count('path_lost')
         if is_hanging:
-            self.on_hang()
+            self.on_hang(addresses)
         self._unreachable.clear()
         self._tasks.start(self._probe())
 
--- a/galenaswitch/paths/monitor.py
+++ b/galenaswitch/paths/monitor.py
@@ -24,8 +24,11 @@
     >>> monitor = PathMonitor()
     >>> monitor.record_detour('10.0.0.1:80', 8, now=0)
     False
-    >>> monitor.record_detour('10.0.0.2:80', 8, now=1), monitor.state
-    (True, 'lost')
+    >>> monitor.record_detour('10.0.0.2:80', 8, now=1)
+    True
+    >>> monitor.record_lost(now=1)
+    >>> monitor.state
+    'lost'
     >>> monitor.record_direct('10.0.0.1:80', 8, opened_at=0), monitor.state
     (False, 'lost')
     >>> monitor.record_direct('10.0.0.1:80', 8, opened_at=2), monitor.state
@@ -46,6 +49,11 @@
         """Whether this VM can't reach the targets directly."""
         return self.state == LOST
 
+    @property
+    def suspects(self) -> set[str]:
+        """Targets that a peer reached and this VM didn't."""
+        return {address for _, address in self._detours}
+
     def record_detour(
         self, address: str, target_count: int, now: float
     ) -> bool:
@@ -53,18 +61,25 @@
 
         :param target_count: number of addresses of targets.
         :param now: monotonic time in seconds.
-        :returns: whether the path has just become lost.
+        :returns: whether this proves that the path is lost, unless this VM
+            reaches another target directly.
         """
         self._detours.append((now, address))
         while self._detours[0][0] < now - EVIDENCE_SECONDS:
             self._detours.popleft()
-        found = {other for _, other in self._detours}
-        if self.is_lost or len(found) < min(LOST_TARGETS, target_count):
+        return self.is_suspect(target_count)
+
+    def is_suspect(self, target_count: int) -> bool:
+        """Tell whether a sound path may be lost, by the detours left."""
+        if self.is_lost:
             return False
+        return len(self.suspects) >= min(LOST_TARGETS, target_count)
+
+    def record_lost(self, now: float) -> None:
+        """Record that no other target is reached directly either."""
         self.state = LOST
         self._lost_at = now
         self.regained.clear()
-        return True
 
     def record_direct(
         self, address: str, target_count: int, opened_at: float
--- a/galenaswitch/paths/tests/test_exits.py
+++ b/galenaswitch/paths/tests/test_exits.py
@@ -155,3 +155,18 @@
     for sender in senders[1:]:
         await send(sender, entry)
     assert len(target.requests) - before <= MAX_PAUSED_REQUESTS
+
+
+# Guards against connections to the store that are closed with those to targets.
+async def test_lost_path_closes_idle_connections_to_targets_only(
+    vms, targets, scripted
+):
+    store = await scripted([OK], keep=True)
+    for address in (store.address, targets[0].address):
+        assert await fetch(vms[0], address) == b'ok'
+    await lose_path(vms[0], targets[1:], 'hanging')
+    opened_count = vms[0].pool.opened_count
+    assert await fetch(vms[0], store.address) == b'ok'
+    assert vms[0].pool.opened_count == opened_count
+    assert await fetch(vms[0], targets[0].address) == b'ok'
+    assert vms[0].pool.opened_count == opened_count + 1
