Tunnels through an exit that is cut off or gone are retired

A VM went on using open tunnels through an exit that had lost its own path later, or that was frozen. Where the path hangs, requests on them hung as well.

The note of a VM that its path is lost, and the loss of the link to it, retire the tunnels through it: idle ones are closed, others carry no further request. Each later note of the lost path does so again.

--- a/galenaswitch/membership/mesh.py
+++ b/galenaswitch/membership/mesh.py
@@ -99,6 +99,7 @@
         self._requested_nodes: set[str] = set()
         self._link_opened: dict[str, asyncio.Event] = {}
         self.on_link_open: list[Callable[[Link], Any]] = []
+        self.on_link_close: list[Callable[[Link], Any]] = []
 
     @property
     def node(self) -> str:
@@ -330,6 +331,8 @@
             if self._links.get(machine.name) is link:
                 self._links.pop(machine.name)
                 self._link_opened.pop(machine.name, None)
+            for callback in self.on_link_close:
+                callback(link)
 
 
 async def answer_ping(link: Link, message: Ping) -> Pong:
--- a/galenaswitch/paths/notes.py
+++ b/galenaswitch/paths/notes.py
@@ -1,6 +1,7 @@
 """What the VMs tell each other about their paths to the targets."""
 
 import time
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from galenaswitch.membership.handshake import Identity
@@ -20,7 +21,10 @@
 
 
 class PathNotes:
-    """Newest notes of all VMs about their paths."""
+    """Newest notes of all VMs about their paths.
+
+    :ivar on_lost: called with the name of another VM whose path is lost.
+    """
 
     def __init__(self, identity: Identity, mesh: Mesh) -> None:
         """Build notes of sound paths.
@@ -29,6 +33,7 @@
         """
         self._identity = identity
         self._mesh = mesh
+        self.on_lost: Callable[[str], Any] = lambda node: None
         self._known: dict[str, _Known] = {}
         self._sequence = 0
 
@@ -58,6 +63,8 @@
     def _receive(self, link: Link, note: PathNote) -> None:
         if note.node != self._identity.node and self._record(note):
             self._mesh.spread(note, link)
+            if note.is_lost:
+                self.on_lost(note.node)
 
     def _record(self, note: PathNote) -> bool:
         """Record a note and return whether it is new."""
--- a/galenaswitch/paths/service.py
+++ b/galenaswitch/paths/service.py
@@ -37,6 +37,8 @@
         self.dialer = PathDialer(
             direct, self.tunnels, members, self.notes, tasks, metrics
         )
+        self.notes.on_lost = self.tunnels.retire
+        mesh.on_link_close.append(self._retire_peer)
         self.exits = Exits(direct, self._may_connect, metrics)
 
     def handlers(self) -> dict[type[Any], Any]:
@@ -45,6 +47,9 @@
 
     def receive_leaving(self, link: Link, message: Leaving) -> None:
         """Retire the tunnels through a VM that is about to stop."""
+        self._retire_peer(link)
+
+    def _retire_peer(self, link: Link) -> None:
         self.tunnels.retire(link.peer.node)
 
     def _may_be_exit(self, node: str) -> bool:
--- a/galenaswitch/paths/tests/test_exits.py
+++ b/galenaswitch/paths/tests/test_exits.py
@@ -102,6 +102,17 @@
     assert not middle.paths.exits.count
 
 
+# Guards against requests in a tunnel whose exit is frozen or gone.
+async def test_idle_tunnels_through_an_exit_without_a_link_are_retired(
+    vms, targets
+):
+    await lose_path(vms[0], targets)
+    middle = next(vm for vm in vms[1:] if vm.paths.exits.count)
+    vms[0].mesh.find_link(middle.name).close()
+    await asyncio.sleep(NOTICE_SECONDS)
+    assert not middle.paths.exits.count
+
+
 # Guards against a VM that counts as cut off as two targets accept no more
 # connections from it, though it reaches the others.
 async def test_full_targets_are_no_lost_path_while_others_are_reached(
