--- a/galenaswitch/paths/service.py
+++ b/galenaswitch/paths/service.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from galenaswitch.connections.dialing import DirectDialer
-from galenaswitch.membership.links import LinkService
+from galenaswitch.membership.links import Link, LinkService
 from galenaswitch.membership.lists import Members
 from galenaswitch.membership.mesh import Mesh
 from galenaswitch.operations.metrics import Metrics
@@ -38,6 +38,8 @@
         self.dialer = PathDialer(
             direct, self.tunnels, members, self.notes, tasks, metrics
         )
+        self.notes.on_lost = self.tunnels.retire
+        mesh.on_link_close.append(self._retire_peer)
         self.exits = Exits(direct, self._may_connect, metrics)
         self.pauses = SharedPauses(mesh, self.tunnels, self.exits, tasks)
 
@@ -49,6 +51,9 @@
             **self.pauses.handlers(),
         }
 
+    def _retire_peer(self, link: Link) -> None:
+        self.tunnels.retire(link.peer.node)
+
     def _may_be_exit(self, node: str) -> bool:
         return self.is_available(node)
 
