An exit that doesn't reach a target says nothing about others

A VM that is cut off asked two exits that were cut off as well and didn't know it yet; the target then counted as unreachable for a second, though a third VM reached it, and the requests of that second failed. So it did when an attempt was given up.

Whether a target was reached is kept for each exit: one that has failed is not asked for that target again for a second, the next request asks others. The target counts as unreachable when all exits, or four of them, have failed within a second, so that a dead target leads to few attempts.

Failed before, passes after: test_cut_off_exits_say_nothing_about_a_target (the second request failed as well). test_few_exits_are_asked_for_a_dead_target, new, passes before (two exits) and after (four at most): 50 requests, 8 VMs.

Not done: a third exit within the same request, since the test of the fault expects the first request to fail; a reply of its own from exits that doubt their path.

--- a/galenaswitch/paths/dialer.py
+++ b/galenaswitch/paths/dialer.py
@@ -30,8 +30,6 @@
 # Seconds after which a tunnel is tried beside a direct attempt that is still
 # under way.
 HEAD_START_SECONDS = 0.15
-# Seconds for which no tunnel is tried to a target that exits didn't reach.
-UNREACHABLE_SECONDS = 1.0
 # Seconds between two direct attempts while the path is lost.
 PROBE_INTERVAL_SECONDS = 0.5
 PROBE_TIMEOUT_SECONDS = 0.3
@@ -80,7 +78,6 @@
         self._notes = notes
         self._tasks = tasks
         self._metrics = metrics
-        self._unreachable = Marks(UNREACHABLE_SECONDS)
         self._checked = Marks(CHECK_INTERVAL_SECONDS)
         self._is_confirming = False
         self._last_answered = ''
@@ -108,22 +105,19 @@
             partial(self._open_direct, address, make_connection, attempt),
             partial(self._open_tunnel, address, make_connection, attempt),
         ]
-        if self._unreachable.hold(address):
+        if self._tunnels.is_unreachable(address):
             openers.pop()
         return await race(openers, HEAD_START_SECONDS)
 
     async def _open_lost(
         self, address: str, make_connection: MakeConnection
     ) -> TargetConnection:
-        if self._unreachable.hold(address):
+        if self._tunnels.is_unreachable(address):
             raise TunnelUnreachableError(f'{address}: no connection')
         try:
             return await self._tunnels.open(address, make_connection)
         except TunnelUnavailableError:
             return await self._direct.open(address, make_connection)
-        except TunnelUnreachableError:
-            self._unreachable.set(address)
-            raise
 
     async def _open_direct(
         self, address: str, make_connection: MakeConnection, attempt: _Attempt
@@ -140,13 +134,9 @@
     ) -> TargetConnection:
         lock = self._locks.setdefault(address, asyncio.Lock())
         async with lock:
-            if self._unreachable.hold(address):
+            if self._tunnels.is_unreachable(address):
                 raise TunnelUnreachableError(f'{address}: no connection')
-            try:
-                connection = await self._tunnels.open(address, make_connection)
-            except (OSError, asyncio.CancelledError):
-                self._unreachable.set(address)
-                raise
+            connection = await self._tunnels.open(address, make_connection)
         self._record_detour(address, is_hanging=attempt.is_pending)
         return connection
 
@@ -227,7 +217,7 @@
         self._metrics.count('path_lost')
         if is_hanging:
             self.on_hang(addresses)
-        self._unreachable.clear()
+        self._tunnels.forget()
         self._tasks.start(self._probe())
 
     def _record_direct(self, address: str, opened_at: float) -> None:
@@ -236,7 +226,7 @@
             return
         get_logger().info('path_regained', address=address)
         self._metrics.count('path_regained')
-        self._unreachable.clear()
+        self._tunnels.forget()
         self._notes.send(is_lost=False)
         self._tunnels.retire()
 
--- a/galenaswitch/paths/marks.py
+++ b/galenaswitch/paths/marks.py
@@ -10,6 +10,8 @@
     >>> marks.set('10.0.0.1:80')
     >>> marks.hold('10.0.0.1:80'), marks.hold('10.0.0.2:80')
     (True, False)
+    >>> marks.is_empty
+    False
     """
 
     def __init__(self, seconds: float) -> None:
@@ -24,6 +26,11 @@
         """Tell whether an address is marked."""
         return self._ends.get(address, 0) > time.monotonic()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no address is marked."""
+        return max(self._ends.values(), default=0) <= time.monotonic()
+
     def set(self, address: str) -> None:
         """Mark an address from now on, and forget marks that have ended."""
         now = time.monotonic()
--- a/galenaswitch/paths/tests/test_exits.py
+++ b/galenaswitch/paths/tests/test_exits.py
@@ -14,7 +14,7 @@
 from galenaswitch.paths.frames import CLOSED_FRAME
 from galenaswitch.paths.messages import TunnelQuery, TunnelReply
 from galenaswitch.paths.tests.conftest import wait_until
-from galenaswitch.paths.tests.test_paths import OK, fetch, lose_path
+from galenaswitch.paths.tests.test_paths import DOWN, OK, fetch, lose_path
 from galenaswitch.platform.headers import PlatformWire
 
 GET = RequestHead(b'GET', b'/', ((b'Host', b'h'),))
@@ -26,6 +26,8 @@
 NOTICE_SECONDS = 0.5
 # Most requests that may reach a target from one address during a pause.
 MAX_PAUSED_REQUESTS = 2
+# Most exits that a VM asks for a target within a second.
+MAX_ASKED_EXITS = 4
 
 
 @pytest.fixture
@@ -138,6 +140,18 @@
     assert await fetch(vms[0], targets[0].address) == b'ok'
 
 
+# Guards against a site in which all VMs are asked for a target that is down.
+async def test_few_exits_are_asked_for_a_dead_target(start_vms, targets):
+    vms = await start_vms('nnnnnnnn', [DOWN, targets[0].address])
+
+    async def try_target():
+        with pytest.raises(TargetUnreachableError):
+            await vms[0].pool.acquire(DOWN, 3)
+
+    await asyncio.gather(*(try_target() for _ in range(50)))
+    assert sum(vm.direct.open_count for vm in vms[1:]) <= MAX_ASKED_EXITS
+
+
 # Guards against requests that reach a target from the address of an exit after
 # the target has asked that address for a pause.
 @pytest.mark.parametrize('first', ['cut-off', 'exit'])
--- a/galenaswitch/paths/tunnels.py
+++ b/galenaswitch/paths/tunnels.py
@@ -15,6 +15,7 @@
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.paths.frames import FrameReader
+from galenaswitch.paths.marks import Marks
 from galenaswitch.paths.messages import UNREACHABLE, TunnelQuery, TunnelReply
 from galenaswitch.paths.races import race
 
@@ -22,6 +23,10 @@
 SECOND_EXIT_SECONDS = 0.15
 # Seconds for which an exit that has failed or took too long is chosen last.
 FAILED_SECONDS = 2.0
+# Seconds for which an exit that didn't reach a target isn't asked for it again,
+# and number of such exits after which no other one is asked either.
+UNREACHED_SECONDS = 1.0
+MAX_UNREACHED_EXITS = 4
 
 
 class TunnelUnreachableError(OSError):
@@ -54,6 +59,7 @@
         self._metrics = metrics
         self._open: dict[str, set[_Tunnel]] = {}
         self._failed_at: dict[str, float] = {}
+        self._unreached: dict[str, Marks] = {}
 
     @property
     def count(self) -> int:
@@ -68,15 +74,29 @@
         A second exit, in another zone if there is one, is asked when the first
         fails or takes long.
 
-        :raises TunnelUnreachableError: when the exits can't connect either.
+        :raises TunnelUnreachableError: when the exits that were asked, now or
+            shortly before, can't connect either.
         :raises TunnelUnavailableError: when there is no exit.
         """
         openers = [
             partial(self._open_through, machine, address, make_connection)
-            for machine in self._choose_exits()
+            for machine in self._choose_exits(address)
         ]
         return await race(openers, SECOND_EXIT_SECONDS)
 
+    def is_unreachable(self, address: str) -> bool:
+        """Tell whether all exits to ask have just failed to reach a target."""
+        unreached = self._unreached.get(address)
+        if not unreached or unreached.is_empty:
+            return False
+        exits = self._find_exits()
+        failed = sum(unreached.hold(machine.name) for machine in exits)
+        return failed >= min(MAX_UNREACHED_EXITS, max(1, len(exits)))
+
+    def forget(self) -> None:
+        """Forget which exits didn't reach which targets."""
+        self._unreached.clear()
+
     def retire(self, node: str = '') -> None:
         """Use no tunnel for another request.
 
@@ -87,15 +107,31 @@
                 for tunnel in list(tunnels):
                     tunnel.retire()
 
-    def _choose_exits(self) -> list[Machine]:
-        """Return the exits to ask in their order."""
-        machines = [
+    def _find_exits(self) -> list[Machine]:
+        return [
             machine
             for machine in self._members.machines()
             if machine.name != self._mesh.node
             and self._mesh.find_link(machine.name)
             and self._is_available(machine.name)
         ]
+
+    def _choose_exits(self, address: str) -> list[Machine]:
+        """Return the exits to ask in their order.
+
+        An exit that hasn't reached the target says nothing about others, since
+        its own path may be lost.
+        """
+        if self.is_unreachable(address):
+            raise TunnelUnreachableError(f'{address}: no connection')
+        machines = self._find_exits()
+        unreached = self._unreached.get(address)
+        if unreached:
+            machines = [
+                machine
+                for machine in machines
+                if not unreached.hold(machine.name)
+            ]
         random.shuffle(machines)
         machines.sort(key=self._rank)
         first = machines[:1]
@@ -122,6 +158,9 @@
     ) -> TargetConnection:
         try:
             link, reply = await self._ask(machine, address)
+        except asyncio.CancelledError:
+            self._record_unreached(machine, address)
+            raise
         except (PeerError, OSError) as error:
             self._report_failure(machine, address, type(error).__name__)
             raise TunnelUnavailableError(str(error)) from error
@@ -132,6 +171,7 @@
                 raise TunnelUnreachableError(f'{address}: no connection')
             raise TunnelUnavailableError(f'{machine.name}: {reply.failure}')
         self._failed_at.pop(machine.name, None)
+        self._unreached.pop(address, None)
         connection = make_connection()
         tunnel = _Tunnel(
             link, connection, self._open.setdefault(machine.name, set())
@@ -157,10 +197,22 @@
             link.close()
             raise
 
+    def _record_unreached(self, machine: Machine, address: str) -> None:
+        self._unreached = {
+            other: unreached
+            for other, unreached in self._unreached.items()
+            if other == address or not unreached.is_empty
+        }
+        unreached = self._unreached.setdefault(
+            address, Marks(UNREACHED_SECONDS)
+        )
+        unreached.set(machine.name)
+
     def _report_failure(
         self, machine: Machine, address: str, reason: str
     ) -> None:
         self._failed_at[machine.name] = time.monotonic()
+        self._record_unreached(machine, address)
         self._metrics.count('tunnel_failed')
         get_logger().info(
             'tunnel_failed', exit=machine.name, address=address, reason=reason
