--- a/galenaswitch/programs/vm_stop.py
+++ b/galenaswitch/programs/vm_stop.py
@@ -29,10 +29,6 @@
         self._exits = exits
         self.end = time.monotonic() + grace_seconds - KILL_MARGIN_SECONDS
 
-    @property
-    def _is_busy(self) -> bool:
-        return bool(self._callers.connections or self._exits.count)
-
     async def run(self, caller_port: asyncio.Server | None) -> None:
         """Close each connection as soon as it is idle.
 
@@ -51,3 +47,7 @@
         while self._is_busy and time.monotonic() < self.end:
             self._callers.close_idle()
             await asyncio.sleep(STOP_POLL_SECONDS)
+
+    @property
+    def _is_busy(self) -> bool:
+        return bool(self._callers.connections or self._exits.count)
