Paths: a new tunnel brings the pauses that hold for its exit

A target asks the address that it sees for a pause.

The reply that opens a tunnel names the pauses at the target's address, with the time that is left, and the VM behind applies them before it sends: a send checks the pause of its target once it has a connection.

--- a/galenaswitch/paths/exits.py
+++ b/galenaswitch/paths/exits.py
@@ -15,6 +15,7 @@
 from galenaswitch.paths.messages import (
     UNAVAILABLE,
     UNREACHABLE,
+    PauseNote,
     TunnelQuery,
     TunnelReply,
 )
@@ -45,6 +46,9 @@
         self._is_target = is_target
         self._metrics = metrics
         self._tunnels: set[_TunnelEnd] = set()
+        self.find_pauses: Callable[[str], tuple[PauseNote, ...]] = (
+            lambda address: ()
+        )
         self.stopping = False
 
     @property
@@ -85,7 +89,7 @@
     ) -> None:
         tunnel = _TunnelEnd(link, address, target, self._tunnels)
         try:
-            link.send(TunnelReply())
+            link.send(TunnelReply(pauses=self.find_pauses(address)))
         except PeerClosedError:
             target.abort()
             return
--- a/galenaswitch/paths/messages.py
+++ b/galenaswitch/paths/messages.py
@@ -18,15 +18,34 @@
     address: Address
 
 
+class PauseNote(NamedTuple):
+    """Tells a VM that a target has asked for a pause.
+
+    A target asks it of the VM that it sees, which is the exit of a tunnel.
+
+    :param address: IP address and port of the target.
+    :param target: name of the target.
+    :param incarnation: incarnation that asks.
+    :param seconds: length of the pause from now on.
+    """
+
+    address: Address
+    target: str
+    incarnation: str
+    seconds: Annotated[float, Field(ge=0, allow_inf_nan=False)]
+
+
 class TunnelReply(NamedTuple):
     """Tells whether the connection now leads to the target.
 
     After a reply without failure, the connection carries frames no longer.
 
     :param failure: empty, :data:`UNREACHABLE` or :data:`UNAVAILABLE`.
+    :param pauses: pauses of the target that hold for the exit.
     """
 
     failure: str = ''
+    pauses: tuple[PauseNote, ...] = ()
 
 
 class PathNote(NamedTuple):
@@ -44,23 +63,6 @@
     is_lost: bool
 
 
-class PauseNote(NamedTuple):
-    """Tells a VM that a target has asked for a pause.
-
-    A target asks it of the VM that it sees, which is the exit of a tunnel.
-
-    :param address: IP address and port of the target.
-    :param target: name of the target.
-    :param incarnation: incarnation that asks.
-    :param seconds: length of the pause from now on.
-    """
-
-    address: Address
-    target: str
-    incarnation: str
-    seconds: Annotated[float, Field(ge=0, allow_inf_nan=False)]
-
-
 # The exit can't connect to the target either.
 UNREACHABLE = 'unreachable'
 # The exit opens no tunnel to the address now, and hasn't tried to.
--- a/galenaswitch/paths/pauses.py
+++ b/galenaswitch/paths/pauses.py
@@ -1,5 +1,6 @@
 """Pauses of targets, shared by the VMs at both ends of a tunnel."""
 
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -32,6 +33,9 @@
         self._tunnels = tunnels
         self._exits = exits
         self._tasks = tasks
+        self._known: dict[str, tuple[float, PauseNote]] = {}
+        exits.find_pauses = self._find
+        tunnels.on_pause = self._record
 
     def handlers(self) -> dict[type[Any], Any]:
         """Return the handlers of the messages from other VMs."""
@@ -40,12 +44,38 @@
     def share(self, target: Target, seconds: float) -> None:
         """Share a pause that a target has asked this VM for."""
         note = PauseNote(target.url, target.name, target.incarnation, seconds)
+        self._remember(note)
         self._send_all(note, '')
 
     def _receive(self, link: Link, note: PauseNote) -> None:
-        if self.apply(note):
+        if self._record(note):
             self._send_all(note, link.peer.node)
 
+    def _record(self, note: PauseNote) -> bool:
+        """Apply a pause on this VM and return whether it is new."""
+        self._remember(note)
+        return self.apply(note)
+
+    def _remember(self, note: PauseNote) -> None:
+        now = time.monotonic()
+        self._known = {
+            incarnation: (end, known)
+            for incarnation, (end, known) in self._known.items()
+            if end > now
+        }
+        end, _ = self._known.get(note.incarnation, (now, note))
+        end = max(end, now + note.seconds)
+        self._known[note.incarnation] = (end, note)
+
+    def _find(self, address: str) -> tuple[PauseNote, ...]:
+        """Return the pauses at an address, with the time that is left."""
+        now = time.monotonic()
+        return tuple(
+            note._replace(seconds=end - now)
+            for end, note in self._known.values()
+            if note.address == address and end > now
+        )
+
     def _send_all(self, note: PauseNote, source: str) -> None:
         nodes = self._tunnels.find_exits(note.address)
         nodes |= self._exits.find_users(note.address)
--- a/galenaswitch/paths/tunnels.py
+++ b/galenaswitch/paths/tunnels.py
@@ -16,7 +16,12 @@
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.paths.frames import FrameReader
 from galenaswitch.paths.marks import Marks
-from galenaswitch.paths.messages import UNREACHABLE, TunnelQuery, TunnelReply
+from galenaswitch.paths.messages import (
+    UNREACHABLE,
+    PauseNote,
+    TunnelQuery,
+    TunnelReply,
+)
 from galenaswitch.paths.races import race
 
 # Seconds after which another exit is asked beside one that hasn't answered.
@@ -57,6 +62,7 @@
         self._mesh = mesh
         self._is_available = is_available
         self._metrics = metrics
+        self.on_pause: Callable[[PauseNote], Any] = lambda note: None
         self._open: dict[str, set[_Tunnel]] = {}
         self._failed_at: dict[str, float] = {}
         self._unreached: dict[str, Marks] = {}
@@ -180,6 +186,8 @@
             raise TunnelUnavailableError(f'{machine.name}: {reply.failure}')
         self._failed_at.pop(machine.name, None)
         self._unreached.pop(address, None)
+        for pause in reply.pauses:
+            self.on_pause(pause)
         connection = make_connection()
         tunnel = _Tunnel(
             link, connection, self._open.setdefault(machine.name, set())
