Brittle targets: kills in turn and batches tested, cheaper at the owner

The owner looks for free targets once for all queries that wait, and a query names only the targets that it avoids, so the work for a seat no longer grows with queries times targets. Seats are indexed by VM.

Tests: overload of streams at 2.6, of batches at 1.8 and 2.6, each VM killed in turn; the ledger, and the owner's replies.

--- a/galenaswitch/gateway/seat_messages.py
+++ b/galenaswitch/gateway/seat_messages.py
@@ -33,11 +33,12 @@
 
 
 class SeatQuery(NamedTuple):
-    """Query for a seat at one of several brittle targets.
+    """Query for a seat at a target of a brittle service.
 
     :param ident: id of the seat.
     :param vm: VM that asks.
-    :param incarnations: the targets, the preferred one first.
+    :param preferred: incarnation that is chosen among equals.
+    :param avoided: incarnations that don't get the request.
     :param max_wait: longest useful wait for a seat in seconds.
     :param left: seconds until the request must be answered.
     :param held: seats of the asking VM at targets of the service.
@@ -46,7 +47,8 @@
     service: str
     ident: str
     vm: str
-    incarnations: tuple[str, ...]
+    preferred: str
+    avoided: tuple[str, ...]
     max_wait: float
     left: float
     held: tuple[HeldSeat, ...]
--- a/galenaswitch/gateway/seat_owner.py
+++ b/galenaswitch/gateway/seat_owner.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import bisect
 import itertools
 import math
 import time
@@ -75,9 +76,10 @@
         service = query.service
         if query.vm != self._mesh.node:
             self._report(service, query.vm, query.held)
-        reply = self._try_give(query)
+        targets = self._members.usable(service)
+        reply = self._try_give(query, self.select(targets))
         waiting = self._waiting.setdefault(service, [])
-        seats = sum(one.capacity for one in self._find_targets(query))
+        seats = sum(one.capacity for one in targets)
         if reply or len(waiting) >= seats:
             return reply or SeatReply('')
         one = Waiting(
@@ -86,8 +88,7 @@
             query,
             asyncio.get_running_loop().create_future(),
         )
-        waiting.append(one)
-        waiting.sort()
+        bisect.insort(waiting, one)
         try:
             return await self._wait(one)
         finally:
@@ -95,14 +96,33 @@
 
     def serve(self, service: str) -> None:
         """Give free seats to the queries that wait, the most urgent first."""
-        for one in self._waiting.get(service, ()):
-            reply = None if one.reply.done() else self._try_give(one.query)
+        waiting = [
+            one
+            for one in self._waiting.get(service, ())
+            if not one.reply.done()
+        ]
+        free = self.select(self._members.usable(service)) if waiting else ()
+        for one in waiting:
+            if not free:
+                return
+            reply = self._try_give(one.query, free)
             if reply:
                 one.reply.set_result(reply)
+                free = self.select(free)
 
     def select(self, targets: Sequence[Target]) -> tuple[Target, ...]:
-        """Return the targets that have a free seat."""
-        return tuple(filter(self._has_room, targets))
+        """Return the targets of one service that have a free seat."""
+        if not targets or not self._is_collected(targets[0].pool):
+            return ()
+        share = self._find_share(targets[0].pool)
+        now = time.monotonic()
+        return tuple(
+            target
+            for target in targets
+            if self._ledger.has_room(
+                target.incarnation, max(1, round(target.capacity * share)), now
+            )
+        )
 
     async def _wait(self, one: Waiting) -> SeatReply:
         """Return the reply to a query, without a seat if none is in time."""
@@ -111,19 +131,23 @@
             if left <= 0:
                 return SeatReply('')
             await asyncio.wait({one.reply}, timeout=min(left, POLL_SECONDS))
-            self.serve(one.query.service)
+            if self._waiting[one.query.service][0] is one:
+                self.serve(one.query.service)
         return one.reply.result()
 
-    def _try_give(self, query: SeatQuery) -> SeatReply | None:
+    def _try_give(
+        self, query: SeatQuery, free: Sequence[Target]
+    ) -> SeatReply | None:
         """Give a seat at the emptiest target, the preferred one of equals."""
-        free = self.select(self._find_targets(query))
-        if not free:
+        avoided = set(query.avoided)
+        candidates = [one for one in free if one.incarnation not in avoided]
+        if not candidates:
             return None
         chosen = min(
-            free,
+            candidates,
             key=lambda one: (
                 self._ledger.count(one.incarnation) / one.capacity,
-                query.incarnations.index(one.incarnation),
+                one.incarnation != query.preferred,
             ),
         )
         now = time.monotonic()
@@ -131,20 +155,6 @@
         self._ledger.take(chosen.incarnation, query.ident, seat)
         return SeatReply(chosen.incarnation)
 
-    def _find_targets(self, query: SeatQuery) -> list[Target]:
-        return [
-            target
-            for target in self._members.usable(query.service)
-            if target.incarnation in query.incarnations
-        ]
-
-    def _has_room(self, target: Target) -> bool:
-        if not self._is_collected(target.pool):
-            return False
-        slots = max(1, round(target.capacity * self._find_share(target.pool)))
-        now = time.monotonic()
-        return self._ledger.has_room(target.incarnation, slots, now)
-
     def _find_share(self, service: str) -> float:
         """Return the share of all seats that this VM may give out.
 
--- a/galenaswitch/gateway/seats.py
+++ b/galenaswitch/gateway/seats.py
@@ -109,7 +109,12 @@
             service,
             ident,
             self._mesh.node,
-            tuple(one.incarnation for one in targets),
+            targets[0].incarnation,
+            tuple(
+                one.incarnation
+                for one in self._members.usable(service)
+                if one not in targets
+            ),
             max_wait,
             left,
             self._find_held(service),
--- a/galenaswitch/limits/seats.py
+++ b/galenaswitch/limits/seats.py
@@ -113,6 +113,7 @@
         """Build a ledger in which all seats are free."""
         self._seats: dict[str, dict[str, Seat]] = {}
         self._incarnations: dict[str, str] = {}
+        self._idents: dict[str, set[str]] = {}
         self._held_off_until: dict[str, float] = {}
 
     def take(self, incarnation: str, ident: str, seat: Seat) -> None:
@@ -120,12 +121,15 @@
         self.release(ident)
         self._seats.setdefault(incarnation, {})[ident] = seat
         self._incarnations[ident] = incarnation
+        self._idents.setdefault(seat.vm, set()).add(ident)
 
     def release(self, ident: str) -> str:
         """Free a seat and return the incarnation, empty if it was free."""
         incarnation = self._incarnations.pop(ident, '')
         seats = self._seats.get(incarnation, {})
-        seats.pop(ident, None)
+        seat = seats.pop(ident, None)
+        if seat:
+            self._idents[seat.vm].discard(ident)
         if not seats:
             self._seats.pop(incarnation, None)
         return incarnation
@@ -202,8 +206,6 @@
 
     def _find_seats(self, vm: str) -> list[tuple[str, Seat]]:
         return [
-            (ident, seat)
-            for seats in self._seats.values()
-            for ident, seat in seats.items()
-            if seat.vm == vm
+            (ident, self._seats[self._incarnations[ident]][ident])
+            for ident in self._idents.get(vm, ())
         ]
--- a/galenaswitch/platform/tests/driver.py
+++ b/galenaswitch/platform/tests/driver.py
@@ -38,10 +38,12 @@
         self._session = session
         self._turn = 0
 
-    async def send(self, route, *parts, body=''):
+    async def send(self, route, *parts, body='', work_items=''):
         """Send a request with shared prompt parts.
 
         Its body is its own unless one is given.
+
+        :param work_items: number of work items of each stage.
         """
         machines = self.soak._machines
         machine = machines[self._turn % len(machines)]
@@ -55,6 +57,9 @@
             'X-Token-Usage': '150,10',
             'X-Prompt-Prefix': ','.join(f'{one}:50' for one in (*parts, ident)),
         }
+        if work_items:
+            headers['X-Pieces'] = work_items
+            headers['X-Piece-Key'] = ident
         url = URL(f'http://{machine.callers}/{route}/3', encoded=True)
         sent_at = self.soak._now()
         status = 0
