Bytes behind the reply of an exit belong to the tunnel

When the reply of an exit and the first frames of a tunnel came in one read, the frames were decoded as msgpack and dropped. A target that closes at once then looked open to is_listening, and part of a frame could be lost.

A link decodes one object at a time and hands over the bytes behind the last one; also all that its reader holds, not the first 64 KiB alone.

--- a/galenaswitch/membership/frames.py
+++ b/galenaswitch/membership/frames.py
@@ -8,6 +8,7 @@
 of missing fields. Frames above :data:`MAX_FRAME_BYTES` are rejected.
 """
 
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 import msgpack
@@ -127,6 +128,37 @@
     return frame
 
 
-def open_unpacker() -> msgpack.Unpacker:
-    """Return a msgpack stream decoder whose buffer is bounded."""
-    return msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+class FrameDecoder:
+    """Decodes the frames of a link as they arrive, in a bounded buffer."""
+
+    def __init__(self) -> None:
+        """Build a decoder at the begin of a link."""
+        self._chunk = b''
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+        self._received_bytes = 0
+
+    @property
+    def undecoded(self) -> bytes:
+        """Bytes that have arrived behind the last frame decoded."""
+        left_bytes = self._received_bytes - self._unpacker.tell()
+        return self._chunk[len(self._chunk) - left_bytes :]
+
+    def decode(self, chunk: bytes) -> Iterator[Frame]:
+        """Decode the frames that are complete with some more bytes.
+
+        Nothing is decoded behind a frame until the next one is asked for.
+
+        :raises PeerRejectedError: when the bytes are no frames, or exceed the
+            size limit.
+        """
+        try:
+            self._unpacker.feed(chunk)
+        except msgpack.BufferFull as error:
+            raise PeerRejectedError('a frame exceeds the size limit') from error
+        self._chunk = chunk
+        self._received_bytes += len(chunk)
+        try:
+            for parts in self._unpacker:
+                yield unpack_frame(parts)
+        except (ValueError, msgpack.UnpackException) as error:
+            raise PeerRejectedError('data is not valid msgpack') from error
--- a/galenaswitch/membership/links.py
+++ b/galenaswitch/membership/links.py
@@ -12,8 +12,6 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any, NamedTuple
 
-import msgpack
-
 from galenaswitch.errors import (
     PeerClosedError,
     PeerError,
@@ -22,11 +20,10 @@
 )
 from galenaswitch.membership.frames import (
     Frame,
+    FrameDecoder,
     Vocabulary,
     encode_frame,
-    open_unpacker,
     pack_message,
-    unpack_frame,
 )
 from galenaswitch.membership.handshake import (
     HANDSHAKE_VOCABULARY,
@@ -103,6 +100,7 @@
         self._sequence = 0
         self._pending_replies: dict[int, asyncio.Future[Any]] = {}
         self._handler_tasks: set[asyncio.Task[None]] = set()
+        self._decoder = FrameDecoder()
         self._frames = self._read_frames()
         self._handed_over = False
         self.peer = Identity('', '', '', '')
@@ -223,7 +221,7 @@
         self._handed_over = True
         transport.set_protocol(protocol)
         self._reader.feed_eof()
-        unread = await self._reader.read(READ_CHUNK_BYTES)
+        unread = self._decoder.undecoded + await self._reader.read()
         protocol.connection_made(transport)
         if unread:
             protocol.data_received(unread)
@@ -295,21 +293,14 @@
         return message
 
     async def _read_frames(self) -> AsyncIterator[Frame]:
-        unpacker = open_unpacker()
         while True:
             chunk = await self._reader.read(READ_CHUNK_BYTES)
             if not chunk:
                 return
             self._service.traffic['received'] += len(chunk)
             self._record_receipt()
-            try:
-                unpacker.feed(chunk)
-            except msgpack.BufferFull as error:
-                raise PeerRejectedError(
-                    'a frame exceeds the size limit',
-                ) from error
-            for parts in _decode_objects(unpacker):
-                yield unpack_frame(parts)
+            for frame in self._decoder.decode(chunk):
+                yield frame
 
     def _record_receipt(self) -> None:
         if self.peer.incarnation:
@@ -317,13 +308,6 @@
             self._service.last_received_at[self.peer.incarnation] = now
 
 
-def _decode_objects(unpacker: msgpack.Unpacker) -> list[Any]:
-    try:
-        return list(unpacker)
-    except (ValueError, msgpack.UnpackException) as error:
-        raise PeerRejectedError('data is not valid msgpack') from error
-
-
 async def serve_link(link: Link) -> None:
     """Run the handshake, then serve a link that a peer opened.
 
