--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -22,7 +22,9 @@
     find_header_text,
     find_header_values,
 )
+from galenaswitch.connections.history import RequestHistory
 from galenaswitch.connections.memory import MemoryAccount
+from galenaswitch.connections.outcomes import Outcome
 from galenaswitch.connections.requests import HTTP_VERSION
 from galenaswitch.connections.sockets import enable_dead_peer_detection
 from galenaswitch.errors import TargetUnreachableError
@@ -48,8 +50,9 @@
     """A connection to a target, which carries one request at a time.
 
     ``idle_since`` is the event loop's time at which the connection became
-    idle. ``was_used`` tells whether it has carried a request, ``is_retired``
-    whether it must not carry another one.
+    idle. ``was_used`` tells whether it has carried a request, ``history``
+    which requests it has carried, ``is_retired`` whether it must not carry
+    another one.
     """
 
     def __init__(
@@ -75,12 +78,15 @@
         self._reading_paused = False
         self._framing_bytes = 0
         self._heard_at = 0.0
+        self.history = RequestHistory()
+        self.outcome = Outcome()
 
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
-        is_open = self._keep_alive and not (self._closed or self.is_retired)
-        return is_open and self._exchange is None
+        is_kept = self._keep_alive and not self.history.is_full
+        is_open = not (self._closed or self.is_retired)
+        return is_kept and is_open and self._exchange is None
 
     @property
     def silent_seconds(self) -> float:
@@ -98,6 +104,7 @@
             self.close()
             return
         self._heard_at = time.monotonic()
+        self.outcome.report(is_answer=True)
         self._framing_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
@@ -114,6 +121,7 @@
     def eof_received(self) -> bool:
         """Handle an orderly close, which ends a response without a length."""
         self._closed = True
+        self.outcome.report(is_answer=False)
         if self._exchange and self._ends_at_close and self._exchange.head:
             self._exchange.end()
         self._fail('the target closed the connection')
@@ -121,6 +129,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the request in progress on the lost connection."""
+        if not self._closed:
+            self.outcome.report(is_answer=False)
         self._closed = True
         self._fail('the connection was lost')
 
@@ -160,6 +170,7 @@
         self._ends_at_close = (
             not has_length and status not in _BODILESS_STATUSES
         )
+        self.history.record(status)
         self._exchange.receive_head(AnswerHead(status, tuple(self._headers)))
 
     def on_body(self, body: bytes) -> None:
@@ -178,9 +189,10 @@
         self._exchange = None
         exchange.end()
 
-    def send(self, head: RequestHead, body: bytes) -> Exchange:
+    def send(self, head: RequestHead, body: bytes, ident: str = '') -> Exchange:
         """Send a request on the connection.
 
+        :param ident: id that responses to the request name, empty if none.
         :raises TargetUnreachableError: when the connection is closed or in
             use, so that nothing was sent.
         """
@@ -191,6 +203,7 @@
         self._exchange = Exchange(self._memory.open(self._give_up))
         self._heard_at = time.monotonic()
         self._framing_bytes = 0
+        self.history.ident = ident
         self.was_used = True
         self._transport.write(encode_request(head, body))
         return self._exchange
--- a/galenaswitch/paths/monitor.py
+++ b/galenaswitch/paths/monitor.py
@@ -24,11 +24,16 @@
     >>> monitor = PathMonitor()
     >>> monitor.record_detour('10.0.0.1:80', 8, now=0)
     False
-    >>> monitor.record_detour('10.0.0.2:80', 8, now=1), monitor.state
-    (True, 'lost')
-    >>> monitor.record_direct('10.0.0.1:80', 8), monitor.state
+    >>> monitor.record_detour('10.0.0.2:80', 8, now=1)
+    True
+    >>> monitor.record_lost(now=1)
+    >>> monitor.state
+    'lost'
+    >>> monitor.record_direct('10.0.0.1:80', 8, opened_at=0), monitor.state
     (False, 'lost')
-    >>> monitor.record_direct('10.0.0.2:80', 8), monitor.state
+    >>> monitor.record_direct('10.0.0.1:80', 8, opened_at=2), monitor.state
+    (False, 'lost')
+    >>> monitor.record_direct('10.0.0.2:80', 8, opened_at=3), monitor.state
     (True, 'sound')
     """
 
@@ -36,6 +41,7 @@
         """Build a monitor of a path that is sound."""
         self.state = SOUND
         self._detours: deque[tuple[float, str]] = deque()
+        self._lost_at = 0.0
         self.regained: set[str] = set()
 
     @property
@@ -43,6 +49,11 @@
         """Whether this VM can't reach the targets directly."""
         return self.state == LOST
 
+    @property
+    def suspects(self) -> set[str]:
+        """Targets that a peer reached and this VM didn't."""
+        return {address for _, address in self._detours}
+
     def record_detour(
         self, address: str, target_count: int, now: float
     ) -> bool:
@@ -50,26 +61,40 @@
 
         :param target_count: number of addresses of targets.
         :param now: monotonic time in seconds.
-        :returns: whether the path has just become lost.
+        :returns: whether this proves that the path is lost, unless this VM
+            reaches another target directly.
         """
         self._detours.append((now, address))
         while self._detours[0][0] < now - EVIDENCE_SECONDS:
             self._detours.popleft()
-        found = {other for _, other in self._detours}
-        if self.is_lost or len(found) < min(LOST_TARGETS, target_count):
+        return self.is_suspect(target_count)
+
+    def is_suspect(self, target_count: int) -> bool:
+        """Tell whether a sound path may be lost, by the detours left."""
+        if self.is_lost:
             return False
+        return len(self.suspects) >= min(LOST_TARGETS, target_count)
+
+    def record_lost(self, now: float) -> None:
+        """Record that no other target is reached directly either."""
         self.state = LOST
+        self._lost_at = now
         self.regained.clear()
-        return True
 
-    def record_direct(self, address: str, target_count: int) -> bool:
-        """Record a direct connection to a target.
+    def record_direct(
+        self, address: str, target_count: int, opened_at: float
+    ) -> bool:
+        """Record a direct connection that has reached a target.
+
+        It proves nothing about a path that was lost after it was opened.
 
         :param target_count: number of addresses of targets.
+        :param opened_at: monotonic time in seconds when it was opened.
         :returns: whether the path has just become sound again.
         """
-        self._detours.clear()
-        if not self.is_lost:
+        while self._detours and self._detours[0][0] < opened_at:
+            self._detours.popleft()
+        if not self.is_lost or opened_at < self._lost_at:
             return False
         self.regained.add(address)
         if len(self.regained) < min(REGAINED_CONNECTIONS, target_count):
--- a/galenaswitch/paths/service.py
+++ b/galenaswitch/paths/service.py
@@ -38,6 +38,8 @@
         self.dialer = PathDialer(
             direct, self.tunnels, members, self.notes, tasks, metrics
         )
+        self.notes.on_lost = self.tunnels.retire
+        mesh.on_link_close.append(self._retire_peer)
         self.exits = Exits(direct, self._may_connect, metrics)
         self.pauses = SharedPauses(mesh, self.tunnels, self.exits, tasks)
 
@@ -49,6 +51,9 @@
             **self.pauses.handlers(),
         }
 
+    def _retire_peer(self, link: Link) -> None:
+        self.tunnels.retire(link.peer.node)
+
     def _may_be_exit(self, node: str) -> bool:
         return self.is_available(node)
 
