--- a/galenaswitch/paths/service.py
+++ b/galenaswitch/paths/service.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from galenaswitch.connections.dialing import DirectDialer
-from galenaswitch.membership.links import LinkService
+from galenaswitch.membership.links import Link, LinkService
 from galenaswitch.membership.lists import Members
 from galenaswitch.membership.mesh import Mesh
 from galenaswitch.operations.metrics import Metrics
