Connections: long ids of requests take no memory

A connection remembers the ids of up to 256 requests that got an error on it. Callers choose ids of up to the length of a header, so one connection could hold 4 MB of them. It keeps digests of 64 bits; two ids with one digest would cost a new connection at most, or a copy that isn't told apart.

test_long_ids_take_no_more_memory failed before and passes. Found by the review of the copied refusals, by reading.

--- a/galenaswitch/connections/history.py
+++ b/galenaswitch/connections/history.py
@@ -8,12 +8,14 @@
 from collections import deque
 from collections.abc import Callable
 
+from xxhash import xxh3_64_intdigest
+
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.operations.logs import get_logger
 
 # Responses with these status codes, or higher ones, may be refusals.
 FIRST_ERROR_STATUS = 400
-# Most requests with an error on one connection, as their ids take memory.
+# Most requests with an error on one connection, as they take memory.
 MAX_ERRORS = 256
 # Requests without an error that one connection remembers, the last ones.
 MAX_SUCCESSES = 16
@@ -39,8 +41,9 @@
         self.ident = ''
         self._address = address
         self._read_ident: Callable[[AnswerHead], str] | None = None
-        self._errors: set[str] = set()
-        self._successes: deque[str] = deque(maxlen=MAX_SUCCESSES)
+        # Digests, since callers choose the length of ids.
+        self._errors: set[int] = set()
+        self._successes: deque[int] = deque(maxlen=MAX_SUCCESSES)
 
     @property
     def is_full(self) -> bool:
@@ -63,20 +66,21 @@
         if not self.ident:
             return
         if status >= FIRST_ERROR_STATUS:
-            self._errors.add(self.ident)
+            self._errors.add(_digest(self.ident))
         else:
-            self._successes.append(self.ident)
+            self._successes.append(_digest(self.ident))
 
     def has_error(self, ident: str) -> bool:
         """Tell whether a response to a request was an error."""
-        return ident in self._errors
+        return _digest(ident) in self._errors
 
     def names_earlier(self, head: AnswerHead) -> bool:
         """Tell whether a response names a request before the last one."""
         if self._read_ident is None:
             return False
         ident = self._read_ident(head)
-        is_earlier = ident in self._errors or ident in self._successes
+        digest = _digest(ident)
+        is_earlier = digest in self._errors or digest in self._successes
         return is_earlier and ident != self.ident
 
     def log_dropped(self, head: AnswerHead) -> None:
@@ -87,3 +91,7 @@
             request=self.ident,
             status=head.status,
         )
+
+
+def _digest(ident: str) -> int:
+    return xxh3_64_intdigest(ident.encode())
--- a/galenaswitch/connections/tests/test_history.py
+++ b/galenaswitch/connections/tests/test_history.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import tracemalloc
 
 import pytest
 
@@ -15,6 +16,9 @@
 
 POST = RequestHead(b'POST', b'/', ((b'Host', b'h'),))
 BUSY = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
+# A caller's id may be as long as a header.
+LONG_IDENT_LENGTH = 16_000
+MAX_HISTORY_BYTES = 100_000
 FINE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine'
 
 
@@ -63,6 +67,20 @@
     assert target.connections == 3
 
 
+# Guards against memory for ids whose length a caller chooses.
+def test_long_ids_take_no_more_memory():
+    requests = history.RequestHistory('127.0.0.1:80')
+    tracemalloc.start()
+    for number in range(history.MAX_ERRORS):
+        requests.start(f'{number:0{LONG_IDENT_LENGTH}}', None)
+        requests.record(503)
+    requests.start('', None)
+    used_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert requests.is_full
+    assert used_bytes < MAX_HISTORY_BYTES
+
+
 def read_ident(head):
     """Return the id of the request that a response names."""
     return find_header_text(head.headers, b'x-id')
