--- a/galenaswitch/paths/dialer.py
+++ b/galenaswitch/paths/dialer.py
@@ -40,7 +40,7 @@
 # Number of other targets that are tried before the path counts as lost, and
 # longest time for connecting to one. A target that is full doesn't answer.
 CONFIRMING_TARGETS = 2
-CONFIRM_TIMEOUT_SECONDS = 0.15
+CONFIRM_TIMEOUT_SECONDS = 0.08
 
 
 class _Attempt:
