Tests: a VM whose connections are accepted and never answered

A new connection that is accepted is no evidence of a lost path, and silence of all targets isn't either.

--- a/galenaswitch/platform/soak/proxy.py
+++ b/galenaswitch/platform/soak/proxy.py
@@ -12,6 +12,9 @@
 # ``live_on`` those of new connections only; ``reset`` resets connections and
 # drops new ones, ``refuse`` resets new ones as well.
 PARTITION_MODES = ('hang', 'live_on', 'reset', 'refuse')
+# Partition that soaks don't draw: new connections are accepted and never read.
+UNREAD = 'unread'
+POLL_SECONDS = 0.1
 
 
 class Proxy:
@@ -83,12 +86,12 @@
         """Partition a client from the server, which others still reach.
 
         :param client: address that the client's connections come from.
-        :param mode: one of ``PARTITION_MODES``.
+        :param mode: one of ``PARTITION_MODES``, or ``UNREAD``.
         """
         self._partitions[client] = mode
         self._filter_new_connections()
         for writer in self._find_writers(client):
-            if mode == 'hang':
+            if mode in {'hang', UNREAD}:
                 _filter_connection(writer, (client,))
             elif mode != 'live_on':
                 writer.transport.abort()
@@ -109,7 +112,7 @@
         dropped = [
             client
             for client, mode in self._partitions.items()
-            if mode != 'refuse'
+            if mode not in {'refuse', UNREAD}
         ]
         if self._server:
             for listener in self._server.sockets:
@@ -129,6 +132,8 @@
         if self.mode == 'reset' or partition == 'refuse':
             writer.transport.abort()
             return
+        while self._partitions.get(_get_client(writer)) == UNREAD:
+            await asyncio.sleep(POLL_SECONDS)
         try:
             upstream = await asyncio.open_connection(*self._find_upstream())
         except OSError:
--- a/galenaswitch/platform/tests/test_machines_without_targets.py
+++ b/galenaswitch/platform/tests/test_machines_without_targets.py
@@ -23,6 +23,7 @@
     check_single_runs,
     check_stream_ends,
 )
+from galenaswitch.platform.soak.proxy import UNREAD
 from galenaswitch.platform.soak.reachability import (
     check_partitions,
     measure_partition,
@@ -34,6 +35,8 @@
 INTERVAL_SECONDS = 0.06
 EVENTS = 12
 PARTITION_SECONDS = 9.0
+# What is sent late on a connection that isn't read is answered after its end.
+UNREAD_SECONDS = 18.0
 # Fewest first tries at partitioned machines that a test has to see.
 MIN_TRIES = 20
 # Smallest share of first tries served at the other machines.
@@ -64,8 +67,9 @@
         soak._machines, soak._targets, soak._store, soak._operator
     )
     injector = FaultInjector(subjects, soak.records, soak._now)
+    seconds = UNREAD_SECONDS if mode == UNREAD else PARTITION_SECONDS
     await injector.run(
-        [Fault(0, 'partition', n, PARTITION_SECONDS, mode) for n in numbers]
+        [Fault(0, 'partition', number, seconds, mode) for number in numbers]
     )
 
 
@@ -82,6 +86,7 @@
         pytest.param(155, ZONE, 'hang', id='zone-hang'),
         pytest.param(156, MOST, 'hang', id='most-hang'),
         pytest.param(157, MOST, 'reset', id='most-reset'),
+        pytest.param(168, ONE, UNREAD, id='one-unread'),
     ],
 )
 async def test_machines_without_a_path_to_targets_serve_callers(
