--- a/galenaswitch/gateway/tests/test_results.py
+++ b/galenaswitch/gateway/tests/test_results.py
@@ -58,6 +58,7 @@
                 Mock(
                     spec=Wire,
                     **{
+                        'read_answer_ident.return_value': '',
                         'read_rate_limit.return_value': None,
                         'read_brittleness.return_value': None,
                     },
