--- a/galenaswitch/paths/messages.py
+++ b/galenaswitch/paths/messages.py
@@ -38,7 +38,9 @@
 class TunnelReply(NamedTuple):
     """Tells whether the connection now leads to the target.
 
-    After a reply without failure, the connection carries frames no longer.
+    After a reply without failure, the connection carries no more messages, but
+    the bytes for the target, and those from it in the format of
+    :mod:`galenaswitch.paths.frames`.
 
     :param failure: empty, :data:`UNREACHABLE` or :data:`UNAVAILABLE`.
     :param pauses: pauses of the target that hold for the exit.
