Read load reports with four and more values

Cause: the decoder of X-Server-Load accepted exactly three values, since it compared their number with the number of fields of Load. Targets of the new deployments send a fourth value, so every report of theirs was dropped.

Change: the first three values are the counts, the fourth is the pace of the host (Load.pace, 1.0 = normal, at the end with a default); further values are ignored. A missing, zero or malformed pace yields the three counts with a normal pace; malformed counts yield nothing. A malformed field is logged once for each target (load_malformed). The test of the three-value field now compares four fields, with the default.

The decoder before, given the fields 3,0,8,100 and 3,0,8,250, yields no load.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -311,7 +311,7 @@
         ) as attempt:
             answer = await attempt.read_head(ends_at - time.monotonic())
             content = await attempt.read_complete(ends_at - time.monotonic())
-            load = self._wire.read_load(answer)
+            load = self._wire.read_load(answer, batch.target.name)
             self._batch_queue.record_load(batch.target, load, time.monotonic())
             return self._answers.read(attempt, answer, content, batch)
 
--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -114,11 +114,14 @@
     :param running: requests that the target runs.
     :param waiting: requests that wait at the target.
     :param slots: most requests that the target runs at one time.
+    :param pace: how long work takes on the target's host, 1 is normal, and a
+        larger value is slower.
     """
 
     running: int
     waiting: int
     slots: int
+    pace: float = 1.0
 
 
 class AnswerFields(NamedTuple):
@@ -215,8 +218,12 @@
     def read_answer_ident(self, head: AnswerHead) -> str:
         """Decode the id of the request that an answer names, empty if none."""
 
-    def read_load(self, head: AnswerHead) -> Load | None:
-        """Decode the load in an answer, ``None`` when not sent."""
+    def read_load(self, head: AnswerHead, target: str = '') -> Load | None:
+        """Decode the load in an answer, ``None`` when not sent.
+
+        :param target: name of the target, by which a malformed load is logged
+            once; empty to log nothing.
+        """
 
     def read_rate_limit(self, head: AnswerHead) -> float | None:
         """Decode the requests per second that a target takes from all VMs.
--- a/galenaswitch/platform/headers.py
+++ b/galenaswitch/platform/headers.py
@@ -17,8 +17,6 @@
 - ``free-mb``: free result memory of a target.
 """
 
-import math
-
 import orjson
 
 from galenaswitch.connections.heads import (
@@ -33,23 +31,20 @@
 from galenaswitch.gateway.calls import (
     AnswerFields,
     CallerRequest,
-    Load,
     PromptPart,
     RequestFields,
     WorkItem,
     WorkItemResult,
 )
 from galenaswitch.membership.lists import Target
+from galenaswitch.platform.notices import AnswerNotices
+from galenaswitch.platform.numbers import is_number, read_integers
 
 MILLISECONDS = 1000
 MEGABYTE = 1_000_000
 # Errors that decoding raises when a document lacks a field or has a wrong type.
 DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 CONFLICT = 409
-MISDIRECTED = 421
-UNAVAILABLE = 503
-# Longest decimal number that is read. Every such number is an exact float.
-MAX_DIGITS = 15
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
 # The wire format gives the time left in whole milliseconds, at least one.
@@ -61,10 +56,6 @@
 _INPUTS_HEADER = b'X-Inputs'
 _LAST_EVENT_HEADER = b'Last-Event-Id'
 _SEAL_HEADER = b'x-server-seal'
-_NOT_RUN_HEADER = b'x-not-executed'
-_PAUSE_HEADER = b'retry-after'
-_LEAVING_HEADER = b'server-leaving'
-_SET = b'1'
 _JSON_CONTENT_TYPE = (b'Content-Type', b'application/json')
 # Headers that are removed from a caller's request before it goes to a target,
 # because only galenaswitch may set them.
@@ -87,7 +78,7 @@
 )
 
 
-class PlatformWire:
+class PlatformWire(AnswerNotices):
     """Codec of request and answer heads and of the bodies of batches."""
 
     def read_request(self, head: RequestHead) -> RequestFields:
@@ -107,7 +98,7 @@
             prompt_parts=_read_prompt_parts(
                 find_header_text(headers, b'x-prompt-prefix')
             ),
-            work_items=_read_integers(find_header_text(headers, b'x-pieces')),
+            work_items=read_integers(find_header_text(headers, b'x-pieces')),
             work_item_key=find_header_text(headers, b'x-piece-key'),
             last_event=find_header_text(headers, b'last-event-id'),
             origin=find_header_text(headers, b'resumes'),
@@ -167,61 +158,6 @@
         """Decode the id of the request that an answer names, empty if none."""
         return find_header_text(head.headers, b'x-attempt-id')
 
-    def read_load(self, head: AnswerHead) -> Load | None:
-        """Decode the target's load in an answer, ``None`` when not sent."""
-        counts = _read_integers(
-            find_header_text(head.headers, b'x-server-load')
-        )
-        return Load(*counts) if len(counts) == len(Load._fields) else None
-
-    def read_rate_limit(self, head: AnswerHead) -> float | None:
-        """Decode the requests per second that a target takes from all VMs.
-
-        :returns: ``None`` when not sent.
-        """
-        rate = _read_decimal(find_header_text(head.headers, b'server-limit'))
-        return None if rate == math.inf else rate
-
-    def read_brittleness(self, head: AnswerHead) -> int | None:
-        """Decode how many refusals in a second a brittle target survives.
-
-        :returns: ``None`` when the answer doesn't say that it is brittle.
-        """
-        limit = find_header_text(head.headers, b'server-brittle').strip()
-        return int(limit) if _is_number(limit) else None
-
-    def is_full(self, head: AnswerHead) -> bool:
-        """Tell whether the target had no room for the request."""
-        return head.status == UNAVAILABLE and self.is_not_run(head)
-
-    def read_pause(self, head: AnswerHead) -> float | None:
-        """Decode for how long a refusal says that no request may come.
-
-        The longest time counts. A date or a malformed time counts as absent.
-
-        :returns: seconds, ``None`` when not sent.
-        """
-        if head.status != UNAVAILABLE:
-            return None
-        fields = find_header_values(head.headers, _PAUSE_HEADER)
-        text = b','.join(fields).decode('ascii', 'replace')
-        times = map(_read_decimal, text.split(','))
-        return max((one for one in times if one is not None), default=None)
-
-    def is_leaving(self, head: AnswerHead) -> bool:
-        """Tell whether an answer says that the target is leaving."""
-        fields = find_header_values(head.headers, _LEAVING_HEADER)
-        return any(field.strip() == _SET for field in fields)
-
-    def is_misdirected(self, head: AnswerHead) -> bool:
-        """Tell whether an answer is that of another target."""
-        return head.status == MISDIRECTED
-
-    def is_not_run(self, head: AnswerHead) -> bool:
-        """Tell whether an answer states that the target ran nothing."""
-        has_header = bool(find_header_values(head.headers, _NOT_RUN_HEADER))
-        return has_header or self.is_misdirected(head)
-
     def make_batch(
         self,
         work_items: tuple[WorkItem, ...],
@@ -343,38 +279,11 @@
 
 
 def _read_seconds(field: str) -> float | None:
-    return int(field) / MILLISECONDS if _is_number(field) else None
-
-
-def _is_number(field: str) -> bool:
-    return field.isdecimal() and len(field) <= MAX_DIGITS
-
-
-def _read_decimal(field: str) -> float | None:
-    """Decode a decimal number that isn't negative, ``None`` if malformed.
-
-    >>> _read_decimal('1.5'), _read_decimal('nan'), _read_decimal('')
-    (1.5, None, None)
-    """
-    whole, _, fraction = field.strip().partition('.')
-    is_decimal = whole.isdecimal() and (fraction or '0').isdecimal()
-    return float(field) if is_decimal and field.isascii() else None
-
-
-def _read_integers(field: str) -> tuple[int, ...]:
-    """Decode a comma-separated list of integers, empty when one is malformed.
-
-    >>> _read_integers('2, 0,1'), _read_integers('x')
-    ((2, 0, 1), ())
-    """
-    numbers = [number.strip() for number in field.split(',')]
-    if all(map(_is_number, numbers)):
-        return tuple(map(int, numbers))
-    return ()
+    return int(field) / MILLISECONDS if is_number(field) else None
 
 
 def _read_token_usage(field: str) -> tuple[int, int]:
-    counts = _read_integers(field)
+    counts = read_integers(field)
     return (counts[0], counts[1]) if len(counts) == 2 else (0, 0)
 
 
@@ -387,6 +296,6 @@
     parts = []
     for entry in filter(None, field.split(',')):
         ident, _, tokens = entry.strip().partition(':')
-        if _is_number(tokens):
+        if is_number(tokens):
             parts.append(PromptPart(ident, int(tokens)))
     return tuple(parts)
--- a/galenaswitch/platform/tests/test_headers.py
+++ b/galenaswitch/platform/tests/test_headers.py
@@ -2,6 +2,7 @@
 
 import orjson
 import pytest
+from structlog.testing import capture_logs
 
 from galenaswitch.connections.heads import AnswerHead, RequestHead
 from galenaswitch.errors import InvalidInputError
@@ -109,10 +110,42 @@
     assert WIRE.is_not_run(head) is not_run
 
 
-def test_load_header_of_an_answer_is_decoded():
-    head = AnswerHead(200, ((b'X-Server-Load', b'3,0,8'),))
-    assert WIRE.read_load(head) == (3, 0, 8)
-    assert WIRE.read_load(AnswerHead(200, ())) is None
+def make_load_head(field):
+    return AnswerHead(200, ((b'X-Server-Load', field.encode()),))
+
+
+# Guards against a report that is dropped since it has more values than known.
+@pytest.mark.parametrize(
+    ('field', 'load'),
+    [
+        ('3,0,8', (3, 0, 8, 1.0)),
+        ('3,0,8,100', (3, 0, 8, 1.0)),
+        ('3, 0,8,250', (3, 0, 8, 2.5)),
+        ('3,0,8,80,x,', (3, 0, 8, 0.8)),
+    ],
+)
+def test_load_header_of_an_answer_is_decoded(field, load):
+    with capture_logs() as lines:
+        assert PlatformWire().read_load(make_load_head(field), 't') == load
+        assert WIRE.read_load(AnswerHead(200, ())) is None
+    assert not lines
+
+
+# Guards against values that are guessed, and against a line for each answer.
+@pytest.mark.parametrize(
+    ('field', 'load'),
+    [('3,0', None), ('3,0,', None), ('3,x,8,100', None), ('3,-1,8,9', None)]
+    + [
+        (f'3,0,8,{pace}', (3, 0, 8, 1.0))
+        for pace in ('', '0', '-5', 'nan', 'inf', '1e9', '9' * 400)
+    ],
+)
+def test_malformed_load_yields_what_is_certain(field, load):
+    wire = PlatformWire()
+    with capture_logs() as lines:
+        for _ in range(3):
+            assert wire.read_load(make_load_head(field), 't') == load
+    assert [line['event'] for line in lines] == ['load_malformed']
 
 
 def test_refusal_has_the_attempt_id_and_retry_after():
