Keep a silent engine's stream beside a successor that is silent too

Cause: 0.3 s after a successor's send the silent engine was closed, whatever became of the successor. One that then refused the request (503 after it had queued it) or broke off left the caller with part of an answer, though the first engine would have gone on.

Change: at the end of the overlap a successor without an answer has the request only if an untried engine and a retry are left to repeat a refusal. Otherwise it is ended, once for each request, and gets the request again 2.4 s after the silence began; it counts as one target in max-attempts.

Not covered: with a third engine and no attempt left, a successor that breaks after the overlap still cuts the answer. Keeping the first there contradicts test_successor_that_is_silent_too_has_the_request; see docs/design/failing-targets.md.

--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -125,13 +125,13 @@
             )
             unanswered.pop_all()
         for target in self._members.usable(service):
-            if target.name == reply.target and self.continuations.fits(
-                job, target
-            ):
+            fits = self.continuations.fits(job, target)
+            if target.name == reply.target and fits and job.may_send_to(target):
                 record = PlacementRecord(query.ident, owner, target, now)
                 return self._open_run(job, record, inputs)
         if reply.target:
-            # The owner knows another version of the target, or an old list.
+            # The owner knows another version of the target, or an old list, or
+            # the request may not be sent to one more target.
             self._notify_end(owner, PlaceEnd(service, query.ident, '', False))
         raise RefusedError(
             Reason.stage_failed if job.sent else Reason.capacity,
--- a/galenaswitch/gateway/handover.py
+++ b/galenaswitch/gateway/handover.py
@@ -3,6 +3,10 @@
 A silent engine may go on after a second or so, or never. Its attempt stays
 open while a successor is prepared beside it, and the first of the two to go on
 has the request. Where no successor can be had, the attempt is kept.
+
+A successor without an answer at the end of the overlap has the request if
+another engine could take it should the successor refuse it. Otherwise it is
+ended in place of the silent attempt, and is tried once more later.
 """
 
 import asyncio
@@ -42,11 +46,14 @@
 # Callers disconnect after two seconds without an event.
 RESUME_TIMEOUT_SECONDS = 1.2
 # Longest time in seconds for which two engines work on one request. It begins
-# when the successor's request is sent. At its end the successor has the
-# request.
+# when the successor's request is sent. At its end one of the two is ended.
 OVERLAP_SECONDS = 0.3
 # Seconds until another successor is tried where none could be had.
 RECHECK_SECONDS = 0.4
+# Seconds without data after which a successor is tried once more that was ended
+# for its silence. Sound engines have gone on after up to 2.5 s; at the end of
+# the second overlap the silent attempt is closed.
+SECOND_TRY_SECONDS = 2.4
 
 Answered = TypeVar('Answered')
 
@@ -55,6 +62,10 @@
     """An attempt that is silent can't have a successor now."""
 
 
+class SilentSuccessorError(NoSuccessorError):
+    """A successor was ended since it hasn't answered within the overlap."""
+
+
 class Silence:
     """Silence of one attempt.
 
@@ -75,6 +86,11 @@
         self._since = since
         self._reason = ''
 
+    @property
+    def seconds(self) -> float:
+        """Seconds since the silence began."""
+        return time.monotonic() - self._since
+
     @property
     def failure(self) -> TargetError | None:
         """Failure that ended the attempt before the deadline."""
@@ -91,7 +107,7 @@
             event,
             request=self.job.request.ident,
             target=self.run.target.name,
-            seconds=round(time.monotonic() - self._since, 3),
+            seconds=round(self.seconds, 3),
             last_event=self.job.events.last_id,
             left=round(self.job.left, 3),
             **fields,
@@ -168,7 +184,7 @@
         :raises HandedOverError: when the successor has the request.
         """
         job = silence.job
-        preparing = asyncio.create_task(self._prepare(job))
+        preparing = asyncio.create_task(self._prepare(silence))
         async with contextlib.AsyncExitStack() as unused:
             unused.push_async_callback(_drop, job, preparing)
             await asyncio.wait(
@@ -203,12 +219,15 @@
             await self._dispatcher.examine_failure(run, silence.failure)
         await asyncio.wait({preparing})
 
-    async def _prepare(self, job: StreamJob) -> EngineRun:
+    async def _prepare(self, silence: Silence) -> EngineRun:
         """Return the successor that has the request now.
 
         Its answer has begun, or the time for which two engines may work on the
         request is over.
+
+        :raises NoSuccessorError: when the silent attempt has the request.
         """
+        job = silence.job
         self._check(job)
         self._dispatcher.continuations.prepare_rest(job)
         async with contextlib.AsyncExitStack() as unused:
@@ -220,7 +239,7 @@
                 unused.callback(inputs.close)
             run = await self._place(job, inputs)
             await unused.enter_async_context(run.resources)
-            await self._send(job, run)
+            await self._send(silence, run)
             unused.pop_all()
         return run
 
@@ -249,7 +268,8 @@
             if stands:
                 raise NoSuccessorError(reason)
 
-    async def _send(self, job: StreamJob, run: EngineRun) -> None:
+    async def _send(self, silence: Silence, run: EngineRun) -> None:
+        job = silence.job
         self._check(job)
         self._dispatcher.acquire_retry(job)
         try:
@@ -265,6 +285,23 @@
             if run.attempt is None and run.target in job.tried_targets:
                 job.tried_targets.remove(run.target)
             raise
+        if run.answer is None and self._must_keep(silence):
+            job.spare(run.target)
+            raise SilentSuccessorError('the successor is silent too')
+
+    def _must_keep(self, silence: Silence) -> bool:
+        """Tell whether an attempt is kept beside a successor that is silent.
+
+        If the successor refused the request later, nothing could take it. One
+        successor of a request is ended for that, since the next one may be as
+        slow and the attempt may be dead.
+        """
+        job = silence.job
+        may_go_on_elsewhere = self._dispatcher.continuations.has_other_target(
+            job
+        ) and self._dispatcher.can_acquire_retry(job)
+        has_failed = silence.reading.done()
+        return not (has_failed or may_go_on_elsewhere or job.spared)
 
     def _check_head(self, job: StreamJob, run: EngineRun) -> None:
         """Check that a successor that has answered can go on.
@@ -311,6 +348,8 @@
     kind = type(error).__name__ if error else 'cancelled'
     is_plain = isinstance(error, NoSuccessorError)
     silence.log_kept(str(error) if is_plain else f'{kind}: {error}')
+    if isinstance(error, SilentSuccessorError):
+        return max(RECHECK_SECONDS, SECOND_TRY_SECONDS - silence.seconds)
     # An engine that fails is not tried again, one that is closed may be.
     failed = isinstance(error, TargetError)
     is_closed = isinstance(error, TargetClosedError)
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -122,6 +122,8 @@
     """State of one request for a generated answer.
 
     :ivar inputs: results of the stages, ``None`` before they run.
+    :ivar spared: engine that was ended as a silent successor. It may get the
+        request once more, and that doesn't count as another send.
     :ivar has_retry: whether a retry was acquired that isn't sent yet.
     :ivar version: software version that began the stream, ``None`` before the
         first event of a new stream.
@@ -148,6 +150,7 @@
         self.events = EventBuffer(request.fields.last_event)
         self.tried_targets: list[Target] = []
         self.sent = 0
+        self.spared: Target | None = None
         self.has_retry = False
         self.has_first_event = False
         self.version = version
@@ -205,6 +208,20 @@
             return self.request.ident
         return f'{self.request.ident}#{self._placements}'
 
+    def spare(self, target: Target) -> None:
+        """Let an engine that was ended for its silence be tried once more."""
+        self.spared = target
+        self.sent -= 1
+        self.tried_targets.remove(target)
+
+    def may_send_to(self, target: Target) -> bool:
+        """Tell whether a send keeps the limit of the route.
+
+        It limits the targets of a request, of which the spared one is one.
+        """
+        is_other = self.spared and self.spared.name != target.name
+        return not is_other or self.sent + 1 < self.request.route.attempts
+
     def use_inputs(self, inputs: StageInputs) -> None:
         """Replace the results of the stages, which are released."""
         if inputs is not self.inputs:
