Place waiting requests in one pass for each change

Cause: each query, first event and end woke all waiting requests, and each of them ranked itself against all others.

Change: admission/queue.py keeps the waiting requests in their order and places them in one pass until nothing more fits; all changes of one iteration of the event loop share a pass, and a pass is bounded. A request that doesn't fit reserves the engines it may use. A request that can no longer be on time gives way while it waits. Engines and their limits moved to admission/assignment.py, so that gateway/placements.py is smaller than before.

The tests count trials.

--- /dev/null
+++ b/galenaswitch/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Order, admission and rejection of requests that wait for engines."""
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -5,11 +5,19 @@
 """
 
 import asyncio
-import contextlib
+import itertools
 import time
 from collections.abc import Callable
 from typing import NamedTuple
 
+from galenaswitch.admission.assignment import (
+    AssignmentPass,
+    EngineAssignment,
+    SeatKeeper,
+)
+from galenaswitch.admission.expiry import Expiries
+from galenaswitch.admission.queue import PlacementQueue, Waiting
+from galenaswitch.admission.turns import find_useful_wait
 from galenaswitch.gateway.messages import (
     PlaceEnd,
     PlaceFirst,
@@ -17,16 +25,13 @@
     PlaceReply,
 )
 from galenaswitch.gateway.routes import EngineLimits
-from galenaswitch.gateway.seats import Seats
 from galenaswitch.limits.pacing import Pacer
-from galenaswitch.membership.lists import Members, Target
+from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
-from galenaswitch.routing.ejection import Ejector
 from galenaswitch.routing.engine_states import Placement
-from galenaswitch.routing.engines import EnginePlacements, PlacementRequest
 
-# Longest time in seconds between two placement attempts of a waiting request.
-# A change in placements starts an attempt earlier.
+# Longest time in seconds between two checks of a waiting request. A change in
+# placements starts a pass over the waiting requests earlier.
 RECHECK_SECONDS = 0.1
 # Shortest time in seconds that an engine needs for a request. The wait for a
 # placement ends this long before the time given in the query runs out.
@@ -35,24 +40,20 @@
 RETRY_AFTER_SECONDS = 0.5
 
 
-class Waiting(NamedTuple):
-    """A request that waits for an engine.
+class Pending(NamedTuple):
+    """A query that isn't answered yet.
 
-    :param late: whether it can no longer be on time.
-    :param start_by: monotonic time of its latest start that is on time.
-    :param version: software version that the engine must have, ``None`` for
-        any.
+    :param asked_at: monotonic time at which it arrived, in seconds.
     """
 
-    late: bool
-    priority: int
-    start_by: float
-    version: str | None
+    query: PlaceQuestion
+    asked_at: float
+    reply: asyncio.Future[PlaceReply]
 
     @property
-    def rank(self) -> tuple[bool, int, float]:
-        """Order in which waiting requests are placed, the lowest first."""
-        return self.late, self.priority, self.start_by
+    def wait_deadline(self) -> float:
+        """Monotonic time in seconds at which its wait ends."""
+        return self.asked_at + self.query.left - MIN_RUN_SECONDS
 
 
 class PlacementScheduler:
@@ -64,7 +65,7 @@
         find_limits: Callable[[str], EngineLimits | None],
         members: Members,
         pacer: Pacer,
-        seats: Seats | None = None,
+        seats: SeatKeeper | None = None,
     ) -> None:
         """Build a scheduler for the ``members`` that serve ``service``.
 
@@ -73,16 +74,16 @@
         :param pacer: turns at engines that have named a limit.
         :param seats: seats at engines, ``None`` if none is ever brittle.
         """
-        self._pacer = pacer
-        self._seats = seats
-        self._service = service
-        self._find_limits = find_limits
-        self._members = members
-        self._ejector = Ejector()
-        self._placements = EnginePlacements(self._ejector)
-        self._waiting: dict[str, Waiting] = {}
-        self._changed = asyncio.Event()
-        self._expires_at: dict[str, float] = {}
+        self._assignment = EngineAssignment(
+            service, find_limits, members, pacer, seats
+        )
+        self._queue = PlacementQueue()
+        self._expiries = Expiries()
+        self._pending: dict[str, Pending] = {}
+        self._arrived: list[str] = []
+        self._numbers = itertools.count()
+        self._next_pass: asyncio.Handle | None = None
+        self._next_check: asyncio.TimerHandle | None = None
 
     async def place(self, query: PlaceQuestion) -> PlaceReply:
         """Return an engine for a request, waiting until one has capacity.
@@ -90,197 +91,151 @@
         The reply names no engine when none has capacity in time.
         """
         now = time.monotonic()
-        self._drop_expired(now)
-        for limit in query.limits:
-            self._pacer.learn(*limit, now)
-        self._waiting[query.ident] = Waiting(
-            query.start_in < 0,
-            query.priority,
-            now + query.start_in,
-            query.version,
+        self._assignment.learn_limits(query, now)
+        self._reject(query.ident, 0)
+        loop = asyncio.get_running_loop()
+        pending = Pending(query, now, loop.create_future())
+        self._pending[query.ident] = pending
+        self._queue.add(
+            Waiting(
+                query.ident,
+                query.start_in < 0,
+                query.priority,
+                True,
+                now + query.start_in,
+                next(self._numbers),
+            )
         )
+        self._arrived.append(query.ident)
+        self._notify_waiting()
+        self._schedule_check(pending.wait_deadline - now)
         try:
-            placement, retry_after = await self._wait_for_engine(query, now)
+            return await pending.reply
         finally:
-            self._waiting.pop(query.ident, None)
-            self._notify_waiting()
-        if placement is None:
-            return PlaceReply('', retry_after)
-        self._expires_at[query.ident] = now + query.left
-        get_logger().info(
-            'place_given',
-            request=query.request or query.ident,
-            placement=query.ident,
-            target=placement.target.name,
-            new_tokens=placement.new_tokens,
-            first=round(placement.first_event_seconds, 3),
-            running=self._placements.count_in_progress(),
-        )
-        return PlaceReply(placement.target.name)
+            if self._pending.get(query.ident) is pending:
+                self._forget(query.ident)
 
     def record_first_event(self, message: PlaceFirst) -> None:
         """Record that the engine sent the first event of a request."""
-        self._placements.record_first_event(message.ident, time.monotonic())
+        now = time.monotonic()
+        self._assignment.placements.record_first_event(message.ident, now)
 
     def record_end(self, message: PlaceEnd) -> None:
         """Release the placement of an attempt that ended, or end its wait.
 
         The outcome counts as a success or failure of the engine.
         """
-        self._waiting.pop(message.ident, None)
-        self._expires_at.pop(message.ident, None)
-        self._placements.record_end(message.ident)
-        if self._seats:
-            self._seats.end(message.ident)
-        self._record_outcome(message)
+        self._reject(message.ident, 0)
+        self._expiries.drop(message.ident)
+        self._assignment.record_end(message, time.monotonic())
         self._notify_waiting()
 
     def dump(self) -> dict[str, object]:
         """Return the queue length and the state of each engine."""
-        return {
-            'waiting': len(self._waiting),
-            'engines': self._placements.dump(),
-            'ejected': self._ejector.dump(),
-        }
+        return {'waiting': len(self._queue), **self._assignment.dump()}
 
-    def _record_outcome(self, message: PlaceEnd) -> None:
-        """Record an attempt as a success or failure of its engine.
+    def _notify_waiting(self) -> None:
+        """Start a pass in the next iteration of the event loop.
 
-        All streams of an engine that pauses are silent at once. They count
-        together as one reason to eject it, not as many.
+        All changes of one iteration are covered by one pass.
         """
+        if len(self._queue) and self._next_pass is None:
+            loop = asyncio.get_running_loop()
+            self._next_pass = loop.call_soon(self._run_pass)
+
+    def _run_pass(self) -> None:
+        """Place what fits, and reject what has arrived in vain."""
+        self._next_pass = None
         now = time.monotonic()
-        if not message.failed:
-            self._ejector.record_success(message.target)
-        elif not (
-            message.silent and self._ejector.is_ejected(message.target, now)
-        ):
-            self._ejector.record_failure(message.target, now)
-
-    async def _wait_for_engine(
-        self, query: PlaceQuestion, asked_at: float
-    ) -> tuple[Placement | None, float]:
-        """Wait for an engine as long as that is useful.
-
-        :returns: the placement, ``None`` when none came in time, and the
-            seconds after which a retry may succeed.
-        """
-        wait_deadline = asked_at + query.left - MIN_RUN_SECONDS
-        while query.ident in self._waiting:
-            placement = self._try_place(query)
-            now = time.monotonic()
-            excess = self._find_excess_wait(query, asked_at, now)
-            if placement or now >= wait_deadline or excess > 0:
-                return placement, max(excess, RETRY_AFTER_SECONDS)
-            self._changed.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(
-                    min(RECHECK_SECONDS, wait_deadline - now)
-                ):
-                    await self._changed.wait()
-        return None, 0
-
-    def _try_place(self, query: PlaceQuestion) -> Placement | None:
-        limits = self._find_limits(self._service)
-        reserved = {one.version for one in self._find_ahead(query)}
-        if limits is None or reserved & {None, query.version}:
-            return None
-        now = time.monotonic()
-        targets = tuple(
-            target
-            for target in self._find_targets(query)
-            if target.version not in reserved
-        )
-        if self._seats:
-            targets = self._seats.select(targets)
-        without_turn = frozenset(
-            target.name
-            for target in targets
-            if self._pacer.find_wait(target.incarnation, now)
-        )
-        placement = self._placements.place(
-            _make_placement_request(query), targets, limits, now, without_turn
-        )
-        if placement:
-            self._pacer.take(placement.target.incarnation, now)
-        if placement and self._seats:
-            self._seats.take(placement.target, query.ident, query.left)
-        return placement
-
-    def _find_ahead(self, query: PlaceQuestion) -> list[Waiting]:
-        """Return the waiting requests that are placed before a request."""
-        own = self._waiting[query.ident]
-        return [one for one in self._waiting.values() if one.rank < own.rank]
-
-    def _find_targets(self, query: PlaceQuestion) -> tuple[Target, ...]:
-        """Return the targets that may run a request."""
-        return tuple(
-            target
-            for target in self._members.usable(self._service)
-            if query.version in {None, target.version}
-            and target.incarnation not in query.closed
+        self._drop_expired(now)
+        self._queue.demote_late(now)
+        placer = AssignmentPass(
+            self._assignment, lambda ident: self._pending[ident].query, now
         )
+        is_ended_early = self._queue.run_pass(placer)
+        for ident, placement in placer.placed.items():
+            self._record_placement(self._pending[ident], placement)
+        arrived = self._arrived
+        self._arrived = []
+        for ident in arrived:
+            self._check(ident, now)
+        if is_ended_early:
+            self._notify_waiting()
 
-    def _find_excess_wait(
-        self, query: PlaceQuestion, asked_at: float, now: float
-    ) -> float:
-        """Return by how much the wait for a turn exceeds a useful wait.
-
-        A request that can be on time may wait as long as it stays so, a late
-        one for half of its time, since it has to run in the rest.
-        """
-        waited = now - asked_at
-        left = query.left - waited
-        useful_wait = min(query.start_in - waited, left)
-        if useful_wait <= 0:
-            useful_wait = left / 2
-        return self._estimate_wait(query, now) - useful_wait
-
-    def _estimate_wait(self, query: PlaceQuestion, now: float) -> float:
-        """Return the seconds until the limits of engines leave a turn.
-
-        It is 0 as long as one engine has no limit.
-        """
-        incarnations = [
-            target.incarnation
-            for target in self._find_targets(query)
-            if target.name not in query.avoided
-        ]
-        rates = [self._pacer.rates.get(one) for one in incarnations]
-        if not rates or None in rates:
-            return 0
-        first_turn = min(
-            self._pacer.find_wait(one, now) for one in incarnations
+    def _record_placement(self, pending: Pending, placement: Placement) -> None:
+        query = pending.query
+        self._expiries.record(query.ident, pending.asked_at + query.left)
+        get_logger().info(
+            'place_given',
+            request=query.request or query.ident,
+            placement=query.ident,
+            target=placement.target.name,
+            new_tokens=placement.new_tokens,
+            first=round(placement.first_event_seconds, 3),
+            running=self._assignment.placements.count_in_progress(),
+        )
+        self._answer(query.ident, PlaceReply(placement.target.name))
+
+    def _schedule_check(self, seconds: float) -> None:
+        """Let the next check of all waiting requests follow in time."""
+        loop = asyncio.get_running_loop()
+        due = loop.time() + min(max(0, seconds), RECHECK_SECONDS)
+        if self._next_check and self._next_check.when() > due:
+            self._next_check.cancel()
+            self._next_check = None
+        if self._next_check is None:
+            self._next_check = loop.call_at(due, self._check_all)
+
+    def _check_all(self) -> None:
+        """Check all waiting requests, and place what time alone lets fit."""
+        self._next_check = None
+        self._arrived = list(self._pending)
+        try:
+            self._run_pass()
+        finally:
+            if self._pending:
+                now = time.monotonic()
+                due = min(one.wait_deadline for one in self._pending.values())
+                self._schedule_check(due - now)
+
+    def _check(self, ident: str, now: float) -> None:
+        """Reject a request whose wait is over, or is too long for a turn."""
+        pending = self._pending.get(ident)
+        if pending is None:
+            return
+        excess = self._find_excess_wait(pending, now)
+        if now >= pending.wait_deadline or excess > 0:
+            self._reject(ident, max(excess, RETRY_AFTER_SECONDS))
+
+    def _reject(self, ident: str, retry_after: float) -> None:
+        """End the wait of a request without a placement, if it waits."""
+        if ident in self._pending:
+            self._answer(ident, PlaceReply('', retry_after))
+
+    def _answer(self, ident: str, reply: PlaceReply) -> None:
+        pending = self._pending[ident]
+        self._forget(ident)
+        if not pending.reply.done():
+            pending.reply.set_result(reply)
+
+    def _forget(self, ident: str) -> None:
+        self._pending.pop(ident, None)
+        self._queue.remove(ident)
+
+    def _find_excess_wait(self, pending: Pending, now: float) -> float:
+        """Return by how much the wait for a turn exceeds a useful wait."""
+        query = pending.query
+        waited = now - pending.asked_at
+        ahead = self._queue.count_ahead(self._queue.find(query.ident))
+        wait = self._assignment.find_turn_wait(query, ahead, now)
+        return wait - find_useful_wait(
+            query.start_in - waited, query.left - waited
         )
-        ahead = len(self._find_ahead(query))
-        return first_turn + ahead / sum(filter(None, rates))
-
-    def _notify_waiting(self) -> None:
-        self._changed.set()
 
     def _drop_expired(self, now: float) -> None:
         """Release placements when the time given in their query has run out.
 
         A VM that is lost never reports the end of its requests.
         """
-        expired = [
-            ident
-            for ident, expires_at in self._expires_at.items()
-            if expires_at < now
-        ]
-        for ident in expired:
-            self._expires_at.pop(ident)
-            self._placements.record_end(ident)
-
-
-def _make_placement_request(query: PlaceQuestion) -> PlacementRequest:
-    return PlacementRequest(
-        query.ident,
-        query.parts,
-        query.prompt_tokens,
-        query.answer_tokens,
-        query.zone,
-        query.result_bytes,
-        query.start_in,
-        query.avoided,
-    )
+        for ident in self._expiries.pop_expired(now):
+            self._assignment.placements.record_end(ident)
--- a/galenaswitch/gateway/tests/test_placements.py
+++ b/galenaswitch/gateway/tests/test_placements.py
@@ -14,6 +14,7 @@
 from galenaswitch.gateway.routes import EngineLimits
 from galenaswitch.limits.pacing import Pacer
 from galenaswitch.membership.lists import MemberList, Members, Target
+from galenaswitch.routing.engines import EnginePlacements
 
 ONE_SLOT = EngineLimits(slots=1, kv_cache_tokens=100_000)
 
@@ -130,7 +131,7 @@
 
 
 async def test_request_without_a_turn_in_time_is_refused_at_once(limited):
-    limited._pacer.set_rate('e2/1', 0.5, 0)
+    limited._assignment._pacer.set_rate('e2/1', 0.5, 0)
     async with asyncio.timeout(0.5):
         replies = [
             await limited.place(make_query(str(number), left=0.9))
@@ -141,7 +142,7 @@
 
 
 async def test_request_waits_for_the_turn_of_a_limited_engine(limited):
-    limited._pacer.set_rate('e2/1', 2.0, 0)
+    limited._assignment._pacer.set_rate('e2/1', 2.0, 0)
     for number in range(4):
         await limited.place(make_query(str(number)))
     started_at = asyncio.get_running_loop().time()
@@ -151,8 +152,8 @@
 
 # Guards against a turn for a request that is cut off as it begins.
 async def test_request_that_a_turn_leaves_little_time_is_refused(limited):
-    limited._pacer.set_rate('e1/1', 0.5, 0)
-    limited._pacer.set_rate('e2/1', 0.5, 0)
+    limited._assignment._pacer.set_rate('e1/1', 0.5, 0)
+    limited._assignment._pacer.set_rate('e2/1', 0.5, 0)
     for number in range(4):
         await limited.place(make_query(str(number)))
     async with asyncio.timeout(0.5):
@@ -225,3 +226,43 @@
     assert not tasks[0].done()
     two_versions.record_end(PlaceEnd('llm', 'v2', 'v2', failed=False))
     assert (await tasks[0]).target == 'v2'
+
+
+# Guards against an owner that stalls, as each change wakes all that wait.
+async def test_change_costs_the_same_however_many_wait(scheduler, monkeypatch):
+    trials = []
+    place = EnginePlacements.place
+
+    def place_counted(placements, request, *others):
+        trials.append(request.ident)
+        return place(placements, request, *others)
+
+    monkeypatch.setattr(EnginePlacements, 'place', place_counted)
+    await scheduler.place(make_query('running'))
+    tasks = [
+        asyncio.create_task(scheduler.place(make_query(str(number), left=9)))
+        for number in range(400)
+    ]
+    await asyncio.sleep(0.01)
+    trials.clear()
+    for ended in ('running', *map(str, range(20))):
+        scheduler.record_end(make_end(ended))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+    assert len(trials) <= 2 * 21 + 5
+    assert sum(task.done() for task in tasks) >= 20
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+    assert scheduler.dump()['waiting'] == 0
+
+
+# Guards against a query that is never answered since another has its id.
+async def test_second_query_with_the_same_id_ends_the_first(scheduler):
+    await scheduler.place(make_query('running'))
+    first = asyncio.create_task(scheduler.place(make_query('a')))
+    await asyncio.sleep(0.01)
+    second = asyncio.create_task(scheduler.place(make_query('a')))
+    assert not (await first).target
+    scheduler.record_end(make_end('running'))
+    assert (await second).target == 'e'
