Send nothing to evacuated availability zones

Cause: an operator had no way to keep requests from the targets of a zone. Marking targets as leaving can't be taken back, and an owner alone can't do it, since placements are older than an evacuation and plain requests have no owner.

Change: with bounds.evacuate-ms in the settings, each VM follows the kind evacuations (evacuation/). Members.usable leaves the zones out, and TargetNotices.check stops what was chosen earlier right before each send (requests, streams, batches, releases, queries for free memory), as TargetClosedError: not sent, no retry budget, no ejection, no pause of a batch target. Queries to owners name the excluded targets for owners of the previous build, exits open no tunnel there. A VM is not ready and refuses requests until it knows the entries.

--- a/galenaswitch/configuration/relay.py
+++ b/galenaswitch/configuration/relay.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from galenaswitch.configuration.catalog import Catalog, Item
 from galenaswitch.configuration.messages import Digest, Items, Versions
@@ -100,6 +101,14 @@
             )
         return newer
 
+    def handlers(self) -> dict[type[Any], Any]:
+        """Return the handlers of the messages from other VMs."""
+        return {
+            Digest: self.answer_digest,
+            Items: self.receive_items,
+            Versions: self.answer_versions,
+        }
+
     async def receive_items(self, link: Link, message: Items) -> None:
         """Accept the items that a peer pushed."""
         self.accept(message.items, link)
--- /dev/null
+++ b/galenaswitch/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuated availability zones, whose targets get nothing."""
--- /dev/null
+++ b/galenaswitch/evacuation/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of evacuated zones."""
--- a/galenaswitch/following/copies.py
+++ b/galenaswitch/following/copies.py
@@ -6,6 +6,7 @@
 applied, so that repeated, late or partial messages change nothing.
 """
 
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from galenaswitch.errors import PeerError
@@ -42,7 +43,11 @@
 
 
 class SharedCopies:
-    """Copies of the kinds of objects that VMs pass on."""
+    """Copies of the kinds of objects that VMs pass on.
+
+    :ivar on_fed: receives each kind of which a peer has told what this VM
+        knows now.
+    """
 
     def __init__(self, store: FollowedStore, mesh: Mesh) -> None:
         """Build the exchange of no kinds."""
@@ -51,6 +56,7 @@
         self._followers: dict[str, Follower] = {}
         self._suspected: set[str] = set()
         self._queried: set[str] = set()
+        self.on_fed: Callable[[str], None] = lambda kind: None
 
     def add(self, follower: Follower) -> None:
         """Pass on what a follower sees, and keep it up to date."""
@@ -98,6 +104,7 @@
         follower = self._followers[state.kind]
         if follower.has_listing and follower.view.digest == state.digest:
             follower.advance(state.revision)
+            self.on_fed(state.kind)
             return False
         return state.revision >= follower.view.revision
 
@@ -165,6 +172,7 @@
         self._store.observe_era(find_era(message.revision))
         self._mesh.spread(message, link)
         follower.receive_changes(read_changes(message))
+        self.on_fed(message.kind)
 
     async def _receive_listing(
         self, link: Link, message: ObjectListing
@@ -178,7 +186,11 @@
         if follower is None:
             return False
         self._store.observe_era(find_era(message.revision))
-        if not follower.receive_listing(read_listing(message)):
+        is_older = message.revision < follower.view.revision
+        is_news = follower.receive_listing(read_listing(message))
+        if not is_older:
+            self.on_fed(message.kind)
+        if not is_news:
             return False
         get_logger().info(
             'objects_received',
--- a/galenaswitch/following/following.py
+++ b/galenaswitch/following/following.py
@@ -17,6 +17,7 @@
 )
 from galenaswitch.following.messages import FollowerSign
 from galenaswitch.following.probe import StoreProbe
+from galenaswitch.following.tasks import FollowTasks
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members
 from galenaswitch.membership.mesh import Mesh
@@ -69,9 +70,10 @@
         self._tasks = tasks
         self._incarnation = incarnation
         self._duty = FollowingDuty(mesh.node, time.monotonic(), start_seconds)
-        self._followers: dict[str, Follower] = {}
+        self._following = FollowTasks(tasks)
+        self._followers = self._following.followers
         self._copies = SharedCopies(store, mesh)
-        self._follow_tasks: list[asyncio.Task[Any]] = []
+        self._copies.on_fed = self._following.record_fed
         self._sequence = 0
         self._signed_at = 0.0
         self._probe = StoreProbe(store, tasks, self._handle_probe)
@@ -100,12 +102,21 @@
             and all(one.is_current for one in self._followers.values())
         )
 
-    def add(self, follower: Follower, *, is_shared: bool = True) -> None:
+    def add(
+        self,
+        follower: Follower,
+        *,
+        is_shared: bool = True,
+        max_unfed_seconds: float | None = None,
+    ) -> None:
         """Keep the cache of a follower up to date.
 
         :param is_shared: whether VMs pass the objects on by this mechanism.
+        :param max_unfed_seconds: time without a peer that tells of the kind
+            after which this VM follows it for itself, as VMs of an earlier
+            build don't pass it on; ``None`` for a kind that all pass on.
         """
-        self._followers[follower.kind] = follower
+        self._following.add(follower, max_unfed_seconds)
         if is_shared:
             self._copies.add(follower)
 
@@ -120,6 +131,8 @@
         if self.is_active:
             self._end()
             self._begin()
+        else:
+            self._following.restart()
 
     def leave(self) -> None:
         """Tell the others that this process is about to stop."""
@@ -146,8 +159,10 @@
     def _tick(self, now: float) -> None:
         for follower in self._followers.values():
             follower.drop_expired()
-            if not self.is_active:
-                follower.record_contact(is_lost=not self._duty.find_live(now))
+        if not self.is_active:
+            is_followed = bool(self._duty.find_live(now))
+            self._following.record_contact(is_lost=not is_followed)
+            self._following.follow_unfed(now, is_followed=is_followed)
         ranked = self._rank()
         if self._duty.should_end(now, ranked, is_current=self.is_current):
             self._end()
@@ -188,19 +203,14 @@
         get_logger().info(
             'following_began', heard=self._duty.find_live(time.monotonic())
         )
-        self._follow_tasks = [
-            self._tasks.start_lasting(follower.follow)
-            for follower in self._followers.values()
-        ]
+        self._following.start()
 
     def _end(self) -> None:
         self._duty.is_active = False
         get_logger().info(
             'following_ended', heard=self._duty.find_live(time.monotonic())
         )
-        for task in self._follow_tasks:
-            task.cancel()
-        self._follow_tasks = []
+        self._following.stop()
 
     def _send_sign(self) -> None:
         self._signed_at = time.monotonic()
--- a/galenaswitch/following/tests/conftest.py
+++ b/galenaswitch/following/tests/conftest.py
@@ -20,6 +20,9 @@
 from galenaswitch.store.registry import Follower
 
 KIND = 'servers'
+# Kind that VMs of an earlier build don't know.
+NEW_KIND = 'evacuations'
+MAX_UNFED_SECONDS = 2.5
 ZONES = ('north', 'south')
 # Time in seconds that a new process waits for followers in these tests.
 START_SECONDS = 0.5
@@ -35,6 +38,7 @@
         self.store = Proxy(lambda: ('', 0))
         self.start_count = 0
         self.server = None
+        self.knows_new_kind = False
 
     @property
     def names(self):
@@ -71,6 +75,11 @@
             store, KIND, lambda cache: None, find_watch_seconds=lambda: 2.0
         )
         self.following.add(self.follower)
+        self.new_follower = Follower(store, NEW_KIND, lambda cache: None)
+        if self.knows_new_kind:
+            self.following.add(
+                self.new_follower, max_unfed_seconds=MAX_UNFED_SECONDS
+            )
         service.handlers.update(self.following.handlers())
         mesh.on_link_open.append(
             lambda link: self.tasks.start(self.following.on_link_open(link))
--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -23,6 +23,7 @@
     NO_MEMORY,
     OUT_OF_CAPACITY,
     may_retry,
+    pause_failed,
 )
 from galenaswitch.gateway.inputs import InputReleases
 from galenaswitch.gateway.late_batches import LateBatches, find_end
@@ -77,7 +78,6 @@
     ) -> None:
         """Build a batcher for the ``members`` that serve ``service``.
 
-        :param find_limits: returns the batch limits of a service.
         :param release: releases results that work items have read.
         :param containment: learns which requests crash targets.
         """
@@ -264,7 +264,7 @@
                 batch, self._send_batch(batch)
             )
         except (TargetError, InvalidInputError) as error:
-            target_state.pause(time.monotonic())
+            pause_failed(target_state, error)
             get_logger().info(
                 'pieces_failed',
                 service=self._service,
--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -124,7 +124,11 @@
                 self.place_locally,
             )
             unanswered.pop_all()
-        for target in self._members.usable(service):
+        # A request to a target whose zone was evacuated meanwhile isn't sent,
+        # but placed once more.
+        for target in self._members.targets(service):
+            if self._members.is_leaving(target):
+                continue
             if target.name == reply.target and self.continuations.fits(
                 job, target
             ):
--- a/galenaswitch/gateway/failures.py
+++ b/galenaswitch/gateway/failures.py
@@ -11,6 +11,7 @@
 from galenaswitch.limits.retries import RetryBudget
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.pipelines.pending import PendingStage
+from galenaswitch.pipelines.target_states import TargetState
 
 LATE = 'late'
 NO_MEMORY = 'room'
@@ -40,6 +41,12 @@
     return pending.has_retries_left and budget.acquire(now)
 
 
+def pause_failed(target_state: TargetState, error: GalenaError) -> None:
+    """Pause the target of a batch that failed, unless it wasn't sent."""
+    if not isinstance(error, TargetClosedError):
+        target_state.pause(time.monotonic())
+
+
 def may_have_crashed(
     target: Target, error: GalenaError, members: Members
 ) -> bool:
--- a/galenaswitch/gateway/notices.py
+++ b/galenaswitch/gateway/notices.py
@@ -3,7 +3,7 @@
 A target that leaves says so to all VMs: each VM records the notice and tells
 the others. A pause holds only for the VM that the target refused, and for those
 with a tunnel through it. Both are checked right before a request is sent,
-whichever VM chose the target.
+whichever VM chose the target, and so is whether its zone is evacuated.
 """
 
 import asyncio
@@ -93,11 +93,15 @@
     def check(self, target: Target, *, is_probe: bool = False) -> None:
         """Check that a target may get a request.
 
-        :raises TargetClosedError: when the target is leaving or paused.
+        :raises TargetClosedError: when the target is leaving or paused, or its
+            zone is evacuated.
         """
         if self._members.is_leaving(target):
             raise TargetClosedError('the target is leaving')
         now = time.monotonic()
+        if self._members.is_evacuated(target):
+            self._record_evacuated(target, now)
+            raise TargetClosedError('the zone is evacuated')
         incarnation = target.incarnation
         if self._pauses.find_wait(incarnation, now, is_probe=is_probe):
             raise TargetClosedError('the target is paused')
@@ -124,7 +128,9 @@
         return tuple(
             target.incarnation
             for target in self._members.targets(service)
-            if self._members.is_leaving(target) or self.find_wait((target,))
+            if self._members.is_leaving(target)
+            or self._members.is_evacuated(target)
+            or self.find_wait((target,))
         )
 
     async def wait_for_open(
@@ -158,6 +164,17 @@
             if other.incarnation != target.incarnation:
                 self._record(other)
 
+    def _record_evacuated(self, target: Target, now: float) -> None:
+        """Log a request that was not sent, as its target was chosen before."""
+        age = self._members.zone_rule.find_age(target.zone, now)
+        get_logger().info(
+            'target_evacuated',
+            target=target.name,
+            zone=target.zone,
+            seconds=round(age, 3),
+        )
+        self._metrics.count('target_evacuated')
+
     def _record(self, target: Target) -> None:
         self._apply(LeavingSign(target.name, target.incarnation), None)
 
--- a/galenaswitch/gateway/owners.py
+++ b/galenaswitch/gateway/owners.py
@@ -69,6 +69,10 @@
         self._ranked_nodes: dict[str, tuple[str, ...]] = {}
         self._ranked_revision = -1
 
+    def handlers(self) -> dict[type[Any], Any]:
+        """Return the handlers of the messages from other VMs."""
+        return {Leaving: self.receive_leaving, Ping: self.answer_ping}
+
     def find_owner(self, service: str) -> str:
         """Return the VM that owns a service, as seen by this VM.
 
--- a/galenaswitch/gateway/seats.py
+++ b/galenaswitch/gateway/seats.py
@@ -112,7 +112,7 @@
             targets[0].incarnation,
             tuple(
                 one.incarnation
-                for one in self._members.usable(service)
+                for one in self._members.targets(service)
                 if one not in targets
             ),
             max_wait,
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -110,6 +110,14 @@
         finally:
             job.close_stages()
 
+    def handlers(self) -> dict[type[object], Callable[..., object]]:
+        """Return the handlers of the messages from other VMs."""
+        return {
+            PlaceEnd: lambda link, message: self.receive_end(message),
+            PlaceFirst: lambda _, message: self.receive_first_event(message),
+            PlaceQuestion: self.answer_placement_query,
+        }
+
     async def answer_placement_query(
         self,
         link: Link,
--- a/galenaswitch/membership/lists.py
+++ b/galenaswitch/membership/lists.py
@@ -12,6 +12,7 @@
 
 from galenaswitch.connections.sockets import MAX_PORT
 from galenaswitch.errors import InvalidInputError
+from galenaswitch.evacuation.zones import NoZones, ZoneRule
 
 LIVE = 'live'
 LEAVING = 'leaving'
@@ -190,11 +191,15 @@
 
 
 class Members:
-    """Newest member list, with leaving notices and loaded models on top."""
+    """Newest member list, with leaving notices and loaded models on top.
+
+    :ivar zone_rule: names the zones whose targets get nothing.
+    """
 
     def __init__(self) -> None:
         """Build the state for an empty member list of revision 0."""
         self.member_list = EMPTY_MEMBER_LIST
+        self.zone_rule: ZoneRule = NoZones()
         self._live_machines: dict[str, tuple[Machine, ...]] = {}
         self._targets_by_pool: dict[str, tuple[Target, ...]] = {}
         self._usable_targets: dict[str, tuple[Target, ...]] = {}
@@ -264,10 +269,19 @@
             self._usable_targets[pool] = tuple(
                 target
                 for target in self.targets(pool)
-                if not self.is_leaving(target)
+                if not self.is_leaving(target) and not self.is_evacuated(target)
             )
         return self._usable_targets[pool]
 
+    def apply_zone_rule(self, rule: ZoneRule) -> None:
+        """Replace the rule that names the evacuated zones."""
+        self.zone_rule = rule
+        self._usable_targets = {}
+
+    def is_evacuated(self, target: Target) -> bool:
+        """Tell whether the zone of a target is evacuated."""
+        return self.zone_rule.excludes(target.zone)
+
     def is_leaving(self, target: Target) -> bool:
         """Tell whether the list or a notice marks a target as leaving.
 
--- a/galenaswitch/paths/service.py
+++ b/galenaswitch/paths/service.py
@@ -61,4 +61,7 @@
         """Tell whether this VM may connect to an address for another VM."""
         if self.dialer.monitor.is_lost:
             return False
-        return bool(self._members.find_targets_by_url(address))
+        return any(
+            not self._members.is_evacuated(target)
+            for target in self._members.find_targets_by_url(address)
+        )
--- a/galenaswitch/paths/tests/test_exits.py
+++ b/galenaswitch/paths/tests/test_exits.py
@@ -8,6 +8,7 @@
 
 from galenaswitch.connections.heads import RequestHead
 from galenaswitch.errors import TargetUnreachableError
+from galenaswitch.evacuation.zones import UnknownZones
 from galenaswitch.gateway.notices import TargetClosedError, TargetNotices
 from galenaswitch.gateway.sending import Sender
 from galenaswitch.gateway.turns import Turns
@@ -94,6 +95,19 @@
     assert not await vms[0].pool.is_listening(targets[0].address)
 
 
+# Guards against a VM that hears of no evacuation and sends through one that
+# knows it.
+async def test_exit_opens_no_tunnel_to_an_evacuated_zone(vms, targets):
+    vms[0].direct.cut = 'refused'
+    await vms[0].pool.acquire(targets[1].address, 3)
+    served = sum(vm.paths.exits.count for vm in vms)
+    for vm in vms[1:]:
+        vm.members.apply_zone_rule(UnknownZones())
+    with pytest.raises(TargetUnreachableError):
+        await vms[0].pool.acquire(targets[0].address, 3)
+    assert sum(vm.paths.exits.count for vm in vms) == served > 0
+
+
 # Guards against requests that hang in a tunnel whose exit is cut off as well.
 async def test_idle_tunnels_through_an_exit_that_is_cut_off_are_retired(
     vms, targets
--- a/galenaswitch/platform/settings.py
+++ b/galenaswitch/platform/settings.py
@@ -30,6 +30,8 @@
     :param retry_window: period over which retries and requests are counted.
     :param retry_slack: retries allowed beyond the ratio, the sum of all VMs.
     :param reuse: time for which a cached part of a prompt is worth keeping.
+    :param evacuate: time within which nothing more is sent to an evacuated
+        zone; ``None`` if no zone is ever evacuated.
     """
 
     drain: Positive = 2
@@ -40,6 +42,12 @@
     retry_window: Positive = 10
     retry_slack: Annotated[float, Field(ge=0)] = 0
     reuse: Positive = 10
+    evacuate: Positive | None = None
+
+    @property
+    def retry_limits(self) -> tuple[float, float, float]:
+        """Ratio, slack and window of the retry budgets."""
+        return self.retry_ratio, self.retry_slack, self.retry_window
 
 
 class VmSettings(NamedTuple):
@@ -153,6 +161,7 @@
     ('retry_window', 'budget-window-s', 1),
     ('retry_slack', 'budget-slack', 1),
     ('reuse', 'reuse-window-s', 1),
+    ('evacuate', 'evacuate-ms', MILLISECONDS),
 )
 
 
--- a/galenaswitch/platform/soak/machines.py
+++ b/galenaswitch/platform/soak/machines.py
@@ -30,6 +30,7 @@
 bounds.drain-ms=2000
 bounds.grace-s={grace}
 bounds.config-apply-ms=2000
+bounds.evacuate-ms=5000
 bounds.retry-budget-ratio={ratio}
 bounds.budget-window-s=10
 bounds.budget-slack={slack}
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -9,13 +9,13 @@
 from pathlib import Path
 from typing import Any
 
-from galenaswitch.configuration.messages import Digest, Items, Versions
 from galenaswitch.configuration.relay import Relay
 from galenaswitch.connections.dialing import DirectDialer
 from galenaswitch.connections.inbound import Listener
 from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.connections.requests import InboundLimits
 from galenaswitch.errors import SettingsError
+from galenaswitch.evacuation.sync import EvacuationSync
 from galenaswitch.following.following import Following
 from galenaswitch.gateway.batcher import Batcher
 from galenaswitch.gateway.continuation import ContinuationPolicy
@@ -23,9 +23,6 @@
 from galenaswitch.gateway.messages import (
     PiecesCancel,
     PiecesQuestion,
-    PlaceEnd,
-    PlaceFirst,
-    PlaceQuestion,
     ReleaseNote,
 )
 from galenaswitch.gateway.notices import TargetNotices
@@ -35,7 +32,12 @@
 from galenaswitch.gateway.plain import PlainRunner
 from galenaswitch.gateway.questions import BatchedService
 from galenaswitch.gateway.readiness import Readiness
-from galenaswitch.gateway.routes import BatchLimits, EngineLimits, RouteTable
+from galenaswitch.gateway.routes import (
+    EMPTY_TABLE,
+    BatchLimits,
+    EngineLimits,
+    RouteTable,
+)
 from galenaswitch.gateway.sending import Sender
 from galenaswitch.gateway.stages import StageRunner
 from galenaswitch.gateway.state_sync import StateSync
@@ -46,7 +48,7 @@
 from galenaswitch.membership.directory import Directory
 from galenaswitch.membership.links import Link, listen
 from galenaswitch.membership.lists import Machine, MemberList, Members
-from galenaswitch.membership.mesh import Leaving, Mesh, Ping
+from galenaswitch.membership.mesh import Mesh
 from galenaswitch.membership.messages import ListQuestion
 from galenaswitch.operations.exposition import serve_metrics
 from galenaswitch.operations.lag import find_clock
@@ -56,6 +58,7 @@
 from galenaswitch.operations.settings import MetricSettings
 from galenaswitch.paths.service import Paths
 from galenaswitch.platform.documents import PlatformDocuments
+from galenaswitch.platform.evacuations import EvacuationEntries
 from galenaswitch.platform.headers import PlatformWire
 from galenaswitch.platform.objects import PlatformStore
 from galenaswitch.platform.settings import VmSettings, load_vm_settings
@@ -135,11 +138,11 @@
             self.service.identity.incarnation,
         )
         self.state_sync.use_following(self.following)
-        self.budgets = RetryBudgets(
-            settings.bounds.retry_ratio,
-            settings.bounds.retry_slack,
-            settings.bounds.retry_window,
+        self.evacuations = EvacuationSync(
+            self.members, self.metrics, EvacuationEntries()
         )
+        self.evacuations.enable(store, self.following, settings.bounds.evacuate)
+        self.budgets = RetryBudgets(*settings.bounds.retry_limits)
         self._owner_router = OwnerRouter(
             self.members, self.mesh, self.paths.notes.is_lost
         )
@@ -243,7 +246,8 @@
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should route callers to this VM."""
-        return self.state_sync.ready and not self.stopping
+        is_ready = self.state_sync.ready and self.evacuations.is_known
+        return is_ready and not self.stopping
 
     async def listen(self) -> None:
         """Listen on the ports for readiness, callers, peers and metrics.
@@ -305,11 +309,7 @@
         if settings == self._settings:
             return
         self._settings = settings
-        self.budgets.change(
-            settings.bounds.retry_ratio,
-            settings.bounds.retry_slack,
-            settings.bounds.retry_window,
-        )
+        self.budgets.change(*settings.bounds.retry_limits)
         get_logger().info('settings_reloaded', bounds=str(settings.bounds))
 
     async def stop(self) -> None:
@@ -351,23 +351,20 @@
         return self.state_sync.route_table.with_former_services
 
     def _find_route_table(self) -> RouteTable:
+        if not self.evacuations.is_known:
+            return EMPTY_TABLE
         return self.state_sync.route_table.current
 
     def _add_handlers(self) -> None:
         handlers: dict[type[Any], Any] = {
-            Digest: self.relay.answer_digest,
-            Items: self.relay.receive_items,
             ListQuestion: self.answer_list_query,
             PiecesCancel: lambda link, note: self.stages.receive_cancel(note),
             PiecesQuestion: self.stages.answer,
-            Leaving: self._owner_router.receive_leaving,
-            Ping: self._owner_router.answer_ping,
-            PlaceEnd: lambda link, note: self.streams.receive_end(note),
-            PlaceFirst: lambda _, note: self.streams.receive_first_event(note),
-            PlaceQuestion: self.streams.answer_placement_query,
             ReleaseNote: lambda link, note: self.stages.receive_release(note),
-            Versions: self.relay.answer_versions,
         }
+        handlers |= self.relay.handlers()
+        handlers |= self._owner_router.handlers()
+        handlers |= self.streams.handlers()
         handlers |= self.containment.exchange.handlers()
         handlers |= self.turns.handlers()
         handlers |= self.notices.handlers()
--- a/galenaswitch/store/registry.py
+++ b/galenaswitch/store/registry.py
@@ -88,6 +88,8 @@
         coalesce_seconds: float = 0,
         find_watch_seconds: Callable[[], float] | None = None,
         cache: ObjectCache | None = None,
+        *,
+        takes_stale: bool = True,
     ) -> None:
         """Build a follower of one kind of object in ``store``.
 
@@ -99,6 +101,7 @@
             it only at the end of this wait.
         :param cache: empty cache to keep up to date, by default one that takes
             all that a restored store shows.
+        :param takes_stale: whether the listing of :meth:`load` may be stale.
         """
         self._find_watch_seconds = (
             find_watch_seconds or _find_default_watch_seconds
@@ -112,6 +115,7 @@
         self.reachable = True
         self.kind = kind
         self._store = store
+        self._takes_stale = takes_stale
         self._has_watch = False
         self._publish = publish
         self._retry_seconds = FIRST_RETRY_SECONDS
@@ -151,12 +155,12 @@
     async def load(self) -> None:
         """List the objects once, unless a peer tells of them before.
 
-        The listing may be stale, which costs a tenth and is made up for by the
-        VMs that follow the store.
+        The listing may be stale where the VMs that follow the store make up for
+        it, which costs a tenth.
         """
         while not self.has_listing:
             try:
-                await self._list(stale=True)
+                await self._list(stale=self._takes_stale)
             except StoreError as error:
                 self._record_failure(error)
                 await self._pause()
--- a/galenaswitch/store/unreadable.py
+++ b/galenaswitch/store/unreadable.py
@@ -13,12 +13,14 @@
 class UnreadableLog:
     """Logs entries of one kind that can't be read."""
 
-    def __init__(self, noun: str) -> None:
+    def __init__(self, noun: str, *, is_error: bool = False) -> None:
         """Build a log that has reported nothing.
 
         :param noun: what an entry stands for, in the event and as its field.
+        :param is_error: whether a line is an error rather than a warning.
         """
         self._noun = noun
+        self._is_error = is_error
         self._versions: dict[str, int] = {}
 
     def report(self, stored: StoredObject, reason: str) -> None:
@@ -27,7 +29,9 @@
         :param reason: why the content isn't valid, if it could be decoded.
         """
         if self._versions.pop(stored.name, None) != stored.version:
-            get_logger().warning(
+            logger = get_logger()
+            log = logger.error if self._is_error else logger.warning
+            log(
                 f'{self._noun}_unreadable',
                 revision=format_version(stored.version),
                 reason=(
