--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -124,9 +124,10 @@
                 self.place_locally,
             )
             unanswered.pop_all()
-        for target in self._members.usable(service):
-            fits = self.continuations.fits(job, target)
-            if target.name == reply.target and fits and job.may_send_to(target):
+        # A request to a target whose zone was evacuated meanwhile isn't sent,
+        # but placed once more.
+        for target in self._members.targets(service):
+            if target.name == reply.target and self._may_run(job, target):
                 record = PlacementRecord(query.ident, owner, target, now)
                 return self._open_run(job, record, inputs)
         if reply.target:
@@ -245,6 +246,14 @@
             unfinished.pop_all()
         return inputs
 
+    def _may_run(self, job: StreamJob, target: Target) -> bool:
+        """Tell whether an attempt may go to the target of its placement."""
+        return (
+            not self._members.is_leaving(target)
+            and self.continuations.fits(job, target)
+            and job.may_send_to(target)
+        )
+
     def _open_run(
         self, job: StreamJob, placement: PlacementRecord, inputs: StageInputs
     ) -> EngineRun:
