Reject requests for engines that can't be served in time

Cause: a request waited for an engine until its deadline, however many ranked before it.

Change: the owner measures how many requests end per second, how long they run by size of the answer, and the time to the first event (admission/). A request that arrives while no engine is free and more arrives than ends is admitted if it can begin within half of the time to its latest start; behind all of these, if what they leave is enough to serve it at all; else it is rejected at once with 503, the reason deadline-unreachable and a Retry-After. Those that wait are rejected once even the full rate can't serve them in time. Without a measurement, or while no more arrives than ends, nothing is rejected that can be served. Retry times are spread at half of the rate; a caller that returns in its time ranks before new ones. Queries tell the time to the end of the answer and the fingerprint; a placement and its seat now expire with the whole request and not with the time to its first event.

--- a/galenaswitch/admission/assignment.py
+++ b/galenaswitch/admission/assignment.py
@@ -93,7 +93,7 @@
         if placement:
             self._pacer.take(placement.target.incarnation, now)
             if self._seats:
-                self._seats.take(placement.target, query.ident, query.left)
+                self._seats.take(placement.target, query.ident, query.longest)
         return placement
 
     def record_end(self, message: PlaceEnd, now: float) -> None:
--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -50,6 +50,11 @@
 # A placement query times out this many seconds after the time left for the
 # placement is over.
 REPLY_SLACK_SECONDS = 0.1
+# Reasons that a reply may name. Those of later builds count as no capacity.
+_REASONS = {
+    reason.value: reason
+    for reason in (Reason.capacity, Reason.deadline_unreachable)
+}
 
 
 class StreamDispatcher:
@@ -133,8 +138,9 @@
         if reply.target:
             # The owner knows another version of the target, or an old list.
             self._notify_end(owner, PlaceEnd(service, query.ident, '', False))
+        reason = _REASONS.get(reply.reason, Reason.capacity)
         raise RefusedError(
-            Reason.stage_failed if job.sent else Reason.capacity,
+            Reason.stage_failed if job.sent else reason,
             job.run,
             'no engine has free capacity',
             reply.retry_after,
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -282,6 +282,8 @@
         job.version,
         closed,
         request.ident,
+        request.deadline - now,
+        job.screening.fingerprint,
     )
 
 
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -111,6 +111,10 @@
     :param closed: incarnations that take no request of the asking VM now.
     :param request: id of the caller's attempt, empty if that is the
         placement's id.
+    :param complete_in: seconds until the answer must be complete, 0 from a VM
+        that doesn't tell.
+    :param fingerprint: id of the whole request over attempts and VMs, empty
+        from a VM that doesn't tell.
     """
 
     service: str
@@ -128,6 +132,22 @@
     version: str | None = None
     closed: tuple[str, ...] = ()
     request: str = ''
+    complete_in: float = 0
+    fingerprint: str = ''
+
+    @property
+    def longest(self) -> float:
+        """Seconds after which the request has ended in any case."""
+        return max(self.left, self.complete_in)
+
+    def age(self, seconds: float) -> 'PlaceQuestion':
+        """Return the query some seconds later."""
+        return self._replace(
+            start_in=self.start_in - seconds,
+            left=self.left - seconds,
+            complete_in=self.complete_in
+            and max(self.complete_in - seconds, 0.0),
+        )
 
 
 class PlaceReply(NamedTuple):
@@ -135,10 +155,12 @@
 
     :param target: name of the engine, empty when none is available.
     :param retry_after: seconds after which a placement is likely.
+    :param reason: reason of a rejection, empty if no engine had capacity.
     """
 
     target: str
     retry_after: float = 0
+    reason: str = ''
 
 
 class PlaceEnd(NamedTuple):
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -7,7 +7,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from galenaswitch.admission.assignment import (
@@ -15,6 +15,11 @@
     EngineAssignment,
     SeatKeeper,
 )
+from galenaswitch.admission.control import (
+    AdmissionControl,
+    Applicant,
+    Refusal,
+)
 from galenaswitch.admission.expiry import Expiries
 from galenaswitch.admission.queue import PlacementQueue, Waiting
 from galenaswitch.admission.turns import find_useful_wait
@@ -28,6 +33,7 @@
 from galenaswitch.limits.pacing import Pacer
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.metrics import LocalMetrics, Metrics
 from galenaswitch.routing.engine_states import Placement
 
 # Longest time in seconds between two checks of a waiting request. A change in
@@ -55,6 +61,20 @@
         """Monotonic time in seconds at which its wait ends."""
         return self.asked_at + self.query.left - MIN_RUN_SECONDS
 
+    @property
+    def applicant(self) -> Applicant:
+        """What admission needs to know of the request."""
+        query = self.query
+        return Applicant(
+            query.ident,
+            query.request or query.ident,
+            query.fingerprint,
+            query.answer_tokens,
+            self.asked_at + query.start_in,
+            self.asked_at + query.left,
+            query.complete_in and self.asked_at + query.complete_in,
+        )
+
 
 class PlacementScheduler:
     """Assigns the requests for one service to its engines."""
@@ -66,6 +86,7 @@
         members: Members,
         pacer: Pacer,
         seats: SeatKeeper | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         """Build a scheduler for the ``members`` that serve ``service``.
 
@@ -78,9 +99,12 @@
             service, find_limits, members, pacer, seats
         )
         self._queue = PlacementQueue()
+        self._control = AdmissionControl(
+            service, self._queue, metrics or LocalMetrics()
+        )
         self._expiries = Expiries()
         self._pending: dict[str, Pending] = {}
-        self._arrived: list[str] = []
+        self._arrived: dict[str, Waiting] = {}
         self._numbers = itertools.count()
         self._next_pass: asyncio.Handle | None = None
         self._next_check: asyncio.TimerHandle | None = None
@@ -96,17 +120,16 @@
         loop = asyncio.get_running_loop()
         pending = Pending(query, now, loop.create_future())
         self._pending[query.ident] = pending
-        self._queue.add(
-            Waiting(
-                query.ident,
-                query.start_in < 0,
-                query.priority,
-                True,
-                now + query.start_in,
-                next(self._numbers),
-            )
+        waiting = Waiting(
+            query.ident,
+            query.start_in < 0,
+            query.priority,
+            not self._control.record_arrival(query.fingerprint, now),
+            now + query.start_in,
+            next(self._numbers),
         )
-        self._arrived.append(query.ident)
+        self._queue.add(waiting)
+        self._arrived[query.ident] = waiting
         self._notify_waiting()
         self._schedule_check(pending.wait_deadline - now)
         try:
@@ -119,15 +142,18 @@
         """Record that the engine sent the first event of a request."""
         now = time.monotonic()
         self._assignment.placements.record_first_event(message.ident, now)
+        self._control.measured.record_first_event(message.ident, now)
 
     def record_end(self, message: PlaceEnd) -> None:
         """Release the placement of an attempt that ended, or end its wait.
 
         The outcome counts as a success or failure of the engine.
         """
+        now = time.monotonic()
         self._reject(message.ident, 0)
         self._expiries.drop(message.ident)
-        self._assignment.record_end(message, time.monotonic())
+        self._assignment.record_end(message, now)
+        self._control.measured.end(message.ident, now)
         self._notify_waiting()
 
     def dump(self) -> dict[str, object]:
@@ -154,17 +180,24 @@
         )
         is_ended_early = self._queue.run_pass(placer)
         for ident, placement in placer.placed.items():
-            self._record_placement(self._pending[ident], placement)
-        arrived = self._arrived
-        self._arrived = []
-        for ident in arrived:
-            self._check(ident, now)
+            self._record_placement(self._pending[ident], placement, now)
         if is_ended_early:
             self._notify_waiting()
+            return
+        arrived = self._arrived
+        self._arrived = {}
+        for ident in arrived:
+            self._judge(ident, now)
 
-    def _record_placement(self, pending: Pending, placement: Placement) -> None:
+    def _record_placement(
+        self, pending: Pending, placement: Placement, now: float
+    ) -> None:
         query = pending.query
-        self._expiries.record(query.ident, pending.asked_at + query.left)
+        self._expiries.record(query.ident, pending.asked_at + query.longest)
+        self._control.measured.begin(query.ident, query.answer_tokens, now)
+        arrived = self._arrived.pop(query.ident, None)
+        if arrived:
+            self._control.record_admitted(arrived, now)
         get_logger().info(
             'place_given',
             request=query.request or query.ident,
@@ -189,12 +222,18 @@
     def _check_all(self) -> None:
         """Check all waiting requests, and place what time alone lets fit."""
         self._next_check = None
-        self._arrived = list(self._pending)
+        now = time.monotonic()
         try:
             self._run_pass()
+            for ident in tuple(self._pending):
+                self._check(ident, now)
+            self._refuse(
+                self._control.find_hopeless(
+                    lambda ident: self._pending[ident].applicant, now
+                )
+            )
         finally:
             if self._pending:
-                now = time.monotonic()
                 due = min(one.wait_deadline for one in self._pending.values())
                 self._schedule_check(due - now)
 
@@ -207,6 +246,20 @@
         if now >= pending.wait_deadline or excess > 0:
             self._reject(ident, max(excess, RETRY_AFTER_SECONDS))
 
+    def _judge(self, ident: str, now: float) -> None:
+        """Decide whether a request that has arrived may wait."""
+        self._check(ident, now)
+        pending = self._pending.get(ident)
+        if pending:
+            self._refuse(self._control.judge(pending.applicant, now))
+
+    def _refuse(self, refusals: Iterable[Refusal]) -> None:
+        for refusal in refusals:
+            self._answer(
+                refusal.ident,
+                PlaceReply('', refusal.retry_after, refusal.reason.value),
+            )
+
     def _reject(self, ident: str, retry_after: float) -> None:
         """End the wait of a request without a placement, if it waits."""
         if ident in self._pending:
@@ -220,6 +273,7 @@
 
     def _forget(self, ident: str) -> None:
         self._pending.pop(ident, None)
+        self._arrived.pop(ident, None)
         self._queue.remove(ident)
 
     def _find_excess_wait(self, pending: Pending, now: float) -> float:
@@ -239,3 +293,4 @@
         """
         for ident in self._expiries.pop_expired(now):
             self._assignment.placements.record_end(ident)
+            self._control.measured.drop(ident)
--- a/galenaswitch/gateway/tests/test_placements.py
+++ b/galenaswitch/gateway/tests/test_placements.py
@@ -266,3 +266,75 @@
     assert not (await first).target
     scheduler.record_end(make_end('running'))
     assert (await second).target == 'e'
+
+
+@pytest.fixture
+async def overloaded(scheduler):
+    """Return a scheduler whose engine ends ten requests a second."""
+    for number in range(10):
+        await scheduler.place(make_query(f'm{number}'))
+        scheduler.record_first_event(PlaceFirst('llm', f'm{number}'))
+        await asyncio.sleep(0.1)
+        scheduler.record_end(make_end(f'm{number}'))
+    await scheduler.place(make_query('running', left=9))
+    return scheduler
+
+
+# Guards against requests that wait for their deadline behind many others.
+async def test_request_that_cannot_be_served_in_time_is_refused_at_once(
+    overloaded,
+):
+    tasks = [
+        asyncio.create_task(
+            overloaded.place(
+                make_query(f'w{number}', left=2)._replace(
+                    complete_in=2.0, fingerprint=f'f{number}'
+                )
+            )
+        )
+        for number in range(60)
+    ]
+    await asyncio.sleep(0.02)
+    refused = [task.result() for task in tasks if task.done()]
+    assert 20 <= len(refused) <= 56
+    assert {reply.reason for reply in refused} == {'deadline-unreachable'}
+    assert all(0.1 <= reply.retry_after <= 2 for reply in refused)
+    counts = overloaded._control._metrics.dump()
+    assert counts['place_refused.deadline-unreachable'] == len(refused)
+    for task in tasks:
+        task.cancel()
+
+
+# Guards against rejections while the capacity isn't exceeded.
+async def test_few_requests_wait_for_a_busy_engine(overloaded):
+    waiting = [
+        asyncio.create_task(overloaded.place(make_query(f'w{number}')))
+        for number in range(3)
+    ]
+    await asyncio.sleep(0.15)
+    assert not any(task.done() for task in waiting)
+    for task in waiting:
+        task.cancel()
+
+
+# Guards against rejections without a measurement.
+async def test_requests_wait_before_anything_is_measured(scheduler):
+    await scheduler.place(make_query('running'))
+    waiting = [
+        asyncio.create_task(scheduler.place(make_query(f'w{number}')))
+        for number in range(60)
+    ]
+    await asyncio.sleep(0.15)
+    assert not any(task.done() for task in waiting)
+    for task in waiting:
+        task.cancel()
+
+
+# Guards against a placement that a caller's final response leaves behind.
+async def test_end_of_a_waiting_request_takes_it_out_of_the_queue(overloaded):
+    waiting = asyncio.create_task(overloaded.place(make_query('gone')))
+    await asyncio.sleep(0.01)
+    overloaded.record_end(PlaceEnd('llm', 'gone', '', failed=False))
+    overloaded.record_end(make_end('running'))
+    assert not (await waiting).target
+    assert (await overloaded.place(make_query('next'))).target == 'e'
--- a/galenaswitch/pipelines/arrivals.py
+++ b/galenaswitch/pipelines/arrivals.py
@@ -39,13 +39,17 @@
         self._window_total += work_items
         self._drop_expired(now)
 
+    def estimate(self, now: float) -> float:
+        """Return the work items per second that arrived of late."""
+        self._drop_expired(now)
+        return self._window_total / WINDOW_SECONDS
+
     def estimate_free_rate(self, rate: float, now: float) -> float:
         """Return the work items per second that late requests can get.
 
         :param rate: work items per second of all targets.
         """
-        self._drop_expired(now)
-        free_rate = rate - self._window_total / WINDOW_SECONDS
+        free_rate = rate - self.estimate(now)
         return max(free_rate, rate * MIN_FREE_SHARE)
 
     def _drop_expired(self, now: float) -> None:
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -230,6 +230,7 @@
                 self.members,
                 self.turns.pacer,
                 self.turns.seats,
+                self.metrics,
             )
         return self._schedulers[service]
 
