Grant all free seats of brittle engines

Cause, found with a scenario in one process (24 seats, 1.8 times the load, two peers): a report of the seats that a VM holds is handled in a task, behind the ends of requests that came in the same read. It took their seats again for up to two seconds.

Change: the ledger remembers for two seconds which seats were freed, and a report doesn't take them again. A VM's answer counts for three seconds, and the query is repeated after half a second when one is missing, so that a single lost answer costs nothing. A VM that is cut off still costs its share.

--- a/galenaswitch/gateway/seat_owner.py
+++ b/galenaswitch/gateway/seat_owner.py
@@ -31,6 +31,11 @@
 # Seconds between two collections of the seats of all VMs, and age from which
 # the last one is too old to give out seats.
 COLLECT_INTERVAL_SECONDS = 2.0
+# The same after one in which a VM didn't answer, and age from which the last
+# answer of a VM is too old to give out its share. A single answer that is lost
+# or late doesn't cost a share; a VM that is cut off costs it after two.
+REPEAT_SECONDS = 0.5
+MAX_ANSWER_AGE_SECONDS = 3.0
 MAX_COLLECTION_AGE_SECONDS = 6.0
 # Seconds between two looks for seats that became free without a message.
 POLL_SECONDS = 0.1
@@ -66,7 +71,8 @@
         self._waiting: dict[str, list[Waiting]] = {}
         self._collections: dict[str, asyncio.Task[None]] = {}
         self._collected_at: dict[str, float] = {}
-        self._told: dict[str, set[str]] = {}
+        self._told: dict[str, dict[str, float]] = {}
+        self._incomplete: set[str] = set()
 
     async def give(self, query: SeatQuery) -> SeatReply:
         """Give a seat, or wait for one as long as that is useful.
@@ -163,13 +169,20 @@
         own = {self._mesh.node}
         machines = {one.name for one in self._members.machines()} | own
         is_owner = self._owner_router.find_owner(service) in own
-        told = self._told.get(service, set()) if is_owner else set()
+        oldest = time.monotonic() - MAX_ANSWER_AGE_SECONDS
+        told = {
+            name
+            for name, told_at in self._told.get(service, {}).items()
+            if is_owner and told_at > oldest
+        }
         return len(machines & (told | own)) / len(machines)
 
     def _is_collected(self, service: str) -> bool:
         """Tell whether the seats of all VMs are known, and ask if need be."""
         age = time.monotonic() - self._collected_at.get(service, -math.inf)
-        if age > COLLECT_INTERVAL_SECONDS and service not in self._collections:
+        is_incomplete = service in self._incomplete
+        interval = REPEAT_SECONDS if is_incomplete else COLLECT_INTERVAL_SECONDS
+        if age > interval and service not in self._collections:
             task = self._tasks.start(self._collect(service))
             self._collections[service] = task
         return age <= MAX_COLLECTION_AGE_SECONDS
@@ -186,8 +199,13 @@
             )
         finally:
             self._collections.pop(service, None)
-        self._told[service] = set(told)
-        self._collected_at[service] = time.monotonic()
+        now = time.monotonic()
+        answered = dict.fromkeys(filter(None, told), now)
+        self._told.setdefault(service, {}).update(answered)
+        self._incomplete.discard(service)
+        if len(answered) < len(told):
+            self._incomplete.add(service)
+        self._collected_at[service] = now
         self.serve(service)
 
     async def _collect_from(self, machine: Machine, service: str) -> str:
--- a/galenaswitch/gateway/seats.py
+++ b/galenaswitch/gateway/seats.py
@@ -154,7 +154,7 @@
 
     def end(self, ident: str) -> None:
         """Free a seat that this VM took for any VM."""
-        self._ledger.release(ident)
+        self._ledger.end(ident, time.monotonic())
 
     def forget_ended(self) -> None:
         """Free the seats of requests whose end wasn't told."""
@@ -184,5 +184,5 @@
         self._end(message)
 
     def _end(self, message: SeatEnd) -> None:
-        self._ledger.release(message.ident)
+        self._ledger.end(message.ident, time.monotonic())
         self._owner.serve(message.service)
--- a/galenaswitch/gateway/tests/test_seats.py
+++ b/galenaswitch/gateway/tests/test_seats.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from galenaswitch.errors import PeerClosedError
+from galenaswitch.errors import PeerClosedError, PeerTimeoutError
+from galenaswitch.gateway.messages import PlaceEnd, PlaceFirst, PlaceQuestion
+from galenaswitch.gateway.placements import PlacementScheduler
+from galenaswitch.gateway.routes import EngineLimits
 from galenaswitch.gateway.seat_messages import (
     BrittleNote,
     BrittleQuery,
@@ -18,6 +21,7 @@
 )
 from galenaswitch.gateway.seats import Seats
 from galenaswitch.gateway.tests.fakes import LocalOwnerRouter
+from galenaswitch.limits.pacing import Pacer
 from galenaswitch.limits.seats import HeldSeat
 from galenaswitch.membership.lists import (
     Machine,
@@ -165,3 +169,96 @@
     assert time.monotonic() - asked_at < 0.05
     for task in waiting:
         task.cancel()
+
+
+class Scenario:
+    """Owner of 24 seats under 1.8 times the load that these serve."""
+
+    slots = 24
+    run_seconds = 0.1
+
+    def __init__(self, report_seconds):
+        """Build an owner whose peers' reports are handled some time later."""
+        self.lost = 0
+        self.ends = []
+        self.longest = 0
+        self._report_seconds = report_seconds
+        self._held = {}
+        self._engines = tuple(
+            Target(f'e{n}', f'e{n}/1', 'z', 'llm', 'a:1', capacity=4)
+            for n in range(6)
+        )
+
+    async def request(self, message, seconds):
+        """Answer a query for the seats that a peer has taken."""
+        if self.lost:
+            self.lost -= 1
+            await asyncio.sleep(seconds)
+            raise PeerTimeoutError('lost')
+        held = tuple(HeldSeat(one, name) for name, one in self._held.items())
+        await asyncio.sleep(self._report_seconds)
+        return SeatsReply(held)
+
+    async def run(self, seconds):
+        """Return the share of the capacity that was used after a second."""
+        members = Members()
+        machines = (PEER, PEER._replace(name='c'), PEER._replace(name='me'))
+        members.accept(MemberList(1, machines, self._engines))
+        link = Mock(peer=Mock(node='b'), request=self.request)
+        mesh = Mock(node='me', connect=AsyncMock(return_value=link))
+        tasks = TaskGroup()
+        seats = Seats(members, mesh, LocalOwnerRouter(), LocalMetrics(), tasks)
+        seats.brittleness.observe(self._engines[0], 3, refused=False)
+        limits = EngineLimits(4, 1_000_000)
+        scheduler = PlacementScheduler(
+            'llm', lambda _: limits, members, Pacer(), seats
+        )
+        began_at = time.monotonic()
+        rate = 1.8 * self.slots / self.run_seconds
+        sent = []
+        while time.monotonic() < began_at + seconds:
+            due = (time.monotonic() - began_at) * rate
+            while len(sent) < due:
+                task = asyncio.create_task(self._send(scheduler, len(sent)))
+                sent.append(task)
+            await asyncio.sleep(0.005)
+        for task in sent:
+            task.cancel()
+        await asyncio.gather(*sent, return_exceptions=True)
+        await tasks.stop()
+        used = sum(began_at + 1 < one < began_at + seconds for one in self.ends)
+        return used / (seconds - 1) / self.slots * self.run_seconds
+
+    async def _send(self, scheduler, number):
+        ident = f'r{number}'
+        query = PlaceQuestion(
+            'llm', ident, (), 9, 9, 'z', {}, (), 1, 1.0, 2.0, complete_in=2.0
+        )
+        target = (await scheduler.place(query)).target
+        if not target:
+            return
+        self._held[ident] = f'{target}/1'
+        self.longest = max(self.longest, len(self._held))
+        await asyncio.sleep(self.run_seconds)
+        self._held.pop(ident)
+        scheduler.record_first_event(PlaceFirst('llm', ident))
+        scheduler.record_end(PlaceEnd('llm', ident, target, failed=False))
+        self.ends.append(time.monotonic())
+
+
+# Guards against seats that stay taken since a report is handled behind the end
+# of the requests it names, and against a share that one lost answer costs.
+@pytest.mark.parametrize(('report_seconds', 'lost'), [(0, 0), (0.3, 0), (0, 2)])
+async def test_all_free_seats_are_given_under_overload(report_seconds, lost):
+    scenario = Scenario(report_seconds)
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.5, setattr, scenario, 'lost', lost)
+    assert await scenario.run(5) > 0.9
+    assert scenario.longest <= scenario.slots
+
+
+# Guards against an owner that gives out the seats of VMs that are cut off.
+async def test_vm_that_never_answers_costs_its_share():
+    scenario = Scenario(0)
+    scenario.lost = 1_000_000
+    assert await scenario.run(2) < 0.5
--- a/galenaswitch/limits/seats.py
+++ b/galenaswitch/limits/seats.py
@@ -6,6 +6,7 @@
 off for a time after each refusal.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -19,6 +20,9 @@
 # Seconds for which a seat counts that its VM doesn't report as taken, because
 # the reply that gives it may be on its way.
 REPLY_SECONDS = 1.0
+# Seconds for which a report may still name a seat that was freed, because its
+# handling is delayed behind the message that freed the seat.
+FREED_SECONDS = 2.0
 # Seconds for which a reported seat counts. A VM that is lost reports no end.
 REPORT_SECONDS = 5.0
 
@@ -115,6 +119,7 @@
         self._incarnations: dict[str, str] = {}
         self._idents: dict[str, set[str]] = {}
         self._held_off_until: dict[str, float] = {}
+        self._freed_at: dict[str, float] = {}
 
     def take(self, incarnation: str, ident: str, seat: Seat) -> None:
         """Take a seat, also beyond the slots of its target."""
@@ -134,6 +139,14 @@
             self._seats.pop(incarnation, None)
         return incarnation
 
+    def end(self, ident: str, now: float) -> None:
+        """Free the seat of a request that has ended.
+
+        A report that was made before its end doesn't take it again.
+        """
+        self._freed_at[ident] = now
+        self.release(ident)
+
     def report(
         self,
         vm: str,
@@ -155,6 +168,8 @@
             if not is_known:
                 self.release(ident)
         for one in reported.values():
+            if now - self._freed_at.get(one.ident, -math.inf) < FREED_SECONDS:
+                continue
             seat = Seat(vm, now, now + REPORT_SECONDS)
             self.take(one.incarnation, one.ident, seat)
 
@@ -198,6 +213,11 @@
         ]
         for ident in expired:
             self.release(ident)
+        self._freed_at = {
+            ident: freed_at
+            for ident, freed_at in self._freed_at.items()
+            if now - freed_at < FREED_SECONDS
+        }
         self._held_off_until = {
             incarnation: end
             for incarnation, end in self._held_off_until.items()
