Repeat and withdraw queries for placements within the time left

Cause: a query that was repeated at the next owner named the whole time of the request again, and was waited for as long. A query that timed out, or whose caller got its final response, was withdrawn at the VM that owned the service by then and not at the one that had the query: that VM placed the request later, and the placement and its seat stayed taken until they expired. A withdrawal that was read together with its query was handled before it. Callers that send no id shared one placement.

Change: OwnerRouter.query ages a repeated query, bounds all owners by one time, pings a silent owner after a quarter of the time left at the latest, once for all queries that wait for it, and names each VM that didn't answer; the dispatcher withdraws the query there. The scheduler ends the wait of a query whose task begins behind its end. Placements without an id get one.

Measured: with two frozen owners and 3 s left the query is decided on the asking VM within 2 s and names what is left by then; 50 queries send at most 4 pings.

--- a/galenaswitch/admission/expiry.py
+++ b/galenaswitch/admission/expiry.py
@@ -19,6 +19,10 @@
         self._expires_at: dict[str, float] = {}
         self._ordered: list[tuple[float, str]] = []
 
+    def __contains__(self, ident: object) -> bool:
+        """Tell whether a placement has not ended."""
+        return ident in self._expires_at
+
     def record(self, ident: str, expires_at: float) -> None:
         """Record the monotonic time at which a placement expires."""
         self._expires_at[ident] = expires_at
--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -127,6 +127,7 @@
                 query,
                 query.left + REPLY_SLACK_SECONDS,
                 self.place_locally,
+                partial(self._withdraw, query),
             )
             unanswered.pop_all()
         for target in self._members.usable(service):
@@ -281,11 +282,13 @@
         )
         self._notify_end(run.placement.owner, message)
 
-    def _withdraw(self, query: PlaceQuestion) -> None:
-        owner = self._owner_router.find_owner(query.service)
-        self._notify_end(
-            owner, PlaceEnd(query.service, query.ident, '', failed=False)
-        )
+    def _withdraw(self, query: PlaceQuestion, owner: str = '') -> None:
+        """Withdraw a query that has no reply from a VM, else from this one."""
+        message = PlaceEnd(query.service, query.ident, '', failed=False)
+        if owner:
+            self._notify_end(owner, message)
+        else:
+            self.receive_end(message)
 
     def _notify_end(self, owner: str, message: PlaceEnd) -> None:
         self._owner_router.notify(owner, message, self.receive_end)
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import secrets
 import time
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
@@ -28,6 +29,8 @@
 # Seconds after which an engine has read the results of stages. An engine
 # fetches them before the prompt.
 INPUT_READ_SECONDS = 0.1
+# Size of an id that takes the place of one that the caller didn't send.
+IDENT_BYTES = 8
 
 
 class PlacementRecord(NamedTuple):
@@ -198,12 +201,14 @@
     def name_placement(self) -> str:
         """Return an id for the next placement of the request.
 
-        An engine's owner may hold two placements of one request.
+        An engine's owner may hold two placements of one request. Callers that
+        send no id must not share a placement.
         """
         self._placements += 1
-        if self._placements == 1:
+        if self._placements == 1 and self.request.ident:
             return self.request.ident
-        return f'{self.request.ident}#{self._placements}'
+        name = self.request.ident or secrets.token_hex(IDENT_BYTES)
+        return f'{name}#{self._placements}'
 
     def use_inputs(self, inputs: StageInputs) -> None:
         """Replace the results of the stages, which are released."""
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -140,15 +140,6 @@
         """Seconds after which the request has ended in any case."""
         return max(self.left, self.complete_in)
 
-    def age(self, seconds: float) -> 'PlaceQuestion':
-        """Return the query some seconds later."""
-        return self._replace(
-            start_in=self.start_in - seconds,
-            left=self.left - seconds,
-            complete_in=self.complete_in
-            and max(self.complete_in - seconds, 0.0),
-        )
-
 
 class PlaceReply(NamedTuple):
     """Reply that names the engine for a request.
--- a/galenaswitch/gateway/owners.py
+++ b/galenaswitch/gateway/owners.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
@@ -23,6 +24,11 @@
 # Seconds between pings of an owner whose reply is outstanding.
 PING_INTERVAL_SECONDS = 0.4
 PING_TIMEOUT_SECONDS = 0.3
+# Part of the time left after which a silent owner is pinged at the latest, so
+# that a query with little time is repeated at the next owner within it.
+PING_SHARE = 0.25
+# Fields of queries that hold a time left in seconds.
+_TIME_FIELDS = ('start_in', 'left', 'complete_in', 'max_wait')
 # Seconds for which a VM is suspect after a failed query.
 SUSPECT_SECONDS = 2.0
 # Further seconds for which a suspect without an open link stays suspect. After
@@ -66,6 +72,7 @@
         self._started_at: dict[str, float] = {mesh.node: time.monotonic()}
         self._leaving_incarnations: dict[str, str] = {}
         self._owners: dict[str, str] = {}
+        self._checks: dict[str, asyncio.Task[None]] = {}
         self._ranked_nodes: dict[str, tuple[str, ...]] = {}
         self._ranked_revision = -1
 
@@ -135,25 +142,40 @@
         query: Any,
         seconds: float,
         answer_locally: Callable[[Any], Awaitable[Reply]],
+        on_unanswered: Callable[[str], None] | None = None,
     ) -> tuple[str, Reply]:
         """Query the owner of a service, or answer the query on this VM.
 
         This VM answers when it is the owner, or when the queried owners fail.
+        A query that is repeated tells the time that is left by then.
 
-        :param seconds: longest wait for the owner's reply.
+        :param seconds: longest wait for a reply, over all owners.
         :param answer_locally: answers the query on this VM.
+        :param on_unanswered: receives each VM that didn't answer, but may have
+            got the query and act on it.
         :returns: the VM that answered, and its reply.
         """
+        asked_at = time.monotonic()
+        waited = 0.0
         for _ in range(MAX_ATTEMPTS):
             owner = self.find_owner(service)
             self._record_owner(service, owner)
             if owner == self._mesh.node:
                 break
-            try:
-                return owner, await self._query_peer(owner, query, seconds)
-            except PeerError as error:
-                self._record_suspect(owner, service, error)
-        return self._mesh.node, await answer_locally(query)
+            with contextlib.ExitStack() as unanswered:
+                if on_unanswered:
+                    unanswered.callback(on_unanswered, owner)
+                try:
+                    reply = await self._query_peer(
+                        owner, _age(query, waited), seconds - waited
+                    )
+                except PeerError as error:
+                    self._record_suspect(owner, service, error)
+                else:
+                    unanswered.pop_all()
+                    return owner, reply
+            waited = time.monotonic() - asked_at
+        return self._mesh.node, await answer_locally(_age(query, waited))
 
     def notify(
         self,
@@ -184,15 +206,29 @@
     ) -> Any:
         link = await self._mesh.connect(owner, CONNECT_TIMEOUT_SECONDS)
         reply_task = asyncio.ensure_future(link.request(query, seconds))
+        interval = min(PING_INTERVAL_SECONDS, max(0, seconds) * PING_SHARE)
         try:
             while not reply_task.done():
-                await asyncio.wait({reply_task}, timeout=PING_INTERVAL_SECONDS)
+                await asyncio.wait({reply_task}, timeout=interval)
                 if not reply_task.done():
-                    await _check_alive(link)
+                    await self._check_alive(owner, link)
+                interval = PING_INTERVAL_SECONDS
             return reply_task.result()
         finally:
             reply_task.cancel()
 
+    async def _check_alive(self, owner: str, link: Link) -> None:
+        """Ping a VM whose reply is outstanding, once for all queries.
+
+        :raises PeerError: when the VM does not answer the ping.
+        """
+        check = self._checks.get(owner)
+        if check is None or check.done():
+            check = asyncio.create_task(_ping(link))
+            check.add_done_callback(_retrieve)
+            self._checks[owner] = check
+        await asyncio.shield(check)
+
     def _rank_machines(self, service: str) -> tuple[str, ...]:
         """Return all VMs by rank for a service, large VMs first."""
         if self._ranked_revision != self._members.member_list.revision:
@@ -264,7 +300,26 @@
         )
 
 
-async def _check_alive(link: Link) -> None:
+def _age(query: Any, seconds: float) -> Any:
+    """Return a query with less time left; a time of 0 stays unknown."""
+    if not seconds:
+        return query
+    times = {
+        name: getattr(query, name)
+        for name in _TIME_FIELDS
+        if name in getattr(query, '_fields', ())
+    }
+    later = {name: left and left - seconds for name, left in times.items()}
+    return query._replace(**later) if later else query
+
+
+def _retrieve(check: asyncio.Task[None]) -> None:
+    """Retrieve the failure of a ping that nobody may wait for any more."""
+    if not check.cancelled():
+        check.exception()
+
+
+async def _ping(link: Link) -> None:
     """Ping a VM whose reply is outstanding.
 
     :raises PeerError: when the VM does not answer the ping.
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -150,6 +150,10 @@
         The outcome counts as a success or failure of the engine.
         """
         now = time.monotonic()
+        if message.ident not in self._expiries:
+            # The task of a query that came just before may not have begun.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._reject, message.ident, 0)
         self._reject(message.ident, 0)
         self._expiries.drop(message.ident)
         self._assignment.record_end(message, now)
--- a/galenaswitch/gateway/tests/fakes.py
+++ b/galenaswitch/gateway/tests/fakes.py
@@ -4,7 +4,7 @@
 class LocalOwnerRouter:
     """Owner router that treats this machine as the owner of every service."""
 
-    async def query(self, service, message, seconds, decide):
+    async def query(self, service, message, seconds, decide, *others):
         """Answer a query on this machine."""
         return 'me', await decide(message)
 
--- a/galenaswitch/gateway/tests/test_owners.py
+++ b/galenaswitch/gateway/tests/test_owners.py
@@ -1,13 +1,15 @@
 """Ownership of services, and queries to their owners."""
 
+import asyncio
 import time
 
 import pytest
 
-from galenaswitch.errors import PeerClosedError
+from galenaswitch.errors import PeerClosedError, PeerTimeoutError
+from galenaswitch.gateway.messages import PlaceQuestion
 from galenaswitch.gateway.owners import WARM_UP_SECONDS, OwnerRouter
 from galenaswitch.membership.lists import Machine, MemberList, Members
-from galenaswitch.membership.mesh import Leaving, Pong
+from galenaswitch.membership.mesh import Leaving, Ping, Pong
 
 NAMES = ('a', 'b', 'c')
 
@@ -229,3 +231,87 @@
     applied = []
     owner_router.notify('b', 'note', applied.append)
     assert applied == ['note']
+
+
+class SilentLink(FakeLink):
+    """Link to a VM that is frozen: it answers nothing."""
+
+    async def request(self, message, seconds):
+        """Record a query, and wait for a reply that never comes."""
+        if not isinstance(message, Ping):
+            self.sent.append(message)
+        await asyncio.sleep(seconds)
+        raise PeerTimeoutError('silent')
+
+
+def make_query(left):
+    """Return a query for a placement."""
+    return PlaceQuestion(
+        'llm', 'q', (), 1, 1, 'z', {}, (), 1, 0.5, left, complete_in=left
+    )
+
+
+@pytest.fixture
+def ask(owner_router, mesh):
+    """Return a function that asks the owner, which is a frozen VM."""
+    others = {name: SilentLink(name) for name in NAMES if name != 'a'}
+    mesh.links.update(others)
+    service = next(
+        str(number)
+        for number in range(99)
+        if owner_router._rank_machines(str(number))[-1] == 'a'
+    )
+
+    async def run(left, unanswered):
+        async def decide(query):
+            return query
+
+        return await owner_router.query(
+            service, make_query(left), left, decide, unanswered.append
+        )
+
+    return run
+
+
+# Guards against requests that get neither a placement nor a rejection until
+# their deadline, since their owner is lost.
+async def test_query_is_repeated_at_the_next_owner_within_the_time_left(
+    ask, mesh
+):
+    unanswered = []
+    began_at = time.monotonic()
+    owner, query = await ask(3.0, unanswered)
+    waited = time.monotonic() - began_at
+    assert owner == 'a'
+    assert waited < 2.0
+    assert query.left == pytest.approx(3.0 - waited, abs=0.05)
+    assert query.complete_in == pytest.approx(3.0 - waited, abs=0.05)
+    assert sorted(unanswered) == ['b', 'c']
+    second = mesh.links[unanswered[1]].sent[0]
+    assert second.left < 3.0 - 0.5
+
+
+# Guards against a frozen owner that goes on and places what was given up.
+async def test_query_that_is_cancelled_is_withdrawn_at_its_owner(ask):
+    unanswered = []
+    asking = asyncio.create_task(ask(3.0, unanswered))
+    await asyncio.sleep(0.1)
+    asking.cancel()
+    await asyncio.wait({asking})
+    assert len(unanswered) == 1
+
+
+# Guards against pings that grow with the number of queries that wait.
+async def test_queries_to_one_owner_share_their_pings(ask, mesh):
+    pings = []
+    for link in mesh.links.values():
+        request = link.request
+
+        async def count(message, seconds, link=link, request=request):
+            if isinstance(message, Ping):
+                pings.append(link)
+            return await request(message, seconds)
+
+        link.request = count
+    await asyncio.gather(*(ask(3.0, []) for _ in range(50)))
+    assert len(pings) <= 4
--- a/galenaswitch/gateway/tests/test_placements.py
+++ b/galenaswitch/gateway/tests/test_placements.py
@@ -338,3 +338,15 @@
     overloaded.record_end(make_end('running'))
     assert not (await waiting).target
     assert (await overloaded.place(make_query('next'))).target == 'e'
+
+
+# Guards against an owner that goes on after a freeze, and reads a query and its
+# withdrawal at once.
+async def test_end_that_is_read_with_its_query_ends_the_wait(scheduler):
+    await scheduler.place(make_query('running'))
+    waiting = asyncio.create_task(scheduler.place(make_query('gone')))
+    scheduler.record_end(PlaceEnd('llm', 'gone', '', failed=False))
+    scheduler.record_end(make_end('running'))
+    async with asyncio.timeout(0.5):
+        assert not (await waiting).target
+        assert (await scheduler.place(make_query('next'))).target == 'e'
--- a/galenaswitch/platform/tests/test_kept_streams.py
+++ b/galenaswitch/platform/tests/test_kept_streams.py
@@ -341,7 +341,7 @@
         self.told = []
         self._queries = 0
 
-    async def query(self, service, message, seconds, decide):
+    async def query(self, service, message, seconds, decide, *others):
         """Answer the first placement query, and no other."""
         self._queries += 1
         if self._queries > 1:
--- a/galenaswitch/platform/tests/test_stream_versions.py
+++ b/galenaswitch/platform/tests/test_stream_versions.py
@@ -29,7 +29,7 @@
         """Build a router whose owner knows no versions."""
         self.on_query = lambda: None
 
-    async def query(self, service, message, seconds, decide):
+    async def query(self, service, message, seconds, decide, *others):
         """Answer a placement query with the first target."""
         self.on_query()
         return 'owner', PlaceReply('t0')
