--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -50,6 +50,11 @@
 # A placement query times out this many seconds after the time left for the
 # placement is over.
 REPLY_SLACK_SECONDS = 0.1
+# Reasons that a reply may name. Those of later builds count as no capacity.
+_REASONS = {
+    reason.value: reason
+    for reason in (Reason.capacity, Reason.deadline_unreachable)
+}
 
 
 class StreamDispatcher:
@@ -122,6 +127,7 @@
                 query,
                 query.left + REPLY_SLACK_SECONDS,
                 self.place_locally,
+                partial(self._withdraw, query),
             )
             unanswered.pop_all()
         # A request to a target whose zone was evacuated meanwhile isn't sent,
@@ -134,8 +140,9 @@
             # The owner knows another version of the target, or an old list, or
             # the request may not be sent to one more target.
             self._notify_end(owner, PlaceEnd(service, query.ident, '', False))
+        reason = _REASONS.get(reply.reason, Reason.capacity)
         raise RefusedError(
-            Reason.stage_failed if job.sent else Reason.capacity,
+            Reason.stage_failed if job.sent else reason,
             job.run,
             'no engine has free capacity',
             reply.retry_after,
@@ -284,11 +291,13 @@
         )
         self._notify_end(run.placement.owner, message)
 
-    def _withdraw(self, query: PlaceQuestion) -> None:
-        owner = self._owner_router.find_owner(query.service)
-        self._notify_end(
-            owner, PlaceEnd(query.service, query.ident, '', failed=False)
-        )
+    def _withdraw(self, query: PlaceQuestion, owner: str = '') -> None:
+        """Withdraw a query that has no reply from a VM, else from this one."""
+        message = PlaceEnd(query.service, query.ident, '', failed=False)
+        if owner:
+            self._notify_end(owner, message)
+        else:
+            self.receive_end(message)
 
     def _notify_end(self, owner: str, message: PlaceEnd) -> None:
         self._owner_router.notify(owner, message, self.receive_end)
