Leave slow targets of plain services out while others have room

Cause: the choice among the targets of a plain service counted only this VM's requests in progress. An idle target that takes ten times as long as the others was chosen as often as they were, and a request that may run only once then waits for it to the end. Of an idempotent request the slow attempt is cancelled by a hedge, so its latency was never recorded. Ruled out: ejection. It would take the capacity of a slow target away from a service whose other targets are full, for up to 20 s. Change: a target whose average and last latency are above twice the median of the others (and above 50 ms) gets requests only while no other target has a free slot, and one after 1, 2, 4 and up to 20 s that measures it. The first quick response ends this. An attempt that is given up counts with the time until then. One log line, target_slow, and a counter.

--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -204,14 +204,14 @@
         """
         sent_at = time.monotonic()
         timeout = self._find_answer_timeout(job.request)
-        job.in_flight.add(target.name)
+        job.in_flight[target.name] = sent_at
         try:
             answer = await self._send(job, target)
         except TargetError as error:
             await self._record_error(job, target, error, sent_at)
             raise
         finally:
-            job.in_flight.discard(target.name)
+            job.in_flight.pop(target.name)
         seconds = time.monotonic() - sent_at
         self._record_answer(job, target, answer, seconds)
         # An error of the target doesn't show that it ran the request.
@@ -263,10 +263,15 @@
     def _record_silent(self, job: PlainJob, *, in_time: bool) -> None:
         """Record failures of the targets in flight beside an answer in time.
 
-        Beside one that is late, all targets may be silent.
+        Beside one that is late, all targets may be silent. Their attempts are
+        cancelled, so the time until now is the only sample of their latency.
         """
-        for name in job.in_flight if in_time else ():
-            self._ejector.record_failure(name, time.monotonic())
+        now = time.monotonic()
+        usual = self._loads.typical_latency(job.request.service)
+        for name, sent_at in job.in_flight.items():
+            self._loads.get_load(name).observe_unanswered(now - sent_at, usual)
+            if in_time:
+                self._ejector.record_failure(name, now)
 
     async def _record_error(
         self, job: PlainJob, target: Target, error: TargetError, sent_at: float
--- a/galenaswitch/gateway/selection.py
+++ b/galenaswitch/gateway/selection.py
@@ -34,7 +34,8 @@
     :ivar screening: screening of the request.
     :ivar progress: progress of all attempts.
     :ivar tried: names of the targets that were chosen.
-    :ivar in_flight: names of the targets of attempts in flight.
+    :ivar in_flight: monotonic times at which attempts in flight were sent, by
+        the names of their targets.
     :ivar error: error of the attempt that failed last.
     :ivar failed: last answer with which a target itself failed.
     :ivar seats: ids of seats that no attempt uses yet, by target.
@@ -46,7 +47,7 @@
         self.screening = screening
         self.progress = Progress()
         self.tried: set[str] = set()
-        self.in_flight: set[str] = set()
+        self.in_flight: dict[str, float] = {}
         self.error: TargetError | None = None
         self.failed: Answer | None = None
         self.seats: dict[str, str] = {}
--- a/galenaswitch/platform/tests/conftest.py
+++ b/galenaswitch/platform/tests/conftest.py
@@ -41,8 +41,8 @@
 from galenaswitch.platform.tests.fakes import AnswerRecorder
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.quarantine.fingerprints import Fingerprints
-from galenaswitch.routing.choice import LeastOutstanding
 from galenaswitch.routing.loads import LoadView
+from galenaswitch.routing.slowness import SlowLast
 
 API_KEY = 'k1'
 SETTINGS = """
@@ -284,7 +284,7 @@
             sender,
             PlatformWire(),
             budgets,
-            LeastOutstanding(loads),
+            SlowLast(loads, LocalMetrics()),
             loads,
             containment,
         )
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -63,8 +63,8 @@
 from galenaswitch.programs.vm_stop import Draining
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.quarantine.fingerprints import Fingerprints
-from galenaswitch.routing.choice import LeastOutstanding
 from galenaswitch.routing.loads import LoadView
+from galenaswitch.routing.slowness import SlowLast
 
 # Seconds until the balancer notices that a VM is not ready. It probes once a
 # second and acts on two failed probes.
@@ -385,7 +385,7 @@
             self._sender,
             self._wire,
             self.budgets,
-            LeastOutstanding(loads),
+            SlowLast(loads, self.metrics),
             loads,
             self.containment,
         )
--- a/galenaswitch/routing/loads.py
+++ b/galenaswitch/routing/loads.py
@@ -85,6 +85,8 @@
     :ivar report: last load report of the target.
     :ivar reported_at: monotonic time at which the report arrived.
     :ivar latency: moving average in seconds, 0 before the first sample.
+    :ivar last_latency: last sample of it.
+    :ivar observed_at: monotonic time of the last sample.
     """
 
     def __init__(self) -> None:
@@ -93,6 +95,8 @@
         self.report = LoadReport('', '')
         self.reported_at = -float(MAX_REPORT_AGE_SECONDS)
         self.latency = 0.0
+        self.last_latency = 0.0
+        self.observed_at = 0.0
         self._average_answer_tokens = 0.0
         self._sent: deque[SentWork] = deque()
 
@@ -115,10 +119,22 @@
 
     def observe(self, seconds: float) -> None:
         """Add the latency of one successful call to the moving average."""
+        self.last_latency = seconds
+        self.observed_at = monotonic()
         if self.latency:
             seconds = self.latency + SMOOTHING * (seconds - self.latency)
         self.latency = seconds
 
+    def observe_unanswered(self, seconds: float, usual: float) -> None:
+        """Add the time without an answer of a call that was given up.
+
+        Up to the average latency, it says nothing about the target.
+
+        :param usual: average latency of the pool in seconds.
+        """
+        if seconds > max(self.latency, usual):
+            self.observe(seconds)
+
     def accept(self, report: LoadReport, now: float) -> None:
         """Replace the load report by one that arrived at a monotonic time."""
         self.report = report
--- /dev/null
+++ b/galenaswitch/routing/tests/test_slowness.py
@@ -0,0 +1,106 @@
+"""Choice among plain targets of which some are slow, without a network."""
+
+import pytest
+
+from galenaswitch.membership.lists import Target
+from galenaswitch.operations.metrics import LocalMetrics
+from galenaswitch.routing.choice import WorkEstimate
+from galenaswitch.routing.loads import LoadView
+from galenaswitch.routing.slowness import SlowLast
+
+NOW = 100.0
+
+
+@pytest.fixture
+def loads():
+    """Return a view of loads that are all idle."""
+    return LoadView()
+
+
+@pytest.fixture
+def choose_names(loads):
+    """Return a function that makes choices among targets with latencies."""
+    chooser = SlowLast(loads, LocalMetrics())
+
+    def choose(latencies, now=NOW, count=30, capacity=8):
+        targets = [
+            Target(name, '1', 'z', 'desk', 'h:1', capacity=capacity)
+            for name in latencies
+        ]
+        for name, seconds in latencies.items():
+            if seconds:
+                loads.get_load(name).observe(seconds)
+        work = WorkEstimate((), 0, 0, 'z', now)
+        return {chooser.choose(targets, work).name for _ in range(count)}
+
+    return choose
+
+
+# Guards against targets that are left out for differences that are usual, or
+# before anything is known about them.
+@pytest.mark.parametrize(
+    ('slow', 'expected'),
+    [(0, 'abc'), (0.19, 'abc'), (0.8, 'bc')],
+)
+def test_only_a_slow_target_is_left_out(choose_names, slow, expected):
+    latencies = {'a': slow, 'b': 0.1, 'c': 0.1}
+    assert choose_names(latencies) == set(expected)
+
+
+# Guards against services with few milliseconds of work, whose ratios are noise.
+def test_differences_that_callers_hardly_notice_do_not_count(choose_names):
+    assert choose_names({'a': 0.04, 'b': 0.01, 'c': 0.01}) == set('abc')
+
+
+# Guards against a service without targets after all became slow.
+def test_targets_that_are_all_slow_are_all_used(choose_names):
+    choose_names({'a': 0.1, 'b': 0.1})
+    assert choose_names({'a': 5.0, 'b': 5.0}) == set('ab')
+
+
+# Guards against a slow target that holds up many requests to be measured.
+def test_slow_target_is_measured_at_growing_intervals(choose_names, loads):
+    usual = {'b': 0.1, 'c': 0.1}
+    probes = []
+    for step in range(600):
+        seconds = 0.8 if probes and probes[-1] == step - 1 else 0
+        names = choose_names(
+            {'a': seconds or 0.8 * (not step), **usual}, NOW + step / 10, 1
+        )
+        if 'a' in names:
+            probes.append(step)
+    assert 4 <= len(probes) <= 7
+
+
+# Guards against a second request to a slow target that hasn't answered yet.
+def test_slow_target_with_a_request_in_progress_is_not_measured(
+    choose_names, loads
+):
+    latencies = {'a': 0.8, 'b': 0.1, 'c': 0.1}
+    choose_names(latencies)
+    loads.get_load('a').start(NOW, 0, 0)
+    assert choose_names(latencies, NOW + 50, 9) == set('bc')
+
+
+# Guards against a target that stays out after it has become quick.
+def test_one_quick_response_ends_the_pause(choose_names):
+    choose_names({'a': 0.8, 'b': 0.1, 'c': 0.1})
+    assert choose_names({'a': 0.1, 'b': 0.1, 'c': 0.1}) == set('abc')
+
+
+# Guards against requests that queue beside a slow target with free slots.
+def test_slow_target_is_used_while_the_others_have_no_room(choose_names, loads):
+    for name in 'bc':
+        loads.get_load(name).outstanding = 2
+    names = choose_names({'a': 0.8, 'b': 0.1, 'c': 0.1}, capacity=2)
+    assert names == {'a'}
+
+
+# Guards against a slow target whose attempts are all cancelled, and that is
+# never known as slow for want of an answer.
+def test_time_without_an_answer_counts_if_it_is_long(loads):
+    load = loads.get_load('a')
+    load.observe_unanswered(0.05, 0.1)
+    assert load.latency == 0
+    load.observe_unanswered(0.4, 0.1)
+    assert load.latency == 0.4
