Check what a response is, and reset connections that are given up

Cause: an orderly close ended a response without a length even while the request was still being written; statuses 000 and 099 were ignored as interim responses, 600 and 999 passed on. A transport that is aborted drops only its own buffer: the kernel went on to send what it held, so that a request could run after its caller had the final response. An exit that had stopped reading did not notice the end of a tunnel at all. A cut answer of the store raised an error that nobody handles.

Change: a response that ends with its connection counts only if the whole request was written, at the VM and at the exit; other statuses fail the target. A connection without a complete response is reset with SO_LINGER 0, and an exit passes the reset on; it asks the kernel each 0.1 s while it doesn't read. Connections close in order after a complete response.

Tests: fakes that took the end of a connection for an orderly close accept a reset as well; the two tests of callers that leave now demand the reset.

Connections of aiohttp (the product's own API) still close in order.

--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -1,10 +1,12 @@
 """HTTP connections to targets, one request at a time on each.
 
 Each request is sent once, on one connection; this module never retries. A
-response is complete only when its Content-Length, its last chunk or an
-orderly close proves it. Bytes that arrive without a request in progress
-close the connection, so that they can't be read as the response to the next
-request.
+response is complete only when its Content-Length or its last chunk proves it,
+or an orderly close after the whole request was written. A connection that is
+given up before is reset, so that the request can't run later.
+
+Bytes that arrive without a request in progress close the connection, so that
+they can't be read as the response to the next request.
 """
 
 import asyncio
@@ -27,7 +29,10 @@
 from galenaswitch.connections.memory import MemoryAccount
 from galenaswitch.connections.outcomes import Outcome
 from galenaswitch.connections.requests import HTTP_VERSION
-from galenaswitch.connections.sockets import enable_dead_peer_detection
+from galenaswitch.connections.sockets import (
+    enable_dead_peer_detection,
+    reset,
+)
 from galenaswitch.errors import TargetUnreachableError
 
 # Most bytes that a target may send without a byte of a body: its head, interim
@@ -41,6 +46,9 @@
 # Share of the target's Keep-Alive timeout after which an idle connection is
 # no longer used.
 IDLE_TIMEOUT_SHARE = 0.7
+# Bytes with another status code are no response.
+FIRST_STATUS = 100
+LAST_STATUS = 599
 # Responses with lower status codes are interim responses, which are ignored.
 FIRST_FINAL_STATUS = 200
 # Responses with these status codes have no body.
@@ -72,6 +80,7 @@
         self._transport: Any = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
+        self._is_answered = True
         self._headers: list[Header] = []
         self._keep_alive = True
         self._ends_at_close = False
@@ -120,12 +129,21 @@
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
-        """Handle an orderly close, which ends a response without a length."""
+        """Handle an orderly close, which may end a response without a length.
+
+        The target has answered only what it was sent, so the response isn't
+        complete while a part of the request is unwritten.
+        """
         self._closed = True
         self.outcome.report(is_answer=False)
-        if self._exchange and self._ends_at_close and self._exchange.head:
-            self._exchange.end()
+        is_written = not self._transport.get_write_buffer_size()
+        exchange = self._exchange
+        if exchange and exchange.head and self._ends_at_close and is_written:
+            self._is_answered = True
+            exchange.end()
         self._fail('the target closed the connection')
+        if not self._is_answered:
+            self.close()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -154,6 +172,10 @@
     def on_headers_complete(self) -> None:
         """Pass on a final response head; called by the HTTP parser."""
         status = self._parser.get_status_code()
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self._fail(f'the target sent the status {status}')
+            self.close()
+            return
         if status < FIRST_FINAL_STATUS or self._exchange is None:
             return
         head = AnswerHead(status, tuple(self._headers))
@@ -196,6 +218,7 @@
         if self._ends_at_close and not self._closed:
             return
         self._exchange = None
+        self._is_answered = True
         exchange.end()
 
     def send(
@@ -221,6 +244,7 @@
                 f'{self.address}: the connection is closed or in use'
             )
         self._exchange = Exchange(self._memory.open(self._give_up))
+        self._is_answered = False
         self._heard_at = time.monotonic()
         self._framing_bytes = 0
         self.history.start(ident, read_ident)
@@ -245,10 +269,16 @@
             self._transport.resume_reading()
 
     def close(self) -> None:
-        """Reset the connection; the target then drops a request in progress."""
+        """Close the connection, and reset it while a request is in progress.
+
+        The target then drops the request, or never receives the bytes of it
+        that were not sent.
+        """
         self._closed = True
-        if self._transport:
+        if self._transport and self._is_answered:
             self._transport.abort()
+        elif self._transport:
+            reset(self._transport)
 
     def _read_idle_timeout(self) -> None:
         keep_alive = find_header_text(self._headers, b'keep-alive')
--- a/galenaswitch/paths/exits.py
+++ b/galenaswitch/paths/exits.py
@@ -5,7 +5,13 @@
 from typing import Any
 
 from galenaswitch.connections.dialing import DirectDialer
-from galenaswitch.connections.sockets import enable_dead_peer_detection
+from galenaswitch.connections.sockets import (
+    enable_dead_peer_detection,
+    has_unread_bytes,
+    has_unsent_bytes,
+    is_ended_by_peer,
+    reset,
+)
 from galenaswitch.errors import PeerClosedError
 from galenaswitch.membership.links import Link
 from galenaswitch.operations.logs import get_logger
@@ -25,6 +31,9 @@
 EXIT_CONNECT_SECONDS = 0.3
 # Most tunnels that an exit serves. Each may hold the buffers of two sockets.
 MAX_TUNNELS = 512
+# Seconds between two looks whether a VM has ended a tunnel from which nothing
+# is read, since its target doesn't read. The loop tells it only to readers.
+CHECK_SECONDS = 0.1
 
 
 class Exits:
@@ -125,7 +134,14 @@
         self._tunnel.write(encode_chunk(chunk))
 
     def eof_received(self) -> bool:
-        """Pass an orderly close on; the VM then closes the tunnel."""
+        """Pass an orderly close on; the VM then closes the tunnel.
+
+        A target that closes while a part of the request waits here has not
+        closed in order: the tunnel breaks off behind the bytes that came.
+        """
+        if self._transport.get_write_buffer_size() or self._tunnel.is_behind:
+            reset(self._transport)
+            return False
         self._tunnel.write(CLOSED_FRAME)
         return True
 
@@ -159,8 +175,15 @@
             self._transport.resume_reading()
 
     def abort(self) -> None:
+        """Close the connection, and reset it while bytes are unsent."""
+        if has_unsent_bytes(self._transport):
+            self.reset()
+        else:
+            self._transport.abort()
+
+    def reset(self) -> None:
         """Reset the connection; the target drops a request in progress."""
-        self._transport.abort()
+        reset(self._transport)
 
 
 class _TunnelEnd(asyncio.Protocol):
@@ -179,12 +202,18 @@
         self._target = target
         self._tunnels = tunnels
         self._transport: Any = None
+        self._timer: asyncio.TimerHandle | None = None
 
     @property
     def user(self) -> str:
         """Name of the VM that has asked for the tunnel."""
         return self._link.peer.node
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether bytes of the VM have arrived that were not read yet."""
+        return has_unread_bytes(self._transport)
+
     def connection_made(self, transport: Any) -> None:
         """Begin to pass on what the target sends."""
         self._transport = transport
@@ -196,15 +225,23 @@
         self._target.write(chunk)
 
     def eof_received(self) -> bool:
-        """Reset the connection to the target, as the VM has closed."""
+        """Close the connection to the target, as the VM has closed."""
         self._tunnels.discard(self)
         self._target.abort()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Reset the connection to the target."""
+        """End the connection to the target as the VM has ended the tunnel.
+
+        A VM that gives a request up resets the tunnel; one that can't be
+        reached may have given it up.
+        """
+        self._stop_checks()
         self._tunnels.discard(self)
-        self._target.abort()
+        if error:
+            self._target.reset()
+        else:
+            self._target.abort()
 
     def pause_writing(self) -> None:
         """Stop reading from the target, as the VM doesn't read."""
@@ -219,15 +256,32 @@
         self._transport.write(frame)
 
     def pause_reading(self) -> None:
-        """Stop reading from the VM."""
+        """Stop reading from the VM, but notice that it ends the tunnel."""
         if not self._transport.is_closing():
             self._transport.pause_reading()
+            self._check()
 
     def resume_reading(self) -> None:
         """Read from the VM again."""
+        self._stop_checks()
         if not self._transport.is_closing():
             self._transport.resume_reading()
 
     def close(self) -> None:
         """Close the tunnel behind the bytes that are still unsent."""
+        self._stop_checks()
         self._transport.close()
+
+    def _check(self) -> None:
+        """End the tunnel if the VM has, which leaves its request unsent."""
+        if is_ended_by_peer(self._transport):
+            self._target.reset()
+            self._transport.abort()
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(CHECK_SECONDS, self._check)
+
+    def _stop_checks(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
--- a/galenaswitch/platform/tests/test_late_batches.py
+++ b/galenaswitch/platform/tests/test_late_batches.py
@@ -1,6 +1,7 @@
 """Batches at sound targets that are silent for a while and go on."""
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -86,7 +87,8 @@
     async def _be_silent(self, reader, seconds):
         try:
             async with asyncio.timeout(seconds):
-                await reader.read(1)
+                with contextlib.suppress(ConnectionResetError):
+                    await reader.read(1)
         except TimeoutError:
             return
         self.lost += 1
--- a/galenaswitch/platform/tests/test_plain.py
+++ b/galenaswitch/platform/tests/test_plain.py
@@ -237,7 +237,8 @@
 
     async def hang(reader, stream):
         await target.read_request(reader)
-        await reader.read()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
         connection_closed.set()
 
     target._script = hang
--- a/galenaswitch/platform/tests/test_silent_plain.py
+++ b/galenaswitch/platform/tests/test_silent_plain.py
@@ -1,6 +1,7 @@
 """Plain requests to sound targets that are silent for a while and go on."""
 
 import asyncio
+import contextlib
 import time
 from typing import NamedTuple
 from unittest.mock import Mock
@@ -67,7 +68,8 @@
             return
         try:
             async with asyncio.timeout(seconds):
-                await reader.read(1)
+                with contextlib.suppress(ConnectionResetError):
+                    await reader.read(1)
         except TimeoutError:
             return
         self.lost += 1
--- a/galenaswitch/platform/tests/test_streams.py
+++ b/galenaswitch/platform/tests/test_streams.py
@@ -167,7 +167,8 @@
     async def hang(reader, stream_writer):
         await target.read_request(reader)
         stream_writer.write(stream([event(1)], end=b''))
-        await reader.read()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
         connection_closed.set()
 
     target._script = hang
--- a/galenaswitch/store/client.py
+++ b/galenaswitch/store/client.py
@@ -154,7 +154,7 @@
                 ) as answer,
             ):
                 return await _read_answer(answer)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             raise StoreUnavailableError(
                 f'the store does not answer: {type(error).__name__}',
             ) from error
--- a/galenaswitch/targets/tests/test_odd_heads.py
+++ b/galenaswitch/targets/tests/test_odd_heads.py
@@ -3,7 +3,7 @@
 import orjson
 import pytest
 
-from galenaswitch.errors import TargetError
+from galenaswitch.errors import TargetBrokenError, TargetError
 from galenaswitch.membership.lists import Target
 from galenaswitch.targets.client import TargetClient
 from galenaswitch.targets.messages import StageCall, encode_call
@@ -61,3 +61,26 @@
     with pytest.raises(TargetError):
         async for _ in client.stream(make_target(server), CALL, 1.0):
             pass
+
+
+# Guards against bytes that are no response and count as an answer or a refusal.
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+async def test_status_that_does_not_exist_is_a_failure(
+    client, scripted, status
+):
+    server = await scripted([ANSWER.replace(b'200', status)])
+    with pytest.raises(TargetBrokenError):
+        await client.call(make_target(server), CALL, repeatable=True)
+    with pytest.raises(TargetBrokenError):
+        async for _ in client.stream(make_target(server), CALL, 1.0):
+            pass
+
+
+# Guards against an answer without a length that counts as complete, though it
+# was cut off by an orderly close.
+@pytest.mark.parametrize('length', [1, 2, -1])
+async def test_answer_without_a_length_is_no_part(client, scripted, length):
+    head = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
+    server = await scripted([head + OUTPUT[:length]])
+    with pytest.raises(TargetBrokenError):
+        await client.call(make_target(server), CALL, repeatable=True)
