Check configuration documents before they are sent: galenactl check

Cause: an operator learned only from the VMs' logs that a configuration was rejected, and not at all that a route never matches or that limits contradict each other, since such a document is applied. Change: `galenactl check FILE [--against FILE] [--json]`. Errors are those of the decoder that the VMs use; it names the entry now (`routes[1]: KeyError 'odd'`). Reading a file moved from ctl.py to ctl_files.py, unchanged.

--- a/galenaswitch/platform/documents.py
+++ b/galenaswitch/platform/documents.py
@@ -15,7 +15,8 @@
 
 import ipaddress
 import re
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from galenaswitch.connections.requests import InboundLimits
 from galenaswitch.connections.sockets import split_address
@@ -55,6 +56,7 @@
 # A name is sent as the value of a header.
 _NAME = re.compile(r'[!-~]{1,256}')
 Document = dict[str, Any]
+Entry = TypeVar('Entry')
 
 
 class PlatformDocuments:
@@ -171,16 +173,15 @@
 
 
 def _read_route_table(document: Document) -> RouteTable:
-    services = [_read_service(entry) for entry in document['services']]
+    services = _read_entries(document, 'services', _read_service)
     services_by_name = {service.name: service for service in services}
-    routes = [_read_route(entry) for entry in document['routes']]
+    routes = _read_entries(document, 'routes', _read_route)
     for route in routes:
         _check_services(route, services_by_name)
-    workspaces = {
-        key: Workspace(entry['name'], entry.get('priority'))
-        for entry in document.get('tenants', ())
-        for key in entry['api-keys']
-    }
+    workspaces: dict[str, Workspace] = {}
+    if 'tenants' in document:
+        for known in _read_entries(document, 'tenants', _read_workspace):
+            workspaces.update(known)
     return RouteTable(
         version=_check_type(document['version'], int),
         routes=order_routes(routes),
@@ -191,6 +192,26 @@
     )
 
 
+def _read_entries(
+    document: Document, field: str, read: Callable[[Document], Entry]
+) -> list[Entry]:
+    """Decode a list of entries; an error names the entry."""
+    entries = []
+    for number, entry in enumerate(document[field]):
+        try:
+            entries.append(read(entry))
+        except DECODE_ERRORS as error:
+            raise ValueError(
+                f'{field}[{number}]: {type(error).__name__} {error}'
+            ) from error
+    return entries
+
+
+def _read_workspace(document: Document) -> dict[str, Workspace]:
+    workspace = Workspace(document['name'], document.get('priority'))
+    return dict.fromkeys(document['api-keys'], workspace)
+
+
 def _check_services(route: Route, services_by_name: dict[str, Service]) -> None:
     service_names = {split.service for split in route.splits}
     service_names.update(stage.service for stage in route.stages)
--- a/galenaswitch/programs/ctl.py
+++ b/galenaswitch/programs/ctl.py
@@ -1,7 +1,8 @@
 """``galenactl``: command-line tool for operators.
 
 Exit codes: 0 success; 1 the operators' API refused the command; 2 invalid
-arguments or settings; 3 the API is unreachable or the outcome is unknown.
+arguments, settings or files; 3 the API is unreachable or the outcome is
+unknown. ``check`` exits with 1 for findings.
 """
 
 import json
@@ -19,7 +20,9 @@
 from galenaswitch.platform.settings import load_vm_settings
 from galenaswitch.programs.admin import AdminSettings
 from galenaswitch.programs.calls import AdminClient, RefusedByAdminError
+from galenaswitch.programs.configuration_check import check_configuration
 from galenaswitch.programs.control import ControlSettings
+from galenaswitch.programs.ctl_files import read_file
 from galenaswitch.programs.entry import EntrySettings
 
 EXIT_REFUSED = 1
@@ -227,20 +230,6 @@
     sys.stdout.write(f'{file}: ok\n')
 
 
-def read_file(path: Path) -> dict[str, Any]:
-    """Return the JSON object in a file.
-
-    :raises SettingsError: when the file is unreadable or has no JSON object.
-    """
-    try:
-        document = json.loads(path.read_text(encoding='utf-8'))
-    except (OSError, ValueError) as error:
-        raise SettingsError(f'cannot read {path}: {error}') from error
-    if not isinstance(document, dict):
-        raise SettingsError(f'{path} is not a JSON object')
-    return document
-
-
 def find_object_commands(kind: str) -> dict[str, Any]:
     """Return the subcommands for a kind of object by their names."""
     commands = ObjectCommands(kind)
@@ -258,6 +247,7 @@
         'contract': find_object_commands('contracts'),
         'pipeline': find_object_commands('pipelines'),
         'settings': {'check': check},
+        'check': check_configuration,
         'status': status,
         'dump': dump,
     }
