Add extra sends beside late plain responses, within a limit

Cause: a plain request at a target that pauses waits until the target counts as silent, after four times the average and at least 0.15 s. Operators accept extra work within a share of the first sends. Change: GALENA_EXTRA_WORK_RATIO (0 to 0.2, default 0: nothing changes). Each VM keeps the ratio for its own first sends, so the sum keeps it without messages. Each extra send is charged to the retry budget and leaves half of it. A target that is later than most is not ejected for it.

--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -25,9 +25,11 @@
 from galenaswitch.gateway.calls import CallerRequest, Wire
 from galenaswitch.gateway.failures import TargetFailedError, may_have_crashed
 from galenaswitch.gateway.notices import TargetClosedError
+from galenaswitch.gateway.plain_records import AttemptRecords
 from galenaswitch.gateway.routes import CallKind
 from galenaswitch.gateway.selection import Answer, PlainJob, TargetSelection
 from galenaswitch.gateway.sending import Sender
+from galenaswitch.hedging.sends import Hedges
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.operations.logs import get_logger
@@ -58,7 +60,10 @@
 
 
 class PlainRunner:
-    """Runs requests to plain services."""
+    """Runs requests to plain services.
+
+    :ivar records: what the attempts show about targets, and the extra sends.
+    """
 
     def __init__(
         self,
@@ -83,6 +88,7 @@
         self._loads = loads
         self._containment = containment
         self._ejector = Ejector()
+        self.records = AttemptRecords(loads, self._ejector)
         self._selection = TargetSelection(
             zone, members, sender, chooser, self._ejector
         )
@@ -138,13 +144,19 @@
 
     async def _race(self, job: PlainJob, target: Target) -> Answer:
         """Return the first answer of a target and of those asked besides."""
+        extra = self.records.extra
+        extra.record_first(job)
         attempt = self._attempt(job, target)
         if job.request.route.kind is CallKind.once:
             return await attempt
-        return await find_first_success(
-            asyncio.create_task(attempt),
+        hedges = Hedges(
             iter(partial(self._find_answer_timeout, job.request), 0),
             partial(self._hedge, job),
+            partial(self._may_hedge, job),
+        )
+        hedges = extra.plan(job, hedges, self._attempt)
+        return await find_first_success(
+            asyncio.create_task(attempt), hedges.delays, hedges.start
         )
 
     def _find_answer_timeout(self, request: CallerRequest) -> float:
@@ -213,12 +225,12 @@
         finally:
             job.in_flight.pop(target.name)
         seconds = time.monotonic() - sent_at
-        self._record_answer(job, target, answer, seconds)
+        self.records.record_answer(job, target, answer, seconds)
         # An error of the target doesn't show that it ran the request.
         if answer.head.status < MIN_SERVER_ERROR_STATUS:
             job.screening.record_answer()
             self._sender.draining.durations.observe(job.request, sent_at)
-            self._record_silent(job, in_time=seconds < timeout)
+            self.records.record_silent(job, seconds, timeout)
         elif job.request.route.kind is CallKind.repeatable:
             job.failed = answer
             job.error = TargetFailedError(f'status {answer.head.status}')
@@ -244,35 +256,13 @@
                 seat=job.seats.pop(target.name, ''),
             ) as attempt:
                 answer = await attempt.read_head(seconds_left)
-                check_answer(request, answer, self._wire)
+                fields = check_answer(request, answer, self._wire)
+                self.records.extra.record_load(target, fields.load)
                 seconds_left = request.deadline - time.monotonic()
                 return Answer(answer, await attempt.read_complete(seconds_left))
         finally:
             load.finish(sent, time.monotonic())
 
-    def _record_answer(
-        self, job: PlainJob, target: Target, answer: Answer, seconds: float
-    ) -> None:
-        self._loads.observe_pool_latency(job.request.service, seconds)
-        self._loads.get_load(target.name).observe(seconds)
-        if answer.head.status >= MIN_SERVER_ERROR_STATUS:
-            self._ejector.record_failure(target.name, time.monotonic())
-        else:
-            self._ejector.record_success(target.name)
-
-    def _record_silent(self, job: PlainJob, *, in_time: bool) -> None:
-        """Record failures of the targets in flight beside an answer in time.
-
-        Beside one that is late, all targets may be silent. Their attempts are
-        cancelled, so the time until now is the only sample of their latency.
-        """
-        now = time.monotonic()
-        usual = self._loads.typical_latency(job.request.service)
-        for name, sent_at in job.in_flight.items():
-            self._loads.get_load(name).observe_unanswered(now - sent_at, usual)
-            if in_time:
-                self._ejector.record_failure(name, now)
-
     async def _record_error(
         self, job: PlainJob, target: Target, error: TargetError, sent_at: float
     ) -> None:
@@ -282,7 +272,7 @@
             job.tried.discard(target.name)
         if _is_not_run(error):
             job.progress.record_not_run()
-        self._record_failure(target, error, now)
+        self.records.record_failure(job, target, error, now)
         get_logger().info(
             'attempt_failed',
             request=job.request.ident,
@@ -344,16 +334,6 @@
             return False
         return not self._budgets.of(job.request.service).acquire(now)
 
-    def _record_failure(
-        self, target: Target, error: TargetError, now: float
-    ) -> None:
-        if isinstance(error, TargetClosedError):
-            return
-        if isinstance(error, TargetUnreachableError):
-            self._ejector.eject(target.name, now)
-        elif not isinstance(error, TargetBusyError):
-            self._ejector.record_failure(target.name, now)
-
 
 def _is_not_run(error: GalenaError) -> bool:
     return isinstance(error, (TargetUnreachableError, TargetBusyError))
--- /dev/null
+++ b/galenaswitch/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Second sends beside slow responses, within a limit that operators set."""
--- a/galenaswitch/limits/retries.py
+++ b/galenaswitch/limits/retries.py
@@ -68,11 +68,16 @@
         self._retries.extend(now for _ in range(count))
         return True
 
-    def can_acquire(self, now: float, count: int = 1) -> bool:
-        """Tell whether ``count`` retries are left."""
+    def can_acquire(
+        self, now: float, count: int = 1, used_share: float = 1
+    ) -> bool:
+        """Tell whether ``count`` retries are left.
+
+        :param used_share: share of the budget that may be used afterwards.
+        """
         self._drop_expired(now)
         allowed = self._ratio * len(self._requests) + self.min_retries
-        return len(self._retries) + count <= allowed * USED_SHARE
+        return len(self._retries) + count <= allowed * USED_SHARE * used_share
 
     def _drop_expired(self, now: float) -> None:
         for times in (self._requests, self._retries):
--- a/galenaswitch/platform/settings.py
+++ b/galenaswitch/platform/settings.py
@@ -4,19 +4,25 @@
 """
 
 import os
+import re
 from pathlib import Path
 from typing import Annotated, Any, NamedTuple
 
 from pydantic import Field
 
 from galenaswitch.errors import SettingsError
+from galenaswitch.hedging.policy import MAX_RATIO
 from galenaswitch.operations.settings import Port, check_shape
 from galenaswitch.platform.headers import MEGABYTE, MILLISECONDS
 
 SETTINGS_PATH_VARIABLE = 'GALENASWITCH_CONFIG'
 DEFAULT_SETTINGS_PATH = '/etc/galenaswitch/settings.conf'
 
+# Extra sends beside slow responses, allowed for each first send to a service.
+EXTRA_WORK_VARIABLE = 'GALENA_EXTRA_WORK_RATIO'
+
 Positive = Annotated[float, Field(gt=0)]
+_DECIMAL = re.compile(r'\d+(\.\d+)?', re.ASCII)
 
 
 class Bounds(NamedTuple):
@@ -57,6 +63,8 @@
     :param heartbeat: seconds between two writes of a target's own document
         to the object store.
     :param first_start: whether the whole deployment starts for the first time.
+    :param extra_work_ratio: extra sends beside slow responses that are allowed
+        for each first send to a service, 0 for none.
     """
 
     node: str
@@ -72,6 +80,7 @@
     heartbeat: Positive
     bounds: Bounds
     first_start: bool
+    extra_work_ratio: float = 0
 
 
 def find_settings_path() -> Path:
@@ -80,16 +89,36 @@
 
 
 def load_vm_settings(path: Path) -> VmSettings:
-    """Read and check the platform's settings file.
+    """Read and check the platform's settings file and the environment.
 
     :raises SettingsError: when the file is unreadable or an entry is missing
-        or wrong.
+        or wrong, or a variable of the environment is wrong.
     """
     try:
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f'cannot read {path}: {error}') from error
-    return read_vm_settings(text)
+    return read_vm_settings(text)._replace(
+        extra_work_ratio=read_extra_work_ratio(
+            os.environ.get(EXTRA_WORK_VARIABLE, '0')
+        )
+    )
+
+
+def read_extra_work_ratio(text: str) -> float:
+    """Decode and check the ratio of extra sends.
+
+    :raises SettingsError: when the text is no decimal within its range.
+
+    >>> read_extra_work_ratio('0.05')
+    0.05
+    """
+    if _DECIMAL.fullmatch(text) and float(text) <= MAX_RATIO:
+        return float(text)
+    raise SettingsError(
+        f'{EXTRA_WORK_VARIABLE}: {text!r} is not a decimal from 0 to '
+        f'{MAX_RATIO}'
+    )
 
 
 def read_vm_settings(text: str) -> VmSettings:
--- a/galenaswitch/platform/tests/test_settings.py
+++ b/galenaswitch/platform/tests/test_settings.py
@@ -6,6 +6,7 @@
 from galenaswitch.platform.settings import (
     find_settings_path,
     load_vm_settings,
+    read_extra_work_ratio,
     read_vm_settings,
 )
 
@@ -50,3 +51,24 @@
 def test_path_comes_from_the_environment(monkeypatch):
     monkeypatch.setenv('GALENASWITCH_CONFIG', '/x/y')
     assert str(find_settings_path()) == '/x/y'
+
+
+# Guards against a mistyped limit that allows any amount of extra work.
+@pytest.mark.parametrize(
+    'text',
+    ['', 'x', '-0.1', '0.21', '1', 'nan', 'inf', '1e-1', '0,1', '\u0661'],
+)
+def test_extra_work_ratio_out_of_range_is_an_error(text):
+    with pytest.raises(SettingsError, match='GALENA_EXTRA_WORK_RATIO'):
+        read_extra_work_ratio(text)
+
+
+def test_extra_work_ratio_comes_from_the_environment(
+    settings_text, tmp_path, monkeypatch
+):
+    path = tmp_path / 'settings.conf'
+    path.write_text(settings_text)
+    monkeypatch.delenv('GALENA_EXTRA_WORK_RATIO', raising=False)
+    assert load_vm_settings(path).extra_work_ratio == 0
+    monkeypatch.setenv('GALENA_EXTRA_WORK_RATIO', '0.05')
+    assert load_vm_settings(path).extra_work_ratio == 0.05
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -32,7 +32,6 @@
 from galenaswitch.gateway.origins import StreamOrigins
 from galenaswitch.gateway.owners import OwnerRouter
 from galenaswitch.gateway.placements import PlacementScheduler
-from galenaswitch.gateway.plain import PlainRunner
 from galenaswitch.gateway.questions import BatchedService
 from galenaswitch.gateway.readiness import Readiness
 from galenaswitch.gateway.routes import BatchLimits, EngineLimits, RouteTable
@@ -60,11 +59,10 @@
 from galenaswitch.platform.objects import PlatformStore
 from galenaswitch.platform.settings import VmSettings, load_vm_settings
 from galenaswitch.programs.link_service import make_link_service
+from galenaswitch.programs.plain_service import make_plain_runner
 from galenaswitch.programs.vm_stop import Draining
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.quarantine.fingerprints import Fingerprints
-from galenaswitch.routing.loads import LoadView
-from galenaswitch.routing.slowness import SlowLast
 
 # Seconds until the balancer notices that a VM is not ready. It probes once a
 # second and acts on two failed probes.
@@ -378,16 +376,14 @@
         self.service.handlers.update(handlers)  # type: ignore[attr-defined]
 
     def _make_gateway(self) -> Gateway:
-        loads = LoadView()
-        plain = PlainRunner(
-            self._settings.zone,
+        plain = make_plain_runner(
+            self._settings,
             self.members,
             self._sender,
             self._wire,
             self.budgets,
-            SlowLast(loads, self.metrics),
-            loads,
             self.containment,
+            self.metrics,
         )
         return Gateway(
             self._find_route_table,
