--- a/galenaswitch/admission/control.py
+++ b/galenaswitch/admission/control.py
@@ -55,7 +55,7 @@
 
 
 class Refusal(NamedTuple):
-    """Rejection of a request that can't be served in time.
+    """Rejection of a request that gets no placement.
 
     :param ident: id of the placement.
     :param retry_after: seconds after which the caller may return.
@@ -63,7 +63,7 @@
 
     ident: str
     retry_after: float
-    reason: Reason = Reason.deadline_unreachable
+    reason: Reason
 
 
 class AdmissionControl:
@@ -116,7 +116,8 @@
         conditions = self._find_conditions(applicant, now)
         verdict = self._policy.judge(applicant.find_demand(now), conditions)
         if not verdict.is_admitted:
-            return (self._refuse(applicant, verdict, conditions, now),)
+            reason = Reason.deadline_unreachable
+            return (self._refuse(applicant, reason, verdict, conditions, now),)
         if verdict.is_late and not self._queue.find(applicant.ident).late:
             self._metrics.count('place_behind_timely')
             self._queue.demote(applicant.ident)
@@ -139,22 +140,47 @@
             )
             demand = applicant.find_demand(now)
             if self._policy.is_hopeless(demand, conditions):
-                verdict = Verdict(is_admitted=False)
                 hopeless.append(
-                    self._refuse(applicant, verdict, conditions, now)
+                    self._refuse(
+                        applicant,
+                        Reason.deadline_unreachable,
+                        Verdict(is_admitted=False),
+                        conditions,
+                        now,
+                    )
                 )
         return hopeless
 
+    def refuse(
+        self, applicant: Applicant, excess: float, now: float
+    ) -> tuple[Refusal, ...]:
+        """Reject a request whose wait is over, or would be too long.
+
+        :param excess: seconds by which it would be too long.
+        """
+        return (
+            self._refuse(
+                applicant,
+                Reason.capacity,
+                Verdict(is_admitted=False, excess=excess),
+                self._make_conditions(applicant, self.measured.find_rate(now)),
+                now,
+            ),
+        )
+
     def _refuse(
         self,
         applicant: Applicant,
+        reason: Reason,
         verdict: Verdict,
         conditions: Conditions,
         now: float,
     ) -> Refusal:
         """Return a rejection, and log what it rests on."""
         refusal = Refusal(
-            applicant.ident, self._find_retry_time(applicant, verdict, now)
+            applicant.ident,
+            self._find_retry_time(applicant, verdict, now),
+            reason,
         )
         self._metrics.count(f'place_refused.{refusal.reason.value}')
         get_logger().info(
--- a/galenaswitch/admission/queue.py
+++ b/galenaswitch/admission/queue.py
@@ -28,7 +28,8 @@
     :param ident: id of the placement.
     :param late: whether it is not expected to be on time any more.
     :param priority: priority of the request; 0 is the most urgent.
-    :param is_new: whether its caller doesn't return after a rejection.
+    :param is_new: whether its caller doesn't return after a rejection, and it
+        was not at an engine before.
     :param start_by: monotonic time of its latest start that is on time.
     :param number: position in the order of arrival.
     """
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -42,8 +42,6 @@
 # Shortest time in seconds that an engine needs for a request. The wait for a
 # placement ends this long before the time given in the query runs out.
 MIN_RUN_SECONDS = 0.1
-# Seconds after which a request without a placement may be retried.
-RETRY_AFTER_SECONDS = 0.5
 
 
 class Pending(NamedTuple):
@@ -116,15 +114,16 @@
         """
         now = time.monotonic()
         self._assignment.learn_limits(query, now)
-        self._reject(query.ident, 0)
+        self._withdraw(query.ident)
         loop = asyncio.get_running_loop()
         pending = Pending(query, now, loop.create_future())
         self._pending[query.ident] = pending
+        is_returning = self._control.record_arrival(query.fingerprint, now)
         waiting = Waiting(
             query.ident,
             query.start_in < 0,
             query.priority,
-            not self._control.record_arrival(query.fingerprint, now),
+            not (is_returning or query.avoided),
             now + query.start_in,
             next(self._numbers),
         )
@@ -153,8 +152,8 @@
         if message.ident not in self._expiries:
             # The task of a query that came just before may not have begun.
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._reject, message.ident, 0)
-        self._reject(message.ident, 0)
+            loop.call_soon(self._withdraw, message.ident)
+        self._withdraw(message.ident)
         self._expiries.drop(message.ident)
         self._assignment.record_end(message, now)
         self._control.measured.end(message.ident, now)
@@ -248,7 +247,8 @@
             return
         excess = self._find_excess_wait(pending, now)
         if now >= pending.wait_deadline or excess > 0:
-            self._reject(ident, max(excess, RETRY_AFTER_SECONDS))
+            applicant = pending.applicant
+            self._refuse(self._control.refuse(applicant, excess, now))
 
     def _judge(self, ident: str, now: float) -> None:
         """Decide whether a request that has arrived may wait."""
@@ -264,10 +264,10 @@
                 PlaceReply('', refusal.retry_after, refusal.reason.value),
             )
 
-    def _reject(self, ident: str, retry_after: float) -> None:
-        """End the wait of a request without a placement, if it waits."""
+    def _withdraw(self, ident: str) -> None:
+        """End the wait of a request that needs no placement, if it waits."""
         if ident in self._pending:
-            self._answer(ident, PlaceReply('', retry_after))
+            self._answer(ident, PlaceReply(''))
 
     def _answer(self, ident: str, reply: PlaceReply) -> None:
         pending = self._pending[ident]
