--- a/galenaswitch/platform/soak/machines.py
+++ b/galenaswitch/platform/soak/machines.py
@@ -22,7 +22,8 @@
 listen.ready={ip}:8002
 listen.control={ip}:8003
 seeds={seeds}
-limits.memory-mb=300
+limits.memory-mb={memory}
+limits.max-fds={descriptors}
 limits.cpu-share=0.6
 limits.cores=1
 heartbeat-ms=600
@@ -46,6 +47,8 @@
     :ivar start_count: number of times that the process has started.
     :ivar retry_ratio: retries for each request that the settings allow.
     :ivar retry_slack: retries that they allow in addition.
+    :ivar memory_mb: most memory of the process in the settings, in MB.
+    :ivar max_descriptors: most open descriptors in the settings.
     """
 
     def __init__(
@@ -79,6 +82,8 @@
         self._exit_expected = False
         self.retry_ratio = 0.2
         self.retry_slack = 50
+        self.memory_mb = 300
+        self.max_descriptors = 4096
 
     @property
     def callers(self) -> str:
@@ -176,6 +181,8 @@
             grace=GRACE_SECONDS,
             ratio=self.retry_ratio,
             slack=self.retry_slack,
+            memory=self.memory_mb,
+            descriptors=self.max_descriptors,
             first_start=str(not self.start_count).lower(),
         )
         new_file = self._settings.with_suffix('.new')
