Bound the memory and the descriptors that callers take together

Cause: each body and response had a limit, their sum had none, and callers could open any number of connections. Bodies of closed connections stayed in reference cycles until the garbage collector ran, and each body was copied behind its head for the target.

Change: connections/memory.py is one account of incomplete bodies, complete requests, responses and unread bytes of responses, for the listener of callers and the pool of targets. connections/intake.py consults it by the declared length, each 16 KB of a body and at its end: 413, 503 before bytes are taken where the length tells it, 503 for incomplete bodies in an order that lets complete ones through. connections/reading.py holds the reading part of a connection, connections/unsent.py its write buffer, whose limit falls from 256 KB to 16 KB, connections/crowding.py chooses the connection that is closed for a newer one. Large bodies are written to a target without a copy. A lost connection empties its parser, and errors lose their tracebacks. The pool takes the account instead of a share of the memory, so the fixture of test_memory.py builds the account itself, with the same limit. make test runs test_untrusted_callers.py in a second call, one test at a time.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN := $(VENV)/bin
 KEEP ?= 0
 WORKERS ?= 4
+ALONE := galenaswitch/platform/tests/test_untrusted_callers.py
 
 .PHONY: setup demo test check bench soak clean
 
@@ -23,8 +24,10 @@
 	$(BIN)/flake8 galenaswitch standins bench
 	$(BIN)/mypy -p galenaswitch
 
+# Tests of memory run after the others, one at a time.
 test: check
-	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile --ignore=$(ALONE)
+	$(BIN)/python -m pytest $(ALONE)
 
 bench: setup
 	$(BIN)/python -m bench
--- a/galenaswitch/connections/errors.py
+++ b/galenaswitch/connections/errors.py
@@ -24,6 +24,22 @@
     """The caller closed the connection, or stopped reading its response."""
 
 
+def detach(error: BaseException) -> None:
+    """Drop the tracebacks of an error and of those that caused it.
+
+    Their frames refer to the error in turn, so that what else they refer to,
+    such as the body of a request, would stay until the garbage collector runs.
+    """
+    pending: list[BaseException | None] = [error]
+    while pending:
+        found = pending.pop()
+        if found:
+            pending.extend((found.__context__, found.__cause__))
+            found.__traceback__ = None
+            found.__context__ = None
+            found.__cause__ = None
+
+
 class ConnectionEnd(Enum):
     """What ended a connection; the values stand in log lines."""
 
@@ -35,6 +51,7 @@
     rejected = 'closed after a rejection'
     answered = 'closed after an answer'
     broken_off = 'reset by the server'
+    crowded = 'closed for a newer one'
 
 
 _END_BY_ERRNO = {
--- a/galenaswitch/connections/heads.py
+++ b/galenaswitch/connections/heads.py
@@ -9,6 +9,8 @@
 from typing import NamedTuple
 
 Header = tuple[bytes, bytes]
+# Largest body that is copied behind its head, to be sent in one packet with it.
+MAX_COPIED_BYTES = 16_384
 _CRLF = b'\r\n'
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -99,17 +101,21 @@
     ]
 
 
-def encode_request(head: RequestHead, body: bytes) -> bytes:
+def encode_request(head: RequestHead, body: bytes) -> tuple[bytes, ...]:
     r"""Return the bytes of a request, with the length of its body.
 
+    A large body is a part of its own, so that it isn't copied.
+
     >>> encode_request(RequestHead(b'GET', b'/a?b', ()), b'')
-    b'GET /a?b HTTP/1.1\r\n\r\n'
+    (b'GET /a?b HTTP/1.1\r\n\r\n',)
     """
     lines = [b'%b %b HTTP/1.1' % (head.method, head.path)]
     lines.extend(b'%b: %b' % header for header in head.headers)
     if body or head.method not in {b'GET', b'HEAD', b'DELETE'}:
         lines.append(b'Content-Length: %d' % len(body))
-    return _CRLF.join((*lines, b'', body))
+    if len(body) > MAX_COPIED_BYTES:
+        return _CRLF.join((*lines, b'', b'')), body
+    return (_CRLF.join((*lines, b'', body)),)
 
 
 def encode_response_head(head: AnswerHead) -> bytes:
--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -6,98 +6,48 @@
 """
 
 import asyncio
-import time
+import math
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
-from typing import Any, Protocol
+from typing import Any
 
+from galenaswitch.connections.crowding import Wait, find_surplus
 from galenaswitch.connections.errors import (
     CallerGoneError,
     ConnectionEnd,
     RequestRejectedError,
+    detach,
     find_end,
 )
-from galenaswitch.connections.heads import AnswerHead, encode_response_head
+from galenaswitch.connections.handlers import Handler
+from galenaswitch.connections.intake import make_full_error
+from galenaswitch.connections.memory import MemoryAccount
+from galenaswitch.connections.reading import RequestReader
 from galenaswitch.connections.requests import (
     InboundLimits,
     InboundRequest,
     ReadPhase,
-    RequestParser,
 )
-from galenaswitch.connections.responses import ConnectionWriter
+from galenaswitch.connections.responses import (
+    ConnectionWriter,
+    encode_rejection,
+)
 from galenaswitch.connections.sockets import (
     enable_dead_peer_detection,
     has_unread_bytes,
 )
 from galenaswitch.connections.timers import RequestTimer
+from galenaswitch.connections.unsent import UnsentProtocol
 from galenaswitch.operations.logs import describe_error, get_logger
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.operations.process import is_cancelled
-from galenaswitch.operations.timeouts import Timeout
-
-# Pipelined requests that wait on one connection before reading from the
-# caller is paused.
-MAX_PIPELINED_REQUESTS = 4
-# Unsent response bytes on one connection above which writers wait for the
-# slow caller.
-MAX_UNSENT_BYTES = 262_144
-# Longest time in seconds that a caller may stop reading its response.
-STALLED_READER_TIMEOUT_SECONDS = 20
+
 # Longest time in seconds that a connection stays open after its last response,
 # so that what the caller still sends doesn't reset it.
 LINGER_SECONDS = 1
 # Most bytes of a request's path in a log line.
 MAX_LOGGED_PATH = 100
-CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
-
-
-class AnswerWriter(Protocol):
-    """Sends the response to one request.
-
-    :ivar keep: whether the connection stays open after the response.
-    """
-
-    keep: bool
-
-    def start(self, head: AnswerHead, length: int | None) -> None:
-        """Send the response head; a length of ``None`` means a chunked body."""
-
-    async def write(self, chunk: bytes) -> None:
-        """Send a part of the response body, waiting for a slow caller."""
-
-    def finish(self) -> None:
-        """End the response as complete."""
-
-    def abort(self) -> None:
-        """Reset the connection, so that the response can't look complete."""
-
-    @property
-    def started(self) -> bool:
-        """Whether the response head was sent."""
-
-    @property
-    def finished(self) -> bool:
-        """Whether the response is complete."""
-
-    @property
-    def connection_end(self) -> ConnectionEnd | None:
-        """What ended the caller's connection, ``None`` while it is open."""
-
-
-class Handler(Protocol):
-    """Responds to the requests of a listener."""
-
-    async def handle(
-        self,
-        request: InboundRequest,
-        writer: AnswerWriter,
-    ) -> None:
-        """Send the response to a request through ``writer``.
-
-        A request that a handler leaves without a response, or with an error,
-        gets a response with status 500.
-        """
 
 
 class Listener:
@@ -105,6 +55,7 @@
 
     ``draining`` is set at a graceful shutdown: each connection closes after
     its response. ``busy`` counts the connections with a request in progress.
+    Above ``max_connections``, a connection is closed for each new one.
     """
 
     def __init__(
@@ -112,11 +63,18 @@
         handler: Handler,
         limits: Callable[[], InboundLimits],
         metrics: Metrics,
+        memory: MemoryAccount | None = None,
+        max_connections: float = math.inf,
     ) -> None:
-        """Build a listener; ``limits`` returns the limits now in force."""
+        """Build a listener; ``limits`` returns the limits now in force.
+
+        :param memory: accounts for the bytes of requests and responses.
+        """
         self.handler = handler
         self._metrics = metrics
         self.limits = limits
+        self.memory = memory or MemoryAccount()
+        self.max_connections = max_connections
         self.draining = False
         self.connections: set[CallerConnection] = set()
         self.busy = 0
@@ -125,6 +83,28 @@
         """Return the asyncio protocol for a new connection."""
         return CallerConnection(self)
 
+    def add(self, connection: 'CallerConnection') -> None:
+        """Add a new connection; another one is closed if there are too many."""
+        self.connections.add(connection)
+        count = len(self.connections)
+        if count <= self.max_connections:
+            return
+        now = asyncio.get_running_loop().time()
+        surplus = find_surplus(self.connections, now) or connection
+        wait = surplus.wait
+        self._metrics.count('connection_closed_for_newer')
+        get_logger().info(
+            'connection_closed_for_newer',
+            connections=count,
+            phase=wait.phase.name if wait else '',
+            age=round(now - wait.since, 3) if wait else 0,
+        )
+        surplus.make_way()
+
+    def count(self, name: str) -> None:
+        """Count an event."""
+        self._metrics.count(name)
+
     def close_idle(self) -> None:
         """Close all connections without a request in progress."""
         for connection in list(self.connections):
@@ -143,7 +123,7 @@
         )
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(UnsentProtocol):
     """One connection that a caller opened.
 
     :ivar end: what ended the connection, ``None`` while it is open.
@@ -151,53 +131,34 @@
 
     def __init__(self, listener: Listener) -> None:
         """Build the protocol of a connection to ``listener``."""
+        super().__init__(listener.memory, self.abort)
         self.listener = listener
-        self._parser = RequestParser()
-        self._transport: Any = None
+        self._reader = RequestReader(listener.memory)
+        self._parser = self._reader.parser
         self._task: asyncio.Task[None] | None = None
-        self._request_arrived = asyncio.Event()
-        self._writable = asyncio.Event()
-        self._writable.set()
         self.timer = RequestTimer(listener.limits, self._handle_timeout)
-        self._rejection: RequestRejectedError | None = None
         self._serving = False
-        self._closed = False
         self.end: ConnectionEnd | None = None
         self._linger: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Start the task that handles the requests of the connection."""
-        self._transport = transport
-        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        super().connection_made(transport)
+        self._reader.attach(transport)
         enable_dead_peer_detection(transport)
-        self.listener.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
-        self._task.add_done_callback(partial(_handle_task_end, self._close))
+        self._task.add_done_callback(
+            partial(_handle_task_end, self._disconnect)
+        )
         self.timer.start(self._parser.phase, self._parser.body_bytes)
+        self.listener.add(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes from the caller and wake the connection's task."""
         if self._linger:
             return
         self._parser.limits = self.listener.limits()
-        try:
-            self._parser.feed(chunk, time.monotonic())
-        except RequestRejectedError as error:
-            self._rejection = error
-            self._transport.pause_reading()
-        except Exception as error:
-            get_logger().error('request_unreadable', **describe_error(error))
-            self._rejection = RequestRejectedError(
-                HTTPStatus.INTERNAL_SERVER_ERROR, 'the parser failed'
-            )
-            self._transport.pause_reading()
-        if self._parser.wants_continue:
-            self._parser.wants_continue = False
-            self._transport.write(CONTINUE_RESPONSE)
-        if len(self._parser.requests) > MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
-        if self._parser.requests or self._rejection:
-            self._request_arrived.set()
+        self._reader.feed(chunk)
         if not self._serving:
             self.timer.observe(self._parser.phase, self._parser.body_bytes)
 
@@ -208,21 +169,29 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in progress on the lost connection."""
+        self.resume_writing()
         self._disconnect(find_end(error))
 
-    def pause_writing(self) -> None:
-        """Make writers wait; the write buffer of the connection is full."""
-        self._writable.clear()
-
-    def resume_writing(self) -> None:
-        """Let writers continue; the caller has read enough bytes."""
-        self._writable.set()
+    @property
+    def wait(self) -> Wait | None:
+        """What it waits for, ``None`` if it has a complete request."""
+        if self._serving or self._parser.requests:
+            return None
+        return Wait(self._parser.phase, self.timer.started_at)
+
+    def make_way(self) -> None:
+        """Close the connection at once, as callers have opened too many."""
+        if self.is_full:
+            self.abort()
+        elif self._parser.begun_at is not None:
+            self.send(encode_rejection(make_full_error('too many connections')))
+        self._disconnect(ConnectionEnd.crowded)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive on it."""
-        has_input = self._parser.requests or self._rejection
         has_begun = self._parser.begun_at is not None
-        if self._serving or has_input or has_begun or self._linger:
+        is_used = self._serving or self._reader.has_input
+        if is_used or has_begun or self._linger:
             return
         # Timers that are due may run before the loop reads what has arrived.
         if self._closed or not has_unread_bytes(self._transport):
@@ -241,20 +210,7 @@
         if self._closed:
             ended = self.end.value if self.end else 'closed'
             raise CallerGoneError(f'the connection is {ended}')
-        if self._writable.is_set():
-            return
-        try:
-            async with Timeout(STALLED_READER_TIMEOUT_SECONDS):
-                await self._writable.wait()
-        except TimeoutError as error:
-            raise CallerGoneError(
-                'the caller stopped reading its response'
-            ) from error
-
-    def send(self, chunk: bytes) -> None:
-        """Write bytes to the connection unless it is closed."""
-        if not self._closed:
-            self._transport.write(chunk)
+        await super().drain()
 
     def abort(self) -> None:
         """Reset the connection, which makes a started response incomplete."""
@@ -264,68 +220,63 @@
 
     async def _serve(self) -> None:
         while not self._closed:
-            request = await self._next_request()
-            if request is None:
-                return
-            self._serving = True
-            self.listener.busy += 1
-            try:
-                keep_alive = await self._handle_request(request)
-            finally:
-                self.listener.busy -= 1
-                self._serving = False
-            if not keep_alive:
-                self._close_gently(ConnectionEnd.answered)
+            if not await self._serve_next():
                 return
-            self.timer.start(self._parser.phase, self._parser.body_bytes)
 
-    async def _next_request(self) -> InboundRequest | None:
-        while True:
-            if self._parser.requests:
-                request = self._parser.requests.popleft()
-                if not self._closed and not self._rejection:
-                    self._transport.resume_reading()
-                return request
-            if self._rejection:
-                self._reject(self._rejection)
-                return None
-            self._request_arrived.clear()
-            await self._request_arrived.wait()
+    async def _serve_next(self) -> bool:
+        """Handle one request; return whether another one may follow.
+
+        The request ends with this call, so that an idle connection holds none.
+        """
+        request = await self._reader.read()
+        if request is None:
+            self._reject(self._reader.rejection)
+            return False
+        self._serving = True
+        self.listener.busy += 1
+        try:
+            keep_alive = await self._handle_request(request)
+        finally:
+            self.listener.busy -= 1
+            self._serving = False
+            if request.holding:
+                request.holding.close()
+        if keep_alive:
+            self.timer.start(self._parser.phase, self._parser.body_bytes)
+        else:
+            self._close_gently(ConnectionEnd.answered)
+        return keep_alive
 
     async def _handle_request(self, request: InboundRequest) -> bool:
         keep_alive = request.keep_alive and not self.listener.draining
         writer = ConnectionWriter(self, keep_alive)
         try:
             await self.listener.handler.handle(request, writer)
-        except CallerGoneError:
+        except CallerGoneError as error:
+            detach(error)
             self.abort()
             return False
         except (Exception, asyncio.CancelledError) as error:
             if is_cancelled():
                 raise
             self.listener.record_failure(request, error)
+            detach(error)
         if not writer.finished:
             writer.fail()
         return writer.keep
 
-    def _reject(self, error: RequestRejectedError) -> None:
-        get_logger().info(
-            'request_rejected',
-            status=int(error.status),
-            reason=str(error),
-        )
-        head = AnswerHead(
-            error.status,
-            ((b'Content-Length', b'0'), (b'Connection', b'close')),
-        )
-        self.send(encode_response_head(head))
+    def _reject(self, error: RequestRejectedError | None) -> None:
+        self._parser.drop_body()
+        if error:
+            self.listener.count('request_rejected')
+            get_logger().info(
+                'request_rejected',
+                status=int(error.status),
+                reason=str(error),
+            )
+            self.send(encode_rejection(error))
         self._close_gently(ConnectionEnd.rejected)
 
-    def _close(self) -> None:
-        self._closed = True
-        self.timer.stop()
-        self._transport.close()
-
     def _close_gently(self, end: ConnectionEnd) -> None:
         """Close the connection without a reset that overtakes the response.
 
@@ -348,7 +299,7 @@
         if self._linger:
             self._linger.cancel()
         self.timer.stop()
-        self._writable.set()
+        self._parser.close()
         self.listener.connections.discard(self)
         if self._task:
             self._task.cancel()
@@ -367,10 +318,15 @@
 
 
 def _handle_task_end(
-    close: Callable[[], None], task: asyncio.Task[None]
+    disconnect: Callable[[ConnectionEnd], None], task: asyncio.Task[None]
 ) -> None:
     """Close a connection whose task failed, as no other one serves it."""
-    error = None if task.cancelled() else task.exception()
+    try:
+        error = task.exception()
+    except asyncio.CancelledError as cancelled:
+        detach(cancelled)
+        return
     if error:
         get_logger().error('connection_failed', **describe_error(error))
-        close()
+        detach(error)
+        disconnect(ConnectionEnd.broken_off)
--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -225,7 +225,8 @@
         self._framing_bytes = 0
         self.history.start(ident, read_ident)
         self.was_used = True
-        self._transport.write(encode_request(head, body))
+        for part in encode_request(head, body):
+            self._transport.write(part)
         return self._exchange
 
     async def read_all(self, exchange: Exchange, limit_bytes: int) -> bytes:
--- a/galenaswitch/connections/pool.py
+++ b/galenaswitch/connections/pool.py
@@ -1,7 +1,6 @@
 """Pool of connections to targets, which keeps idle connections open."""
 
 import asyncio
-import math
 from collections import deque
 from collections.abc import Collection
 
@@ -20,8 +19,6 @@
 # Longest time in seconds for opening a connection to a target. Targets are in
 # the platform's own network.
 CONNECT_TIMEOUT_SECONDS = 0.6
-# Share of the memory of the process that all responses together may take.
-RESPONSE_SHARE = 0.15
 # Most idle connections that are kept open to one target.
 MAX_IDLE_PER_TARGET = 64
 
@@ -30,16 +27,15 @@
     """Pool of connections to all targets; idle connections stay open."""
 
     def __init__(
-        self, dialer: Dialer | None = None, memory_bytes: float = math.inf
+        self, dialer: Dialer | None = None, memory: MemoryAccount | None = None
     ) -> None:
         """Build an empty pool.
 
         :param dialer: opens the connections; by default they are direct, from
             any local address.
-        :param memory_bytes: memory of the process, of which all responses
-            together may take a share.
+        :param memory: accounts for the bytes of responses.
         """
-        self.memory = MemoryAccount(memory_bytes * RESPONSE_SHARE)
+        self.memory = memory or MemoryAccount()
         self._dialer = dialer or DirectDialer()
         self._idle: dict[str, deque[TargetConnection]] = {}
         self.opened_count = 0
--- a/galenaswitch/connections/requests.py
+++ b/galenaswitch/connections/requests.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from enum import Enum, auto
 from http import HTTPStatus
 from typing import NamedTuple
@@ -18,7 +19,17 @@
     RequestHead,
     find_header_values,
 )
+from galenaswitch.connections.intake import (
+    COUNT_STEP_BYTES,
+    UNCOUNTED_BYTES,
+    BodyIntake,
+)
+from galenaswitch.connections.memory import Holding, MemoryAccount
 
+# Memory of a header beside its bytes, and number of headers after which they
+# are counted again. A head of 32 KB can have 8,000 headers, which take 1 MB.
+HEADER_BYTES = 130
+HEADERS_STEP = 128
 # The version of HTTP that has transfer codings.
 HTTP_VERSION = '1.1'
 
@@ -54,23 +65,31 @@
     :param received_at: monotonic time in seconds at which the first byte of
         the request arrived.
     :param keep_alive: whether the connection may carry another request.
+    :param holding: accounts for the body, ``None`` for a small one.
     """
 
     head: RequestHead
     body: bytes
     received_at: float
     keep_alive: bool
+    holding: Holding | None = None
 
 
 class RequestParser:
     """Parses the bytes of one connection into requests.
 
     Complete requests are queued in ``requests``. ``begun_at`` is the time of
-    the first byte of a request that is still incomplete.
+    the first byte of a request that is still incomplete. ``on_given_up`` is
+    called when its body was dropped for want of memory.
     """
 
-    def __init__(self) -> None:
-        """Build a parser for a new connection, with the default limits."""
+    def __init__(self, memory: MemoryAccount | None = None) -> None:
+        """Build a parser for a new connection, with the default limits.
+
+        :param memory: accounts for the bodies.
+        """
+        self.on_given_up: Callable[[], None] = lambda: None
+        self.intake = BodyIntake(memory or MemoryAccount(), self._give_up)
         self.limits = InboundLimits()
         self.requests: deque[InboundRequest] = deque()
         self.begun_at: float | None = None
@@ -83,6 +102,9 @@
         self._head_bytes = 0
         self._unparsed_bytes = 0
         self._body = bytearray()
+        self._next_count = 0
+        self._headers_bytes = 0
+        self._next_headers = HEADERS_STEP
 
     @property
     def phase(self) -> ReadPhase:
@@ -132,7 +154,11 @@
         self._headers = []
         self._head_bytes = 0
         self._unparsed_bytes = 0
-        self._body = bytearray()
+        self._next_count = min(UNCOUNTED_BYTES, self.limits.max_body_bytes)
+        self._headers_bytes = 0
+        self._next_headers = HEADERS_STEP
+        if self._body:
+            self.drop_body()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target; called by the HTTP parser."""
@@ -151,6 +177,10 @@
         if self.head_complete:
             return
         self._headers.append((name, header_value))
+        if len(self._headers) > self._next_headers:
+            self._next_headers += HEADERS_STEP
+            self._headers_bytes = len(self._headers) * HEADER_BYTES
+            self.intake.count(self._headers_bytes)
 
     def on_headers_complete(self) -> None:
         """Check the complete request head; called by the HTTP parser."""
@@ -158,11 +188,7 @@
         self._unparsed_bytes = 0
         _check_head(self._headers, self._parser.get_http_version())
         for length in find_header_values(self._headers, b'content-length'):
-            if int(length) > self.limits.max_body_bytes:
-                raise RequestRejectedError(
-                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                    f'the body has {int(length)} bytes, which is too large',
-                )
+            self._check_length(int(length))
         expected = find_header_values(self._headers, b'expect')
         self.wants_continue = any(
             header_value.lower() == b'100-continue' for header_value in expected
@@ -170,12 +196,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the request body; called by the HTTP parser."""
+        size = len(self._body) + len(body)
+        if size > self._next_count:
+            self._count_body(size)
         self._body += body
-        if len(self._body) > self.limits.max_body_bytes:
-            raise RequestRejectedError(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                f'the body has over {self.limits.max_body_bytes} bytes',
-            )
 
     def on_message_complete(self) -> None:
         """Queue the complete request; called by the HTTP parser."""
@@ -185,12 +209,15 @@
             tuple(self._headers),
         )
         received_at = self._fed_at if self.begun_at is None else self.begun_at
+        size = self._headers_bytes + len(self._body)
+        holding = self.intake.complete(size) if size > UNCOUNTED_BYTES else None
         self.requests.append(
             InboundRequest(
                 head,
                 bytes(self._body),
                 received_at,
                 self._parser.should_keep_alive(),
+                holding,
             ),
         )
         self.begun_at = None
@@ -198,6 +225,49 @@
         self.wants_continue = False
         self._body = bytearray()
 
+    def drop_body(self) -> None:
+        """Drop the body that arrives, and release its bytes."""
+        self._body = bytearray()
+        self.intake.drop_arriving()
+
+    def close(self) -> None:
+        """Drop all bodies, as the connection is lost.
+
+        The parser and its callbacks refer to each other, so that its bytes
+        would stay until the garbage collector runs.
+        """
+        self.drop_body()
+        self.requests.clear()
+        self.intake.close()
+
+    def _give_up(self) -> None:
+        self.drop_body()
+        self.on_given_up()
+
+    def _check_length(self, length: int) -> None:
+        """Reject a body before its bytes are read, by its declared length."""
+        if length > self.limits.max_body_bytes:
+            raise RequestRejectedError(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f'the body has {length} bytes, which is too large',
+            )
+        if length > UNCOUNTED_BYTES:
+            self.intake.max_body_bytes = self.limits.max_body_bytes
+            self.intake.check(length)
+
+    def _count_body(self, size: int) -> None:
+        """Account for a body that grows, or reject it."""
+        if size > self.limits.max_body_bytes:
+            raise RequestRejectedError(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f'the body has over {self.limits.max_body_bytes} bytes',
+            )
+        self.intake.max_body_bytes = self.limits.max_body_bytes
+        self.intake.count(self._headers_bytes + size)
+        self._next_count = min(
+            size + COUNT_STEP_BYTES, self.limits.max_body_bytes
+        )
+
     def _add_unparsed_bytes(self, count: int) -> None:
         """Bound the bytes that the parser has not reported yet.
 
--- a/galenaswitch/connections/responses.py
+++ b/galenaswitch/connections/responses.py
@@ -4,7 +4,10 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from galenaswitch.connections.errors import ConnectionEnd
+from galenaswitch.connections.errors import (
+    ConnectionEnd,
+    RequestRejectedError,
+)
 from galenaswitch.connections.heads import (
     AnswerHead,
     Header,
@@ -13,6 +16,20 @@
 from galenaswitch.connections.requests import InboundLimits
 from galenaswitch.connections.timers import RequestTimer
 
+# Seconds after which a caller may repeat a request for which there was no room.
+RETRY_AFTER_SECONDS = 1
+
+
+def encode_rejection(error: RequestRejectedError) -> bytes:
+    """Return the response that rejects a request and ends its connection."""
+    headers: tuple[Header, ...] = (
+        (b'Content-Length', b'0'),
+        (b'Connection', b'close'),
+    )
+    if error.status is HTTPStatus.SERVICE_UNAVAILABLE:
+        headers = (*headers, (b'Retry-After', b'%d' % RETRY_AFTER_SECONDS))
+    return encode_response_head(AnswerHead(error.status, headers))
+
 
 class ListenerState(Protocol):
     """State of a listener that decides when its connections close."""
--- a/galenaswitch/connections/tests/test_memory.py
+++ b/galenaswitch/connections/tests/test_memory.py
@@ -7,7 +7,7 @@
 from galenaswitch.connections.heads import RequestHead
 from galenaswitch.connections.memory import MIN_GIVEN_UP_BYTES, MemoryAccount
 from galenaswitch.connections.outbound import MAX_HEADERS
-from galenaswitch.connections.pool import RESPONSE_SHARE, ConnectionPool
+from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.errors import TargetBrokenError
 from standins.scripted import ScriptedTarget
 
@@ -20,7 +20,7 @@
 @pytest.fixture
 def pool():
     """Return a pool whose responses may take a megabyte together."""
-    opened = ConnectionPool(memory_bytes=LIMIT_BYTES / RESPONSE_SHARE)
+    opened = ConnectionPool(memory=MemoryAccount(LIMIT_BYTES))
     yield opened
     opened.close()
 
--- a/galenaswitch/connections/timers.py
+++ b/galenaswitch/connections/timers.py
@@ -24,6 +24,7 @@
     announced counts, since the caller may rely on it.
 
     :ivar announced_idle_seconds: idle timeout in the last response, in seconds.
+    :ivar started_at: time of the event loop at which the phase began.
     """
 
     def __init__(
@@ -41,7 +42,7 @@
         self._on_timeout = on_timeout
         self._phase = ReadPhase.idle
         self._body_bytes = 0
-        self._started_at = 0.0
+        self.started_at = 0.0
         self._handle: asyncio.TimerHandle | None = None
 
     def start(self, phase: ReadPhase, body_bytes: int = 0) -> None:
@@ -53,7 +54,7 @@
         self.stop()
         self._phase = phase
         self._body_bytes = body_bytes
-        self._started_at = loop.time()
+        self.started_at = loop.time()
         self._handle = loop.call_later(self._find_timeout(), self._check)
 
     def observe(self, phase: ReadPhase, body_bytes: int) -> None:
@@ -78,13 +79,13 @@
             loop.call_later(max(left, LAST_READ_SECONDS), self._check)
             if left > 0
             else loop.call_later(
-                LAST_READ_SECONDS, self._report, self._started_at
+                LAST_READ_SECONDS, self._report, self.started_at
             )
         )
 
     def _report(self, started_at: float) -> None:
         """Report the timeout, unless what arrived last has extended it."""
-        if started_at != self._started_at:
+        if started_at != self.started_at:
             return
         if self._find_end() > asyncio.get_running_loop().time():
             self._check()
@@ -93,7 +94,7 @@
         self._on_timeout(self._phase)
 
     def _find_end(self) -> float:
-        return self._started_at + self._find_timeout()
+        return self.started_at + self._find_timeout()
 
     def _find_timeout(self) -> float:
         limits = self._limits()
--- a/galenaswitch/gateway/answers.py
+++ b/galenaswitch/gateway/answers.py
@@ -2,12 +2,12 @@
 
 from enum import StrEnum
 
+from galenaswitch.connections.handlers import AnswerWriter
 from galenaswitch.connections.heads import (
     AnswerHead,
     filter_end_to_end_headers,
     find_header_text,
 )
-from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.errors import (
     InputsLostError,
     MismatchedAnswerError,
--- a/galenaswitch/gateway/handling.py
+++ b/galenaswitch/gateway/handling.py
@@ -9,8 +9,8 @@
 import time
 from collections.abc import Callable
 
-from galenaswitch.connections.errors import CallerGoneError
-from galenaswitch.connections.inbound import AnswerWriter
+from galenaswitch.connections.errors import CallerGoneError, detach
+from galenaswitch.connections.handlers import AnswerWriter
 from galenaswitch.connections.requests import InboundRequest
 from galenaswitch.gateway.answers import find_ending, refuse
 from galenaswitch.gateway.calls import CallerRequest, Wire
@@ -119,8 +119,10 @@
         try:
             await self._run_until_end(caller_request, table, writer)
         except RefusedError as error:
+            detach(error)
             outcome = error
-        except TimeoutError:
+        except TimeoutError as error:
+            detach(error)
             outcome = self._make_late_refusal(caller_request)
         except (Exception, asyncio.CancelledError) as error:
             if isinstance(error, CallerGoneError) or is_cancelled():
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
+from galenaswitch.connections.handlers import AnswerWriter
 from galenaswitch.connections.heads import AnswerHead
-from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.errors import GalenaError, TargetError
 from galenaswitch.gateway.calls import CallerRequest
 from galenaswitch.gateway.events import EventBuffer
--- a/galenaswitch/gateway/outcomes.py
+++ b/galenaswitch/gateway/outcomes.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from galenaswitch.connections.inbound import AnswerWriter
+from galenaswitch.connections.handlers import AnswerWriter
 from galenaswitch.gateway.answers import Ending
 from galenaswitch.gateway.routes import RouteTable
 from galenaswitch.operations.logs import get_logger
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -10,7 +10,8 @@
 import time
 from functools import partial
 
-from galenaswitch.connections.inbound import AnswerWriter
+from galenaswitch.connections.errors import detach
+from galenaswitch.connections.handlers import AnswerWriter
 from galenaswitch.errors import (
     GalenaError,
     TargetBusyError,
@@ -106,6 +107,9 @@
             answer = job.failed
         finally:
             self._selection.release(job)
+            if job.error:
+                # Its frames refer to the job, and with it to the body.
+                detach(job.error)
         await send_complete(writer, answer.head, answer.body)
 
     def dump(self) -> dict[str, float]:
--- a/galenaswitch/gateway/readiness.py
+++ b/galenaswitch/gateway/readiness.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+from galenaswitch.connections.handlers import AnswerWriter
 from galenaswitch.connections.heads import AnswerHead
-from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.connections.requests import InboundRequest
 
 
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from functools import partial
 
+from galenaswitch.connections.handlers import AnswerWriter
 from galenaswitch.connections.heads import AnswerHead
-from galenaswitch.connections.inbound import AnswerWriter
 from galenaswitch.errors import (
     InputsLostError,
     TargetBrokenError,
--- a/galenaswitch/operations/exposition.py
+++ b/galenaswitch/operations/exposition.py
@@ -3,8 +3,9 @@
 import asyncio
 from http import HTTPStatus
 
+from galenaswitch.connections.handlers import AnswerWriter
 from galenaswitch.connections.heads import AnswerHead
-from galenaswitch.connections.inbound import AnswerWriter, Listener
+from galenaswitch.connections.inbound import Listener
 from galenaswitch.connections.requests import InboundLimits, InboundRequest
 from galenaswitch.operations.metrics import PrometheusMetrics
 from galenaswitch.operations.settings import MetricSettings
--- a/galenaswitch/platform/settings.py
+++ b/galenaswitch/platform/settings.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import resource
 from pathlib import Path
 from typing import Annotated, Any, NamedTuple
 
@@ -57,6 +58,7 @@
     :param heartbeat: seconds between two writes of a target's own document
         to the object store.
     :param first_start: whether the whole deployment starts for the first time.
+    :param max_descriptors: most descriptors that the process may open.
     """
 
     node: str
@@ -72,6 +74,7 @@
     heartbeat: Positive
     bounds: Bounds
     first_start: bool
+    max_descriptors: Positive
 
 
 def find_settings_path() -> Path:
@@ -121,6 +124,7 @@
             'heartbeat': _read_number(entries, 'heartbeat-ms') / MILLISECONDS,
             'bounds': _read_bounds(entries),
             'first_start': entries.get('bootstrap') == 'true',
+            'max_descriptors': _read_max_descriptors(entries),
         },
         VmSettings,
     )
@@ -135,6 +139,14 @@
     return cores
 
 
+def _read_max_descriptors(entries: dict[str, str]) -> float:
+    """Return the most descriptors, the limit of the process if absent."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if 'limits.max-fds' in entries:
+        return min(allowed, _read_number(entries, 'limits.max-fds'))
+    return allowed
+
+
 def _read_bounds(entries: dict[str, str]) -> dict[str, Any]:
     bounds: dict[str, Any] = {}
     for name, entry, unit in _BOUND_ENTRIES:
--- a/galenaswitch/platform/tests/test_settings.py
+++ b/galenaswitch/platform/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Tests of decoding the platform's settings file."""
 
+import resource
+
 import pytest
 
 from galenaswitch.errors import SettingsError
@@ -30,6 +32,7 @@
         ('limits.memory-mb=300', 'limits.memory-mb=x', 'is not a number'),
         ('front=127.0.0.1:8625', 'front=127.0.0.1:99999', 'callers'),
         ('heartbeat-ms=1200', 'heartbeat-ms=0', 'heartbeat'),
+        ('limits.cores', 'limits.max-fds=0\nlimits.cores', 'max_descriptors'),
     ],
 )
 def test_error_names_the_wrong_entry(settings_text, old, new, message):
@@ -42,6 +45,14 @@
     assert read_vm_settings(text).cores == 1
 
 
+# Guards against a process that opens more than it can when the entry is absent.
+def test_descriptors_are_limited_by_entry_and_process(settings_text):
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    assert read_vm_settings(settings_text).max_descriptors == allowed
+    text = f'{settings_text}limits.max-fds=210\n'
+    assert read_vm_settings(text).max_descriptors == 210
+
+
 def test_missing_file_is_a_settings_error(tmp_path):
     with pytest.raises(SettingsError, match='cannot read'):
         load_vm_settings(tmp_path / 'none')
--- a/galenaswitch/platform/tests/test_untrusted_callers.py
+++ b/galenaswitch/platform/tests/test_untrusted_callers.py
@@ -17,11 +17,14 @@
 from galenaswitch.platform.soak.runners import FakeTarget
 from galenaswitch.platform.soak.store import FakeStore
 
+# Other load changes what arrives at once, so the tests run one at a time.
+pytestmark = pytest.mark.xdist_group('untrusted callers')
 NETWORK = 154
 # The smallest VM that deployments use.
 MEMORY_MB = 160
 KILOBYTES_PER_MEGABYTE = 1024
 MAX_BODY_BYTES = 1_000_000
+LARGEST_BODY_BYTES = 4_194_304
 CALLERS = 240
 # One of this many callers sends its whole body, the others stop short of it.
 COMPLETE_INTERVAL = 4
@@ -176,11 +179,11 @@
     target = FakeTarget(0, 'desk', 'north', records, {}, now)
     machine = Machine(0, 'north', ip, f'{ip}:8003', tmp_path, records, now)
 
-    async def start(descriptors):
+    async def start(descriptors, max_body_bytes=MAX_BODY_BYTES):
         machine.memory_mb = MEMORY_MB
         machine.max_descriptors = descriptors
         configuration = make_configuration(1, ())
-        configuration['limits']['max-body-bytes'] = MAX_BODY_BYTES
+        configuration['limits']['max-body-bytes'] = max_body_bytes
         store.put('config', 'main', configuration)
         machine.check_address()
         server = web.AppRunner(store.make_application())
@@ -260,3 +263,20 @@
     assert Counter(statuses) == {200: 2}, figures
     assert probe.memory_mb < MEMORY_MB, figures
     assert probe.descriptors < descriptors, figures
+
+
+# Guards against limits that refuse the largest request on the smallest VM.
+async def test_largest_request_is_served_on_the_smallest_machine(start_machine):
+    probe, _ = await start_machine(600, LARGEST_BODY_BYTES)
+    # The target's answer repeats the request behind its id.
+    body = b'x' * (LARGEST_BODY_BYTES - 100)
+    statuses = [
+        await send_ordinary(probe.machine.address, f'largest-{number}', body)
+        for number in range(3)
+    ]
+    probe.read()
+    figures = f'{probe.memory_mb:.0f} MB, {statuses}'
+    print(figures)
+    assert probe.is_alive
+    assert statuses == [200, 200, 200], figures
+    assert probe.memory_mb < MEMORY_MB, figures
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -11,8 +11,14 @@
 
 from galenaswitch.configuration.messages import Digest, Items, Versions
 from galenaswitch.configuration.relay import Relay
+from galenaswitch.connections.crowding import find_max_connections
 from galenaswitch.connections.dialing import DirectDialer
 from galenaswitch.connections.inbound import Listener
+from galenaswitch.connections.memory import (
+    BASE_BYTES,
+    MemoryAccount,
+    find_limit,
+)
 from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.connections.requests import InboundLimits
 from galenaswitch.errors import SettingsError
@@ -108,7 +114,10 @@
             self.metrics,
             DirectDialer(settings.address),
         )
-        self.pool = ConnectionPool(self.paths.dialer, settings.memory_bytes)
+        memory = MemoryAccount(
+            find_limit(settings.memory_bytes), self.metrics.count
+        )
+        self.pool = ConnectionPool(self.paths.dialer, memory)
         store = PlatformStore(self.pool, settings.store, self.metrics)
         self.state_sync = StateSync(
             store,
@@ -197,7 +206,14 @@
         )
         self.gateway = self._make_gateway()
         self.callers = Listener(
-            self.gateway, self.find_inbound_limits, self.metrics
+            self.gateway,
+            self.find_inbound_limits,
+            self.metrics,
+            memory,
+            find_max_connections(
+                settings.max_descriptors,
+                settings.memory_bytes - BASE_BYTES - memory.limit_bytes,
+            ),
         )
         self._add_handlers()
         self.mesh.on_link_open.append(self._on_link_open)
