Limit what cold targets get from all VMs together

Cause: a target that has started or returns crashes above about cold-per-s requests a second, and nothing limited what it gets. Limits by Server-Limit come with an answer only, and hold in full for each owner during a partition.

Change: cold-left-ms of entries, X-Cold-Ms of answers, failed connections and the end of an evacuation make a target cold (cold/times.py); while it is, the pacer has a limit for it that ends by itself, in one account with named limits. VMs lend their part of the rate to the owner of the service for a second (cold/grants.py, GrantQuery), so owners that are cut off from each other, new or frozen never grant more than the whole. Warm targets go first; releases and queries for free memory aren't sent to cold ones. The time left is a new last field of TurnQuery and PlaceQuestion.

--- /dev/null
+++ b/galenaswitch/cold/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cold targets."""
--- a/galenaswitch/evacuation/sync.py
+++ b/galenaswitch/evacuation/sync.py
@@ -1,6 +1,7 @@
 """Keeps the evacuated zones of a VM up to date from the store or from peers."""
 
 import time
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from galenaswitch.errors import InvalidInputError
@@ -39,7 +40,10 @@
 
 
 class EvacuationSync:
-    """Evacuated zones as this VM knows them."""
+    """Evacuated zones as this VM knows them.
+
+    :ivar on_ended: receives each zone that is no longer evacuated.
+    """
 
     def __init__(
         self, members: Members, metrics: Metrics, reader: EntryReader
@@ -55,6 +59,7 @@
         self._zones = EvacuatedZones()
         self._unreadable = UnreadableLog('evacuation', is_error=True)
         self._unlisted: set[str] = set()
+        self.on_ended: Callable[[str], None] = lambda zone: None
         self._follower: Follower | None = None
 
     @property
@@ -110,6 +115,7 @@
             self._log('evacuation_began', zone, held)
         for zone, seconds in change.ended.items():
             self._log('evacuation_ended', zone, held, round(seconds, 3))
+            self.on_ended(zone)
 
     def _report_unlisted(self, zones: set[str]) -> None:
         """Report zones of no target, once for each.
--- a/galenaswitch/gateway/calls.py
+++ b/galenaswitch/gateway/calls.py
@@ -175,7 +175,45 @@
     failure: str
 
 
-class Wire(Protocol):
+class NoticeWire(Protocol):
+    """Decoder of what targets say about themselves in their answers."""
+
+    def read_load(self, head: AnswerHead, target: str = '') -> Load | None:
+        """Decode the load in an answer, ``None`` when not sent.
+
+        :param target: name of the target, by which a malformed load is logged
+            once; empty to log nothing.
+        """
+
+    def read_rate_limit(self, head: AnswerHead) -> float | None:
+        """Decode the requests per second that a target takes from all VMs.
+
+        :returns: ``None`` when not sent.
+        """
+
+    def read_cold_seconds(self, head: AnswerHead) -> float | None:
+        """Decode for how long the target stays cold, ``None`` if not sent."""
+
+    def read_brittleness(self, head: AnswerHead) -> int | None:
+        """Decode how many refusals in a second a brittle target survives.
+
+        :returns: ``None`` when the answer doesn't say that it is brittle.
+        """
+
+    def is_full(self, head: AnswerHead) -> bool:
+        """Tell whether the target had no room for the request."""
+
+    def read_pause(self, head: AnswerHead) -> float | None:
+        """Decode for how long a refusal says that no request may come.
+
+        :returns: seconds, ``None`` when not sent.
+        """
+
+    def is_leaving(self, head: AnswerHead) -> bool:
+        """Tell whether an answer says that the target is leaving."""
+
+
+class Wire(NoticeWire, Protocol):
     """Codec between the gateway's types and the HTTP of one platform.
 
     A wire encodes and decodes only. The gateway makes all decisions.
@@ -218,37 +256,6 @@
     def read_answer_ident(self, head: AnswerHead) -> str:
         """Decode the id of the request that an answer names, empty if none."""
 
-    def read_load(self, head: AnswerHead, target: str = '') -> Load | None:
-        """Decode the load in an answer, ``None`` when not sent.
-
-        :param target: name of the target, by which a malformed load is logged
-            once; empty to log nothing.
-        """
-
-    def read_rate_limit(self, head: AnswerHead) -> float | None:
-        """Decode the requests per second that a target takes from all VMs.
-
-        :returns: ``None`` when not sent.
-        """
-
-    def read_brittleness(self, head: AnswerHead) -> int | None:
-        """Decode how many refusals in a second a brittle target survives.
-
-        :returns: ``None`` when the answer doesn't say that it is brittle.
-        """
-
-    def is_full(self, head: AnswerHead) -> bool:
-        """Tell whether the target had no room for the request."""
-
-    def read_pause(self, head: AnswerHead) -> float | None:
-        """Decode for how long a refusal says that no request may come.
-
-        :returns: seconds, ``None`` when not sent.
-        """
-
-    def is_leaving(self, head: AnswerHead) -> bool:
-        """Tell whether an answer says that the target is leaving."""
-
     def is_misdirected(self, head: AnswerHead) -> bool:
         """Tell whether an answer is that of another target."""
 
--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -114,6 +114,9 @@
             self._sender.turns.find_limits(self._members.usable(service)),
             self._sender.notices.find_closed(service),
         )
+        usable = self._members.usable(service)
+        cold = self._sender.turns.find_cold_times(usable)
+        query = query._replace(cold=cold)
         # The owner may still place a request whose query was cancelled.
         with contextlib.ExitStack() as unanswered:
             unanswered.callback(self._withdraw, query)
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -95,6 +95,19 @@
     rate: float
 
 
+class ColdTime(NamedTuple):
+    """Time for which a target stays cold, and its limit holds.
+
+    It isn't a field of :class:`TargetLimit`: VMs of an earlier build reject a
+    message in which a nested type has more fields than they know.
+
+    :param left: seconds from now on.
+    """
+
+    incarnation: str
+    left: float
+
+
 class PlaceQuestion(NamedTuple):
     """Query for the engine that should run a request.
 
@@ -111,6 +124,8 @@
     :param closed: incarnations that take no request of the asking VM now.
     :param request: id of the caller's attempt, empty if that is the
         placement's id.
+    :param cold: for how long some of the ``limits`` hold; all others hold until
+        their targets withdraw them.
     """
 
     service: str
@@ -128,6 +143,7 @@
     version: str | None = None
     closed: tuple[str, ...] = ()
     request: str = ''
+    cold: tuple[ColdTime, ...] = ()
 
 
 class PlaceReply(NamedTuple):
@@ -183,11 +199,13 @@
     :param limits: the targets and their limits as the asking VM knows them, the
         preferred one first.
     :param max_wait: longest useful wait for a turn in seconds.
+    :param cold: for how long some of the ``limits`` hold.
     """
 
     service: str
     limits: tuple[TargetLimit, ...]
     max_wait: float
+    cold: tuple[ColdTime, ...] = ()
 
 
 class TurnReply(NamedTuple):
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -91,8 +91,7 @@
         """
         now = time.monotonic()
         self._drop_expired(now)
-        for limit in query.limits:
-            self._pacer.learn(*limit, now)
+        self._pacer.learn_all(self._service, query.limits, query.cold, now)
         self._waiting[query.ident] = Waiting(
             query.start_in < 0,
             query.priority,
@@ -198,9 +197,20 @@
             for target in targets
             if self._pacer.find_wait(target.incarnation, now)
         )
+        request = _make_placement_request(query)
+        cold = frozenset(
+            target.name
+            for target in targets
+            if self._pacer.is_cold(target.incarnation)
+        )
+        # Load goes to warm engines first.
         placement = self._placements.place(
-            _make_placement_request(query), targets, limits, now, without_turn
+            request, targets, limits, now, without_turn | cold
         )
+        if placement is None and cold:
+            placement = self._placements.place(
+                request, targets, limits, now, without_turn
+            )
         if placement:
             self._pacer.take(placement.target.incarnation, now)
         if placement and self._seats:
--- a/galenaswitch/gateway/routes.py
+++ b/galenaswitch/gateway/routes.py
@@ -133,18 +133,31 @@
     kv_cache_tokens: int
 
 
+class ColdLimits(NamedTuple):
+    """Limits of the cold targets of a service.
+
+    :param rate: requests a second that a cold target takes from all VMs.
+    :param start_seconds: longest time for which a target stays cold.
+    """
+
+    rate: float
+    start_seconds: float
+
+
 class Service(NamedTuple):
     """Service that a set of interchangeable targets provides.
 
     :param max_connections: most connections that one target accepts.
     :param engine: engine capacity, ``None`` unless the targets are engines.
     :param batches: batch limits, ``None`` unless the service runs stages.
+    :param cold: limits of cold targets, ``None`` if they take all requests.
     """
 
     name: str
     max_connections: int
     engine: EngineLimits | None = None
     batches: BatchLimits | None = None
+    cold: ColdLimits | None = None
 
     def keep_limits(self, former: 'Service') -> 'Service':
         """Return the service with the former limits that it has no more."""
@@ -199,6 +212,11 @@
             services[name] = service.keep_limits(former.get(name, service))
         return self._replace(services=services)
 
+    def find_cold_limits(self, service: str) -> ColdLimits | None:
+        """Return the limits of a service's cold targets, None for none."""
+        found = self.services.get(service)
+        return found.cold if found else None
+
     @property
     def engine_services(self) -> set[str]:
         """Names of the services whose targets are engines."""
--- a/galenaswitch/gateway/selection.py
+++ b/galenaswitch/gateway/selection.py
@@ -18,6 +18,9 @@
 
 # Seconds after which a request that found no room may be retried.
 RETRY_AFTER_SECONDS = 0.5
+# Seconds after which a turn at a cold target is no longer used. A VM that was
+# frozen would send at once what was to go out one after another.
+TURN_SECONDS = 0.8
 
 
 class Answer(NamedTuple):
@@ -111,11 +114,12 @@
             wait = self._sender.notices.find_wait(usable)
             raise job.refuse(Reason.no_target, wait=wait)
         opened = await self._find_open(job, candidates, max_wait)
-        chosen = self._choose_untried(opened, now)
+        warm = self._sender.turns.cold.prefer_warm(opened)
+        chosen = self._choose_untried(warm, now)
         if self._sender.turns.seats.is_brittle(chosen.pool):
             chosen = await self._find_seat(job, opened, chosen, max_wait)
             opened = (chosen,)
-        if chosen.incarnation not in self._sender.turns.pacer.rates:
+        if chosen.incarnation not in self._sender.turns.rates:
             return chosen
         return await self._find_turn(job, opened, chosen, max_wait)
 
@@ -180,7 +184,7 @@
             has a turn in time.
         """
         now = time.monotonic()
-        rates = self._sender.turns.pacer.rates
+        rates = self._sender.turns.rates
         limited = [chosen]
         limited.extend(
             one
@@ -197,4 +201,8 @@
             detail = 'all targets are at their limits'
             raise job.refuse(Reason.capacity, detail, wait)
         await asyncio.sleep(wait)
+        is_late = time.monotonic() > now + wait + TURN_SECONDS
+        if is_late and self._sender.turns.cold.is_cold(target):
+            detail = 'the turn at a cold target has passed'
+            raise job.refuse(Reason.capacity, detail, RETRY_AFTER_SECONDS)
         return target
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import ExitStack, asynccontextmanager
 from functools import partial
+from types import TracebackType
 
 from galenaswitch.connections.exchange import Exchange
 from galenaswitch.connections.heads import AnswerHead, RequestHead
@@ -15,11 +16,13 @@
 from galenaswitch.errors import (
     InvalidInputError,
     MismatchedAnswerError,
+    TargetBrokenError,
     TargetLateError,
+    TargetUnreachableError,
 )
 from galenaswitch.gateway.calls import Wire
 from galenaswitch.gateway.draining import Draining
-from galenaswitch.gateway.notices import TargetNotices
+from galenaswitch.gateway.notices import TargetClosedError, TargetNotices
 from galenaswitch.gateway.turns import Turns
 from galenaswitch.membership.lists import Target
 from galenaswitch.operations.timeouts import Timeout
@@ -127,7 +130,8 @@
 
     def select(self, targets: Sequence[Target]) -> tuple[Target, ...]:
         """Return the targets of a service of this VM that take a request."""
-        return self.turns.seats.select(self.notices.select(targets))
+        opened = self.turns.cold.select(self.notices.select(targets))
+        return self.turns.seats.select(opened)
 
     @asynccontextmanager
     async def send(
@@ -154,9 +158,12 @@
         :raises TargetUnreachableError: when no byte was sent.
         :raises TargetClosedError: when the target takes no requests now.
         """
+        if not names_limit and self.turns.cold.is_cold(target):
+            raise TargetClosedError('the target is cold')
         with ExitStack() as held:
             if names_limit:
                 held.enter_context(self.turns.seats.hold(target, seat))
+            held.push(partial(self._suspect_cold, target))
             async with self._open(
                 target, head, body, max_idle_seconds, ident, names_limit
             ) as attempt:
@@ -193,6 +200,18 @@
                 exchange.discard()
             self._pool.release(connection)
 
+    def _suspect_cold(
+        self,
+        target: Target,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Treat a target as cold that may have ended and started again."""
+        is_lost = isinstance(error, (TargetBrokenError, TargetUnreachableError))
+        if is_lost and not isinstance(error, TargetClosedError):
+            self.turns.cold.suspect(target)
+
     def _observe(
         self,
         target: Target,
@@ -201,6 +220,9 @@
         head: AnswerHead,
     ) -> None:
         self.notices.observe(target, head, is_probe=is_probe)
+        cold_seconds = self._wire.read_cold_seconds(head)
+        if cold_seconds is not None:
+            self.turns.cold.observe_cold(target, cold_seconds)
         rate = self._wire.read_rate_limit(head)
         if names_limit or rate is not None:
             self.turns.observe(target, rate)
--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from galenaswitch.configuration.catalog import Catalog, Item
@@ -91,6 +92,9 @@
     def read_configuration_order(self, document: Any) -> WriterOrder:
         """Return the operator's order of a configuration, empty if unknown."""
 
+    def read_cold_seconds(self, document: Any) -> float:
+        """Return for how long the target of a valid entry stays cold."""
+
     def read_target_order(self, document: Any) -> WriterOrder:
         """Return a target's order of its own entry, empty if unknown."""
 
@@ -208,6 +212,7 @@
             hears_follower=self._hears_follower,
         )
         self._unreadable = UnreadableLog('target')
+        self.on_entry: Callable[[Target, int, float], None] = lambda *_: None
 
     @property
     def ready(self) -> bool:
@@ -351,6 +356,8 @@
                 self._unreadable.report(stored, str(error))
                 continue
             targets.append(target)
+            left = self._documents.read_cold_seconds(stored.body)
+            self.on_entry(target, stored.version, left)
         services = self.route_table.current.engine_services
         self._directory.apply_targets(self.versions.admit(targets, services))
 
--- a/galenaswitch/gateway/tests/test_results.py
+++ b/galenaswitch/gateway/tests/test_results.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from galenaswitch.cold.targets import ColdTargets
 from galenaswitch.connections.heads import RequestHead
 from galenaswitch.connections.pool import ConnectionPool
 from galenaswitch.gateway.calls import Wire
@@ -53,7 +54,13 @@
             members,
             Sender(
                 pool,
-                Mock(spec=Turns, seats=Mock(spec=Seats)),
+                Mock(
+                    spec=Turns,
+                    seats=Mock(spec=Seats),
+                    cold=Mock(
+                        spec=ColdTargets, **{'is_cold.return_value': False}
+                    ),
+                ),
                 Mock(spec=TargetNotices, **{'find_wait.return_value': 0}),
                 Mock(
                     spec=Wire,
--- a/galenaswitch/gateway/turns.py
+++ b/galenaswitch/gateway/turns.py
@@ -1,15 +1,18 @@
 """Turns at targets that name how many requests a second they take.
 
 Each VM reads the limits from the answers that it gets and tells the others. The
-owner of a service gives out the turns at the service's targets.
+owner of a service gives out the turns at the service's targets. A cold target
+has a limit that ends with its cold time.
 """
 
 import time
 from collections.abc import Sequence
 from typing import Any
 
+from galenaswitch.cold.targets import ColdTargets
 from galenaswitch.errors import PeerError
 from galenaswitch.gateway.messages import (
+    ColdTime,
     LimitsQuery,
     LimitsReply,
     TargetLimit,
@@ -18,7 +21,6 @@
 )
 from galenaswitch.gateway.owners import OwnerRouter
 from galenaswitch.gateway.seats import Seats
-from galenaswitch.limits.pacing import Pacer
 from galenaswitch.membership.links import Link
 from galenaswitch.membership.lists import Members, Target
 from galenaswitch.membership.mesh import Mesh
@@ -33,6 +35,7 @@
     """Limits of targets, and the turns at them.
 
     :ivar seats: seats at targets that must not turn requests away.
+    :ivar cold: targets whose limit ends with their cold time.
     """
 
     def __init__(
@@ -45,7 +48,8 @@
     ) -> None:
         """Build turns without a known limit."""
         self.seats = Seats(members, mesh, owner_router, metrics, tasks)
-        self.pacer = Pacer()
+        self.cold = ColdTargets(members, mesh, owner_router, metrics, tasks)
+        self.pacer = self.cold.pacer
         self._members = members
         self._mesh = mesh
         self._owner_router = owner_router
@@ -58,8 +62,15 @@
             LimitsQuery: self._answer_limits_query,
             TurnQuery: self._answer_turn_query,
             **self.seats.handlers(),
+            **self.cold.handlers(),
         }
 
+    @property
+    def rates(self) -> dict[str, float]:
+        """Limits in force, by incarnation."""
+        self.pacer.refresh(time.monotonic())
+        return self.pacer.rates
+
     async def on_link_open(self, link: Link) -> None:
         """Learn the limits that a peer knows whose link has just opened."""
         try:
@@ -93,7 +104,9 @@
             seconds until the turn, or until the next one of any target.
         """
         targets_by_incarnation = {one.incarnation: one for one in targets}
-        query = TurnQuery(service, self.find_limits(targets), max_wait)
+        limits = self.find_limits(targets)
+        cold = self.find_cold_times(targets)
+        query = TurnQuery(service, limits, max_wait, cold)
         _, reply = await self._owner_router.query(
             service, query, REPLY_TIMEOUT_SECONDS, self._give_turn
         )
@@ -104,7 +117,17 @@
         return tuple(
             self._make_limit(target.incarnation)
             for target in targets
-            if target.incarnation in self.pacer.rates
+            if target.incarnation in self.rates
+        )
+
+    def find_cold_times(
+        self, targets: Sequence[Target]
+    ) -> tuple[ColdTime, ...]:
+        """Return for how long some targets are cold."""
+        return tuple(
+            ColdTime(target.incarnation, self.cold.find_left(target))
+            for target in targets
+            if self.cold.is_cold(target)
         )
 
     def take(self, target: Target) -> float:
@@ -119,6 +142,7 @@
     def forget_ended(self) -> None:
         """Forget the limits of targets that are gone, and unused seats."""
         self.seats.forget_ended()
+        self.pacer.refresh(time.monotonic(), is_forced=True)
         self.pacer.retain(
             {one.incarnation for one in self._members.member_list.targets}
         )
@@ -126,12 +150,12 @@
     async def _give_turn(self, query: TurnQuery) -> TurnReply:
         """Give the first turn of a target, the preferred one of equals."""
         now = time.monotonic()
-        for limit in query.limits:
-            self.pacer.learn(*limit, now)
+        self.pacer.learn_all(query.service, query.limits, query.cold, now)
         incarnations = [limit.incarnation for limit in query.limits]
         waits = [self.pacer.find_wait(one, now) for one in incarnations]
         wait = min(waits)
-        if wait > query.max_wait:
+        horizon = self.pacer.find_horizon(incarnations[waits.index(wait)], now)
+        if wait > min(query.max_wait, horizon):
             return TurnReply('', wait)
         incarnation = incarnations[waits.index(wait)]
         return TurnReply(incarnation, self.pacer.take(incarnation, now))
@@ -144,10 +168,17 @@
     async def _answer_limits_query(
         self, link: Link, query: LimitsQuery
     ) -> LimitsReply:
-        return LimitsReply(tuple(map(self._make_limit, self.pacer.rates)))
+        return LimitsReply(
+            tuple(
+                self._make_limit(incarnation)
+                for incarnation in self.rates
+                if not self.pacer.is_cold(incarnation)
+            )
+        )
 
     def _make_limit(self, incarnation: str) -> TargetLimit:
-        return TargetLimit(incarnation, self.pacer.rates.get(incarnation, 0))
+        rate = self.pacer.rates.get(incarnation, 0)
+        return TargetLimit(incarnation, rate)
 
     async def _receive_limit(self, link: Link, message: TargetLimit) -> None:
         self._apply(message, link)
--- a/galenaswitch/gateway/vocabulary.py
+++ b/galenaswitch/gateway/vocabulary.py
@@ -1,5 +1,6 @@
 """Message types that the edge processes of all VMs exchange."""
 
+from galenaswitch.cold.messages import GrantQuery, GrantReply
 from galenaswitch.configuration.messages import Digest, Items, Versions
 from galenaswitch.following.messages import (
     FollowerSign,
@@ -68,6 +69,8 @@
     EvidenceQuery,
     EvidenceReply,
     FollowerSign,
+    GrantQuery,
+    GrantReply,
     Items,
     KnownVersionsQuery,
     KnownVersionsReply,
--- a/galenaswitch/platform/documents.py
+++ b/galenaswitch/platform/documents.py
@@ -9,6 +9,9 @@
 - ``target-latency-ms``: objective for the time to the answer, or to the first
   event of a stream.
 - ``target-itl-ms``: objective for the longest gap between two events.
+- ``cold-left-ms``: time for which a target stays cold.
+- ``cold-per-s``: requests a second that a cold target takes.
+- ``cold-start-s``: longest time for which a target stays cold.
 - ``born``: number that a target changes when it starts again.
 - ``sequence``: number of a target's own reports since its start.
 """
@@ -23,6 +26,7 @@
 from galenaswitch.gateway.routes import (
     BatchLimits,
     CallKind,
+    ColdLimits,
     EngineLimits,
     Route,
     RouteTable,
@@ -50,6 +54,9 @@
 # are recorded in the store.
 MAX_TEXT_LENGTH = 256
 MAX_SLOTS = 65_536
+# Longest time for which a target is cold, and largest rate of a cold one.
+MAX_COLD_SECONDS = 3600.0
+MAX_COLD_RATE = 1_000_000.0
 # Largest number that all encodings on the way take.
 MAX_NUMBER = 0x7FFFFFFFFFFFFFFF
 # A name is sent as the value of a header.
@@ -78,6 +85,10 @@
         except InvalidInputError:
             return ()
 
+    def read_cold_seconds(self, document: Any) -> float:
+        """Decode for how long the target of a valid entry stays cold."""
+        return _read_cold_seconds(document.get('cold-left-ms'))
+
     def read_target_order(self, document: Any) -> WriterOrder:
         """Decode the order of a target's entries, empty when it can't be read.
 
@@ -136,6 +147,17 @@
     )
 
 
+def _read_cold_seconds(field: Any) -> float:
+    """Decode the time for which a target stays cold, 0 if it can't be read.
+
+    A target serves also without a readable time.
+    """
+    is_number = isinstance(field, (int, float)) and not isinstance(field, bool)
+    if is_number and 0 <= field <= MAX_COLD_SECONDS * MILLISECONDS:
+        return float(field) / MILLISECONDS
+    return 0
+
+
 def _read_address(document: Document) -> str:
     """Return an address to which a connection can go, and to no other host."""
     address: str = _check_type(document['address'], str)
@@ -260,9 +282,22 @@
         max_connections=document.get('max-connections') or 0,
         engine=_read_engine_limits(engine) if engine else None,
         batches=_read_batch_limits(work_items) if work_items else None,
+        cold=_read_cold_limits(document),
     )
 
 
+def _read_cold_limits(document: Document) -> ColdLimits | None:
+    """Decode the limits of cold targets, ``None`` if there are none.
+
+    :raises ValueError: when a value is out of range.
+    """
+    rate = float(document.get('cold-per-s') or 0)
+    seconds = float(document.get('cold-start-s') or 0)
+    if not 0 <= rate <= MAX_COLD_RATE or not 0 <= seconds <= MAX_COLD_SECONDS:
+        raise ValueError(f'cold-per-s {rate}, cold-start-s {seconds}')
+    return ColdLimits(rate, seconds) if rate else None
+
+
 def _read_engine_limits(document: Document) -> EngineLimits:
     return EngineLimits(document['slots'], document['kv-capacity-tokens'])
 
--- a/galenaswitch/platform/notices.py
+++ b/galenaswitch/platform/notices.py
@@ -11,6 +11,7 @@
 from galenaswitch.platform.load_reports import LoadReports
 from galenaswitch.platform.numbers import is_number, read_decimal
 
+MILLISECONDS = 1000
 MISDIRECTED = 421
 UNAVAILABLE = 503
 _NOT_RUN_HEADER = b'x-not-executed'
@@ -38,6 +39,11 @@
         rate = read_decimal(find_header_text(head.headers, b'server-limit'))
         return None if rate == math.inf else rate
 
+    def read_cold_seconds(self, head: AnswerHead) -> float | None:
+        """Decode for how long the target stays cold, ``None`` if not sent."""
+        left = find_header_text(head.headers, b'x-cold-ms').strip()
+        return int(left) / MILLISECONDS if is_number(left) else None
+
     def read_brittleness(self, head: AnswerHead) -> int | None:
         """Decode how many refusals in a second a brittle target survives.
 
--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -103,6 +103,7 @@
         self.state = 'ready'
         self.harm = Harm()
         self.rate_limit = 0.0
+        self.cold_until = 0.0
         self.says_leaving = False
         self._paused_until = 0.0
         self._silences: Iterator[Silence] = iter(())
@@ -195,6 +196,7 @@
                 await asyncio.sleep(HEARTBEAT_SECONDS / 4)
 
     def _make_entry(self) -> Document:
+        cold_seconds = self.cold_until - self._now()
         return {
             'service': self.service,
             'address': self.proxy.address,
@@ -202,7 +204,7 @@
             'version': self.version,
             'slots': self._room.slots or DEFAULT_SLOTS,
             'state': self.state,
-            'cold-left-ms': 0,
+            'cold-left-ms': max(0, round(cold_seconds * 1000)),
             'sequence': self._sequence,
             'born': self._born,
         }
--- a/galenaswitch/platform/tests/test_documents.py
+++ b/galenaswitch/platform/tests/test_documents.py
@@ -7,7 +7,11 @@
 from galenaswitch.errors import InvalidInputError
 from galenaswitch.gateway.routes import CallKind
 from galenaswitch.membership.lists import LEAVING, LIVE
-from galenaswitch.platform.documents import read_configuration, read_target
+from galenaswitch.platform.documents import (
+    PlatformDocuments,
+    read_configuration,
+    read_target,
+)
 
 
 def test_configuration_is_decoded_to_a_route_table(configuration):
@@ -102,3 +106,32 @@
     ):
         with pytest.raises(InvalidInputError):
             decode(document)
+
+
+# Guards against a limit that is read wrong, or set where none is asked for.
+def test_limits_of_cold_targets_are_decoded(configuration):
+    assert read_configuration(configuration).find_cold_limits('llm') is None
+    service = configuration['services'][0]
+    service.update({'cold-per-s': 7.3, 'cold-start-s': 3.0})
+    table = read_configuration(configuration)
+    assert table.find_cold_limits('llm') == (7.3, 3.0)
+    assert table.find_cold_limits('scan') is None
+    service['cold-per-s'] = 0
+    assert read_configuration(configuration).find_cold_limits('llm') is None
+
+
+@pytest.mark.parametrize('rate', [-1, float('nan'), float('inf'), 'x', 1e9])
+def test_configuration_with_an_odd_cold_rate_is_rejected(configuration, rate):
+    configuration['services'][0]['cold-per-s'] = rate
+    with pytest.raises(InvalidInputError):
+        read_configuration(configuration)
+
+
+@pytest.mark.parametrize(
+    ('left', 'seconds'),
+    [(1500, 1.5), (0, 0), (None, 0), ('x', 0), (-1, 0), (float('inf'), 0)],
+)
+def test_cold_time_of_an_entry_is_decoded(entry, left, seconds):
+    entry['cold-left-ms'] = left
+    assert read_target('i-1', entry).name == 'i-1'
+    assert PlatformDocuments().read_cold_seconds(entry) == seconds
--- a/galenaswitch/platform/tests/test_evacuations.py
+++ b/galenaswitch/platform/tests/test_evacuations.py
@@ -202,7 +202,7 @@
 # store is away, after a kill, and after a store that lost the entry; and
 # against a zone that gets nothing afterwards.
 @pytest.mark.timeout(90)
-@pytest.mark.parametrize(('route', 'network'), [('plain', 151), ('chat', 152)])
+@pytest.mark.parametrize(('route', 'network'), [('plain', 171), ('chat', 172)])
 async def test_machines_keep_an_evacuated_zone_empty(
     open_driver, route, network
 ):
--- a/galenaswitch/platform/tests/test_headers.py
+++ b/galenaswitch/platform/tests/test_headers.py
@@ -208,3 +208,13 @@
 def test_pause_of_a_refusal_is_decoded(status, fields, seconds):
     headers = tuple((b'Retry-After', field) for field in fields)
     assert WIRE.read_pause(AnswerHead(status, headers)) == seconds
+
+
+# Guards against a target that is taken for warm, or for cold without an end.
+@pytest.mark.parametrize(
+    ('field', 'seconds'),
+    [('1500', 1.5), (' 0 ', 0), ('', None), ('-1', None), ('9' * 400, None)],
+)
+def test_cold_time_of_an_answer_is_decoded(field, seconds):
+    head = AnswerHead(200, ((b'X-Cold-Ms', field.encode()),))
+    assert WIRE.read_cold_seconds(head) == seconds
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -152,6 +152,9 @@
         self.turns = Turns(
             self.members, self.mesh, self._owner_router, self.metrics, tasks
         )
+        self.turns.cold.find_table = self._find_known_services
+        self.evacuations.on_ended = self.turns.cold.suspect_zone
+        self.state_sync.on_entry = self.turns.cold.observe_entry
         self.containment = Containment(
             store,
             self.mesh,
@@ -273,6 +276,7 @@
         """Start the background tasks that sync state with store and peers."""
         self.state_sync.start()
         self.containment.start()
+        self.turns.cold.start()
         self._tasks.start_lasting(self.mesh.maintain_links)
         self._tasks.start_lasting(self.relay.repair)
         self._tasks.start_lasting(
