--- a/galenaswitch/admission/assignment.py
+++ b/galenaswitch/admission/assignment.py
@@ -68,8 +68,7 @@
 
     def learn_limits(self, query: PlaceQuestion, now: float) -> None:
         """Learn the limits of engines that a query names."""
-        for limit in query.limits:
-            self._pacer.learn(*limit, now)
+        self._pacer.learn_all(self._service, query.limits, query.cold, now)
 
     def assign(
         self, query: PlaceQuestion, targets: Sequence[Target], now: float
@@ -87,9 +86,20 @@
             for target in fitting
             if self._pacer.find_wait(target.incarnation, now)
         )
+        cold = frozenset(
+            target.name
+            for target in fitting
+            if self._pacer.is_cold(target.incarnation)
+        )
+        request = _make_placement_request(query)
+        # Load goes to warm engines first.
         placement = self.placements.place(
-            _make_placement_request(query), fitting, limits, now, without_turn
+            request, fitting, limits, now, without_turn | cold
         )
+        if placement is None and cold:
+            placement = self.placements.place(
+                request, fitting, limits, now, without_turn
+            )
         if placement:
             self._pacer.take(placement.target.incarnation, now)
             if self._seats:
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -95,6 +95,19 @@
     rate: float
 
 
+class ColdTime(NamedTuple):
+    """Time for which a target stays cold, and its limit holds.
+
+    It isn't a field of :class:`TargetLimit`: VMs of an earlier build reject a
+    message in which a nested type has more fields than they know.
+
+    :param left: seconds from now on.
+    """
+
+    incarnation: str
+    left: float
+
+
 class PlaceQuestion(NamedTuple):
     """Query for the engine that should run a request.
 
@@ -115,6 +128,8 @@
         that doesn't tell.
     :param fingerprint: id of the whole request over attempts and VMs, empty
         from a VM that doesn't tell.
+    :param cold: for how long some of the ``limits`` hold; all others hold until
+        their targets withdraw them.
     """
 
     service: str
@@ -134,6 +149,7 @@
     request: str = ''
     complete_in: float = 0
     fingerprint: str = ''
+    cold: tuple[ColdTime, ...] = ()
 
     @property
     def longest(self) -> float:
@@ -196,11 +212,13 @@
     :param limits: the targets and their limits as the asking VM knows them, the
         preferred one first.
     :param max_wait: longest useful wait for a turn in seconds.
+    :param cold: for how long some of the ``limits`` hold.
     """
 
     service: str
     limits: tuple[TargetLimit, ...]
     max_wait: float
+    cold: tuple[ColdTime, ...] = ()
 
 
 class TurnReply(NamedTuple):
