Don't start streams that can't end before their deadline

Cause: the duration of answers was left out once less than it was left, as if the answer were shorter than the measured ones. The time to a first event of long prompts also counted in full against short objectives.

Change: a duration is left out only if it exceeds the whole time of the request as it arrived, and covers most answers (the average and two average deviations). The time to a first event takes at most half of a time left.

--- a/galenaswitch/admission/control.py
+++ b/galenaswitch/admission/control.py
@@ -33,8 +33,8 @@
     :param start_by: monotonic time of the latest start that is on time.
     :param leaves_at: monotonic time at which the caller leaves without a first
         event.
-    :param complete_by: monotonic time by which the answer must be complete, 0
-        if unknown.
+    :param complete_by: monotonic time by which the answer must be complete.
+    :param total: seconds from the arrival until then, 0 if unknown.
     """
 
     ident: str
@@ -44,13 +44,15 @@
     start_by: float
     leaves_at: float
     complete_by: float
+    total: float
 
     def find_demand(self, now: float) -> Demand:
         """Return what the request needs from now on."""
         return Demand(
             self.start_by - now,
             self.leaves_at - now,
-            self.complete_by and max(self.complete_by - now, 0.0),
+            self.complete_by - now,
+            self.total,
         )
 
 
--- a/galenaswitch/admission/measurements.py
+++ b/galenaswitch/admission/measurements.py
@@ -10,6 +10,8 @@
 MIN_SAMPLES = 8
 # Weight of a new sample in the moving averages.
 SMOOTHING = 0.1
+# Average deviations above the average below which most durations lie.
+DEVIATIONS = 2.0
 # The measurements count as outdated after so many times the average duration
 # without an end, but not before the number of seconds.
 MAX_SILENT_DURATIONS = 3.0
@@ -35,18 +37,22 @@
     """Moving average of samples.
 
     :ivar seconds: the average, 0 without a sample.
+    :ivar deviation: average distance of a sample from the average.
     """
 
     def __init__(self) -> None:
         """Build an average of no samples."""
         self.seconds = 0.0
+        self.deviation = 0.0
         self.samples = 0
 
     def add(self, seconds: float) -> None:
         """Add a sample."""
         self.samples += 1
         weight = max(SMOOTHING, 1 / self.samples)
+        distance = seconds - self.seconds if self.samples > 1 else 0.0
         self.seconds += weight * (seconds - self.seconds)
+        self.deviation += weight * (abs(distance) - self.deviation)
 
 
 class EngineMeasurements:
@@ -122,9 +128,14 @@
         )
 
     def find_run_seconds(self, answer_tokens: int) -> float:
-        """Return how long an answer of a size takes, 0 if none was measured."""
+        """Return how long most answers of a size take, 0 if none was measured.
+
+        A stream that begins later is cut at its deadline, and its work wasted.
+        """
         average = self._by_size.get(answer_tokens.bit_length())
-        return average.seconds if average else 0.0
+        if average is None:
+            return 0.0
+        return average.seconds + DEVIATIONS * average.deviation
 
     @property
     def first_seconds(self) -> float:
--- a/galenaswitch/admission/policy.py
+++ b/galenaswitch/admission/policy.py
@@ -20,12 +20,14 @@
 
     :param start_in: until its latest start that is on time.
     :param left: until its caller leaves without a first event.
-    :param complete_in: until its answer must be complete, 0 if unknown.
+    :param complete_in: until its answer must be complete.
+    :param total: from its arrival until then, 0 if unknown.
     """
 
     start_in: float
     left: float
     complete_in: float
+    total: float
 
 
 class Conditions(NamedTuple):
@@ -82,10 +84,10 @@
 
     >>> policy = MeasuredAdmission()
     >>> idle = Conditions(0, 0, None, 0, 0, 0, 0, 0)
-    >>> policy.judge(Demand(1, 3, 3), idle).is_admitted
+    >>> policy.judge(Demand(1, 3, 3, 3), idle).is_admitted
     True
     >>> busy = Conditions(400, 400, 100, 180, 100, 5, 0.05, 0.25)
-    >>> policy.judge(Demand(1, 3, 3), busy).is_admitted
+    >>> policy.judge(Demand(1, 3, 3, 3), busy).is_admitted
     False
     """
 
@@ -102,7 +104,7 @@
         if rate is None:
             return Verdict(is_admitted=True)
         longest = find_longest_wait(demand, conditions)
-        latest = demand.start_in - conditions.first_seconds
+        latest = _deduct(demand.start_in, conditions.first_seconds)
         if conditions.offered_rate <= rate:
             wait = _find_wait(conditions.ahead, rate)
             return Verdict(
@@ -135,15 +137,25 @@
     """Return the seconds after which a start is useless.
 
     The first event has to come before the caller leaves, the end of the answer
-    before the deadline. A duration that exceeds the whole time left says that
-    the measured answers were longer than this one can be, so it is left out.
+    before the deadline. A duration that exceeds the whole time of the request
+    says that the measured answers were longer than this one can be, so it is
+    left out.
     """
-    longest = demand.left - conditions.first_seconds
-    if demand.complete_in > conditions.run_seconds:
+    longest = _deduct(demand.left, conditions.first_seconds)
+    if demand.total > conditions.run_seconds:
         longest = min(longest, demand.complete_in - conditions.run_seconds)
     return longest
 
 
+def _deduct(seconds: float, first_seconds: float) -> float:
+    """Return a time less the time to a first event, at most by its half.
+
+    The time to a first event is that of prompts of all lengths. One with a
+    short objective usually has a short prompt.
+    """
+    return max(seconds - first_seconds, seconds / 2)
+
+
 def _find_wait(ahead: int, rate: float) -> float:
     """Return a wait behind some requests that most don't exceed.
 
--- a/galenaswitch/admission/tests/test_overload.py
+++ b/galenaswitch/admission/tests/test_overload.py
@@ -89,7 +89,7 @@
         )
         deadline = self.now + DEADLINE
         self._applicants[ident] = Applicant(
-            ident, ident, key, 60, start_by, deadline, deadline
+            ident, ident, key, 60, start_by, deadline, deadline, DEADLINE
         )
         self._priorities[ident] = priority
         self._queue.add(waiting)
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -301,5 +301,6 @@
         query.answer_tokens,
         asked_at + query.start_in,
         asked_at + query.left,
-        query.complete_in and asked_at + query.complete_in,
+        asked_at + query.complete_in,
+        query.complete_in,
     )
