--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -7,7 +7,6 @@
 import asyncio
 from functools import partial
 from pathlib import Path
-from typing import Any
 
 from galenaswitch.configuration.relay import Relay
 from galenaswitch.connections.crowding import find_max_connections
@@ -26,11 +25,6 @@
 from galenaswitch.gateway.batcher import Batcher
 from galenaswitch.gateway.continuation import ContinuationPolicy
 from galenaswitch.gateway.handling import Gateway
-from galenaswitch.gateway.messages import (
-    PiecesCancel,
-    PiecesQuestion,
-    ReleaseNote,
-)
 from galenaswitch.gateway.notices import TargetNotices
 from galenaswitch.gateway.origins import StreamOrigins
 from galenaswitch.gateway.owners import OwnerRouter
@@ -52,9 +46,8 @@
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.directory import Directory
 from galenaswitch.membership.links import Link, listen
-from galenaswitch.membership.lists import Machine, MemberList, Members
+from galenaswitch.membership.lists import Machine, Members
 from galenaswitch.membership.mesh import Mesh
-from galenaswitch.membership.messages import ListQuestion
 from galenaswitch.operations.exposition import serve_metrics
 from galenaswitch.operations.lag import find_clock
 from galenaswitch.operations.logs import get_logger
@@ -69,6 +62,7 @@
 from galenaswitch.platform.settings import VmSettings, load_vm_settings
 from galenaswitch.programs.link_service import make_link_service
 from galenaswitch.programs.plain_service import make_plain_runner
+from galenaswitch.programs.vm_links import LinkObserver, collect_handlers
 from galenaswitch.programs.vm_stop import Draining
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.quarantine.fingerprints import Fingerprints
@@ -348,23 +342,19 @@
         await asyncio.sleep(UNREADY_DETECTION_SECONDS)
         await draining.run(self._caller_port)
 
-    async def answer_list_query(
-        self,
-        link: Link,
-        query: ListQuestion,
-    ) -> MemberList:
-        """Send the member list to a VM that can't reach the store."""
-        return self.members.member_list
-
     def _on_link_open(self, link: Link) -> None:
         self.notices.on_link_open(link)
-        self._tasks.start(self._owner_router.on_link_open(link))
-        self._tasks.start(self.relay.on_link_open(link))
-        self._tasks.start(self.following.on_link_open(link))
-        self._tasks.start(self.containment.exchange.on_link_open(link))
-        self._tasks.start(self.turns.on_link_open(link))
-        self._tasks.start(self.turns.seats.brittleness.on_link_open(link))
-        self._tasks.start(self.origins.on_link_open(link))
+        observers: tuple[LinkObserver, ...] = (
+            self._owner_router,
+            self.relay,
+            self.following,
+            self.containment.exchange,
+            self.turns,
+            self.turns.seats.brittleness,
+            self.origins,
+        )
+        for observer in observers:
+            self._tasks.start(observer.on_link_open(link))
 
     def _find_known_services(self) -> RouteTable:
         return self.state_sync.route_table.with_former_services
@@ -375,22 +365,19 @@
         return self.state_sync.route_table.current
 
     def _add_handlers(self) -> None:
-        handlers: dict[type[Any], Any] = {
-            ListQuestion: self.answer_list_query,
-            PiecesCancel: lambda link, note: self.stages.receive_cancel(note),
-            PiecesQuestion: self.stages.answer,
-            ReleaseNote: lambda link, note: self.stages.receive_release(note),
-        }
-        handlers |= self.relay.handlers()
-        handlers |= self._owner_router.handlers()
-        handlers |= self.streams.handlers()
-        handlers |= self.containment.exchange.handlers()
-        handlers |= self.turns.handlers()
-        handlers |= self.notices.handlers()
-        handlers |= self.origins.handlers()
-        handlers |= self.following.handlers()
-        handlers |= self.recovery.handlers()
-        handlers |= self.paths.handlers()
+        sources = (
+            self.relay,
+            self._owner_router,
+            self.streams,
+            self.containment.exchange,
+            self.turns,
+            self.notices,
+            self.origins,
+            self.following,
+            self.recovery,
+            self.paths,
+        )
+        handlers = collect_handlers(self.members, self.stages, sources)
         self.service.handlers.update(handlers)  # type: ignore[attr-defined]
 
     def _make_gateway(self) -> Gateway:
