--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -10,7 +10,6 @@
 import time
 from functools import partial
 
-from galenaswitch.connections.errors import detach
 from galenaswitch.connections.handlers import AnswerWriter
 from galenaswitch.errors import (
     GalenaError,
@@ -113,9 +112,7 @@
             answer = job.failed
         finally:
             self._selection.release(job)
-            if job.error:
-                # Its frames refer to the job, and with it to the body.
-                detach(job.error)
+            job.drop_frames()
         await send_complete(writer, answer.head, answer.body)
 
     def dump(self) -> dict[str, float]:
--- a/galenaswitch/gateway/selection.py
+++ b/galenaswitch/gateway/selection.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from galenaswitch.connections.errors import detach
 from galenaswitch.connections.heads import AnswerHead
 from galenaswitch.errors import TargetError
 from galenaswitch.gateway.calls import CallerRequest
@@ -60,6 +61,11 @@
         """Whether the route allows one more attempt that may run."""
         return self.progress.sent < self.request.route.attempts
 
+    def drop_frames(self) -> None:
+        """Drop the frames of the last error, which refer to the body."""
+        if self.error:
+            detach(self.error)
+
     def refuse(
         self, reason: Reason, detail: str = '', wait: float = 0
     ) -> RefusedError:
--- a/galenaswitch/programs/vm_links.py
+++ b/galenaswitch/programs/vm_links.py
@@ -1,6 +1,7 @@
 """Links of a VM to its peers: who handles messages, and who hears of links."""
 
 from collections.abc import Iterable
+from functools import partial
 from typing import Any, Protocol
 
 from galenaswitch.gateway.messages import (
@@ -38,12 +39,8 @@
     :param members: lists for a VM that can't reach the store.
     :param stages: runs work items for other VMs.
     """
-
-    async def answer_list_query(link: Link, query: ListQuestion) -> MemberList:
-        return members.member_list
-
     handlers: Handlers = {
-        ListQuestion: answer_list_query,
+        ListQuestion: partial(_answer_list_query, members),
         PiecesCancel: lambda link, note: stages.receive_cancel(note),
         PiecesQuestion: stages.answer,
         ReleaseNote: lambda link, note: stages.receive_release(note),
@@ -51,3 +48,9 @@
     for source in sources:
         handlers |= source.handlers()
     return handlers
+
+
+async def _answer_list_query(
+    members: Members, link: Link, query: ListQuestion
+) -> MemberList:
+    return members.member_list
