Exits: ask no closed connection for unsent bytes

Cause: an exit asks the kernel for bytes of a connection by its descriptor. On a connection that is closed already the descriptor may be invalid, or another connection's, on uvloop. Found by reading; the new test for it passes without the change as well, so the fault is not shown.

Change: has_unsent_bytes and the exit's check are skipped on connections that are closing. Tests of resets in tunnels run on both loops.

--- a/galenaswitch/connections/sockets.py
+++ b/galenaswitch/connections/sockets.py
@@ -106,6 +106,8 @@
 
 def has_unsent_bytes(transport: Any) -> bool:
     """Tell whether the peer has not acknowledged all that was written."""
+    if transport.is_closing():
+        return False
     return bool(transport.get_write_buffer_size()) or _has_bytes(
         transport, termios.TIOCOUTQ
     )
--- a/galenaswitch/paths/exits.py
+++ b/galenaswitch/paths/exits.py
@@ -212,7 +212,8 @@
     @property
     def is_behind(self) -> bool:
         """Whether bytes of the VM have arrived that were not read yet."""
-        return has_unread_bytes(self._transport)
+        is_open = not self._transport.is_closing()
+        return is_open and has_unread_bytes(self._transport)
 
     def connection_made(self, transport: Any) -> None:
         """Begin to pass on what the target sends."""
--- a/galenaswitch/paths/tests/test_resets.py
+++ b/galenaswitch/paths/tests/test_resets.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from galenaswitch.connections.heads import RequestHead
 from galenaswitch.errors import TargetBrokenError
@@ -17,6 +18,15 @@
 NOTICE_SECONDS = 1.0
 
 
+@pytest.fixture(
+    params=(uvloop.EventLoopPolicy, asyncio.DefaultEventLoopPolicy),
+    ids=('uvloop', 'asyncio'),
+)
+def event_loop_policy(request):
+    """Run the tests on either loop."""
+    return request.param()
+
+
 @pytest.fixture
 async def connect(start_vms, run_target):
     """Return a function that connects a VM to a target through an exit."""
@@ -74,6 +84,25 @@
     assert held.count < LARGE_BYTES / 2
 
 
+# Guards against an error, or a look at another connection, as an exit asks for
+# the unsent bytes of a connection that its target has ended.
+async def test_tunnel_whose_target_is_gone_ends_quietly(connect):
+    async def reset(reader, writer):
+        await target.read_request(reader)
+        writer.transport.abort()
+
+    failures = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: failures.append(context)
+    )
+    vms, target = await connect(reset)
+    for _ in range(5):
+        with pytest.raises(TargetBrokenError):
+            await fetch(vms[0], target.address)
+    await wait_until(lambda: not vms[1].paths.exits.count)
+    assert not failures
+
+
 # Guards against a target that is reset behind a complete response.
 async def test_tunnel_ends_in_order_after_a_complete_response(connect):
     ends = []
