--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import time
 from collections.abc import Callable, Iterable
@@ -141,8 +142,10 @@
         now = time.monotonic()
         if message.ident not in self._expiries:
             # The task of a query that came just before may not have begun.
-            loop = asyncio.get_running_loop()
-            loop.call_soon(self._withdraw, message.ident)
+            # Without a running loop there is none.
+            with contextlib.suppress(RuntimeError):
+                loop = asyncio.get_running_loop()
+                loop.call_soon(self._withdraw, message.ident)
         self._withdraw(message.ident)
         self._expiries.drop(message.ident)
         self._assignment.record_end(message, now)
--- a/galenaswitch/platform/tests/test_kept_streams.py
+++ b/galenaswitch/platform/tests/test_kept_streams.py
@@ -341,11 +341,14 @@
         self.told = []
         self._queries = 0
 
-    async def query(self, service, message, seconds, decide, *others):
+    async def query(self, service, message, seconds, decide, on_unanswered):
         """Answer the first placement query, and no other."""
         self._queries += 1
         if self._queries > 1:
-            await asyncio.sleep(FOREVER)
+            try:
+                await asyncio.sleep(FOREVER)
+            finally:
+                on_unanswered('owner')
         return 'owner', PlaceReply('t0')
 
     def notify(self, owner, message, deliver):
