--- a/galenaswitch/platform/documents.py
+++ b/galenaswitch/platform/documents.py
@@ -38,6 +38,13 @@
     order_routes,
 )
 from galenaswitch.membership.lists import LEAVING, LIVE, Target
+from galenaswitch.platform.fields import (
+    Document,
+    check_range,
+    check_type,
+    read_number,
+    read_text,
+)
 from galenaswitch.platform.headers import (
     DECODE_ERRORS,
     MEGABYTE,
@@ -51,18 +58,12 @@
     'streaming': CallKind.stream,
 }
 _TARGET_STATES = {'ready': LIVE, 'draining': LEAVING}
-# Longest zone, service or version. All are passed on between VMs, and versions
-# are recorded in the store.
-MAX_TEXT_LENGTH = 256
 MAX_SLOTS = 65_536
 # Longest time for which a target is cold, and largest rate of a cold one.
 MAX_COLD_SECONDS = 3600.0
 MAX_COLD_RATE = 1_000_000.0
-# Largest number that all encodings on the way take.
-MAX_NUMBER = 0x7FFFFFFFFFFFFFFF
 # A name is sent as the value of a header.
 _NAME = re.compile(r'[!-~]{1,256}')
-Document = dict[str, Any]
 Entry = TypeVar('Entry')
 
 
@@ -98,9 +99,9 @@
         """
         try:
             return (
-                _read_number(document, 'born'),
+                read_number(document, 'born'),
                 int(_TARGET_STATES[document['state']] == LEAVING),
-                _read_number(document, 'sequence'),
+                read_number(document, 'sequence'),
             )
         except DECODE_ERRORS:
             return ()
@@ -139,13 +140,13 @@
         raise ValueError('the name is no header value')
     return Target(
         name=name,
-        incarnation=f'{name}/{_read_number(document, "born")}',
-        zone=_read_text(document, 'zone'),
-        pool=_read_text(document, 'service'),
+        incarnation=f'{name}/{read_number(document, "born")}',
+        zone=read_text(document, 'zone'),
+        pool=read_text(document, 'service'),
         url=_read_address(document),
         state=_TARGET_STATES[document['state']],
-        capacity=_check_range(document['slots'], 1, MAX_SLOTS),
-        version=_read_text(document, 'version'),
+        capacity=check_range(document['slots'], 1, MAX_SLOTS),
+        version=read_text(document, 'version'),
     )
 
 
@@ -162,7 +163,7 @@
 
 def _read_address(document: Document) -> str:
     """Return an address to which a connection can go, and to no other host."""
-    address: str = _check_type(document['address'], str)
+    address: str = check_type(document['address'], str)
     host, _ = split_address(address)
     parsed = ipaddress.IPv4Address(host)
     if parsed.is_unspecified or parsed.is_multicast or parsed.is_reserved:
@@ -170,30 +171,6 @@
     return address
 
 
-def _read_text(document: Document, name: str) -> str:
-    text: str = _check_type(document[name], str)
-    if len(text) > MAX_TEXT_LENGTH:
-        raise ValueError(f'{name} has {len(text)} characters')
-    return text
-
-
-def _read_number(document: Document, name: str) -> int:
-    return _check_range(document.get(name, 0), 0, MAX_NUMBER)
-
-
-def _check_range(field: Any, lowest: int, highest: int) -> int:
-    number: int = _check_type(field, int)
-    if not lowest <= number <= highest:
-        raise ValueError(f'{number} is not within {lowest} to {highest}')
-    return number
-
-
-def _check_type(field: Any, kind: type[Any]) -> Any:
-    if not isinstance(field, kind) or isinstance(field, bool):
-        raise TypeError(f'{field!r} is not of type {kind.__name__}')
-    return field
-
-
 def _read_route_table(document: Document) -> RouteTable:
     services = _read_entries(document, 'services', _read_service)
     services_by_name = {service.name: service for service in services}
@@ -205,7 +182,7 @@
         for known in _read_entries(document, 'tenants', _read_workspace):
             workspaces.update(known)
     return RouteTable(
-        version=_check_type(document['version'], int),
+        version=check_type(document['version'], int),
         routes=order_routes(routes),
         services=services_by_name,
         workspaces=workspaces,
--- a/galenaswitch/platform/evacuations.py
+++ b/galenaswitch/platform/evacuations.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from galenaswitch.errors import InvalidInputError
-from galenaswitch.platform.documents import MAX_TEXT_LENGTH
+from galenaswitch.platform.fields import MAX_TEXT_LENGTH
 
 
 class EvacuationEntries:
--- a/galenaswitch/platform/findings.py
+++ b/galenaswitch/platform/findings.py
@@ -10,7 +10,8 @@
 from galenaswitch.connections.requests import InboundLimits
 from galenaswitch.errors import InvalidInputError
 from galenaswitch.gateway.routes import Route, RouteTable, Service
-from galenaswitch.platform.documents import Document, read_configuration
+from galenaswitch.platform.documents import read_configuration
+from galenaswitch.platform.fields import Document
 from galenaswitch.platform.headers import DECODE_ERRORS
 
 _KEYS_FIELD = 'api-keys'
--- a/galenaswitch/programs/configuration_check.py
+++ b/galenaswitch/programs/configuration_check.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from galenaswitch.errors import InvalidInputError, SettingsError
-from galenaswitch.platform.documents import Document, read_configuration
+from galenaswitch.platform.documents import read_configuration
+from galenaswitch.platform.fields import Document
 from galenaswitch.platform.findings import (
     Difference,
     Finding,
