Mend what the review of the merged parts found

Causes, each followed through in the code or reproduced in a snippet: - A stream whose silent successor was ended counted as never sent, so a refusal could say that it had not run. StreamJob.may_have_run covers that engine. - The rate of a cold target was spread to other VMs as one that it has named, which doesn't end.

--- a/galenaswitch/cold/tests/test_targets.py
+++ b/galenaswitch/cold/tests/test_targets.py
@@ -125,3 +125,15 @@
         async with sender.send(COLD, Mock(), b'', 3, names_limit=False):
             pytest.fail('the call was sent')
     assert not turns.cold.is_cold(WARM)
+
+
+# Guards against the rate of a cold target that other VMs take for one that it
+# has named, and keep behind its cold time.
+async def test_only_named_limits_are_told_to_other_vms(turns):
+    turns.cold.observe_entry(COLD, 1, 3.0)
+    assert (await turns._answer_limits_query(Mock(), Mock())).limits == ()
+    turns.observe(COLD, RATE * 10)
+    spread = turns._mesh.spread.call_args.args[0]
+    assert spread.rate == RATE * 10
+    reply = await turns._answer_limits_query(Mock(), Mock())
+    assert reply.limits == (spread,)
--- a/galenaswitch/connections/memory.py
+++ b/galenaswitch/connections/memory.py
@@ -166,6 +166,8 @@
             return
         if self._body_bytes > self.body_limit_bytes:
             self._give_up_bodies()
+        if self.total > self.limit_bytes:
+            self._give_up_bodies(only_slow=True)
         while self.total > self.limit_bytes:
             largest = self._find_largest()
             if largest is None:
@@ -184,8 +186,11 @@
     def _body_bytes(self) -> int:
         return self.sums[HeldKind.body] + self.sums[HeldKind.request]
 
-    def _give_up_bodies(self) -> None:
-        """Give up incomplete bodies until all that is held fits."""
+    def _give_up_bodies(self, *, only_slow: bool = False) -> None:
+        """Give up incomplete bodies until all that is held fits.
+
+        :param only_slow: whether to keep those that arrive fast enough.
+        """
         now = time.monotonic()
         bodies = [one for one in self._holdings if one.kind is HeldKind.body]
         bodies.sort(key=lambda one: _rank_body(one, now))
@@ -193,6 +198,8 @@
             has_room = self._body_bytes <= self.body_limit_bytes
             if has_room and self.total <= self.limit_bytes:
                 return
+            if only_slow and is_arriving(body, now):
+                return
             self._give_up(body, 'body_given_up')
 
     def _give_up(self, holding: Holding, event: str) -> None:
@@ -240,5 +247,11 @@
     are almost complete aren't lost to those that follow.
     """
     age = now - body.opened_at
-    is_fair = age <= FAIR_BODY_SECONDS + body.size / FAIR_BODY_RATE
+    is_fair = is_arriving(body, now)
     return is_fair, age if is_fair else -body.size * age
+
+
+def is_arriving(body: Holding, now: float) -> bool:
+    """Tell whether an incomplete body arrives fast enough to be kept."""
+    age = now - body.opened_at
+    return age <= FAIR_BODY_SECONDS + body.size / FAIR_BODY_RATE
--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -31,6 +31,7 @@
 from galenaswitch.connections.requests import HTTP_VERSION
 from galenaswitch.connections.sockets import (
     enable_dead_peer_detection,
+    has_unsent_bytes,
     reset,
 )
 from galenaswitch.errors import TargetUnreachableError
@@ -136,9 +137,9 @@
         """
         self._closed = True
         self.outcome.report(is_answer=False)
-        is_written = not self._transport.get_write_buffer_size()
         exchange = self._exchange
-        if exchange and exchange.head and self._ends_at_close and is_written:
+        ends_response = exchange and exchange.head and self._ends_at_close
+        if exchange and ends_response and not has_unsent_bytes(self._transport):
             self._is_answered = True
             exchange.end()
         self._fail('the target closed the connection')
--- a/galenaswitch/connections/requests.py
+++ b/galenaswitch/connections/requests.py
@@ -30,6 +30,8 @@
 # are counted again. A head of 32 KB can have 8,000 headers, which take 1 MB.
 HEADER_BYTES = 130
 HEADERS_STEP = 128
+# Memory in bytes of a request that waits behind another, without its headers.
+QUEUED_REQUEST_BYTES = 512
 # The version of HTTP that has transfer codings.
 HTTP_VERSION = '1.1'
 
@@ -105,6 +107,7 @@
         self._next_count = 0
         self._headers_bytes = 0
         self._next_headers = HEADERS_STEP
+        self._has_completed = False
 
     @property
     def phase(self) -> ReadPhase:
@@ -125,6 +128,7 @@
             may be forwarded.
         """
         self._fed_at = now
+        self._has_completed = False
         earlier_body_bytes = self.body_bytes
         try:
             self._parser.feed_data(chunk)
@@ -143,7 +147,8 @@
             ) from error
         if self.body_bytes > earlier_body_bytes:
             self._unparsed_bytes = 0
-        elif self.begun_at is not None:
+        elif self.begun_at is not None and not self._has_completed:
+            # A chunk in which a request ended is mostly of that request.
             self._add_unparsed_bytes(len(chunk))
 
     def on_message_begin(self) -> None:
@@ -209,8 +214,7 @@
             tuple(self._headers),
         )
         received_at = self._fed_at if self.begun_at is None else self.begun_at
-        size = self._headers_bytes + len(self._body)
-        holding = self.intake.complete(size) if size > UNCOUNTED_BYTES else None
+        holding = self._hold_request()
         self.requests.append(
             InboundRequest(
                 head,
@@ -223,6 +227,7 @@
         self.begun_at = None
         self.head_complete = False
         self.wants_continue = False
+        self._has_completed = True
         self._body = bytearray()
 
     def drop_body(self) -> None:
@@ -244,6 +249,24 @@
         self.drop_body()
         self.on_given_up()
 
+    def _hold_request(self) -> Holding | None:
+        """Account for a complete request.
+
+        A small one isn't counted unless it waits behind another: one read may
+        hold thousands of pipelined requests.
+
+        :returns: the holding, ``None`` for one that isn't counted.
+        :raises RequestRejectedError: when there is no room for it.
+        """
+        size = self._headers_bytes + len(self._body)
+        if self.requests:
+            size = QUEUED_REQUEST_BYTES + self._head_bytes + len(self._body)
+            size += len(self._headers) * HEADER_BYTES
+        elif size <= UNCOUNTED_BYTES:
+            return None
+        self.intake.max_body_bytes = self.limits.max_body_bytes
+        return self.intake.complete(size)
+
     def _check_length(self, length: int) -> None:
         """Reject a body before its bytes are read, by its declared length."""
         if length > self.limits.max_body_bytes:
--- a/galenaswitch/connections/tests/test_bodies.py
+++ b/galenaswitch/connections/tests/test_bodies.py
@@ -256,3 +256,32 @@
     connections = [WaitingConnection(*wait) for wait in waits]
     found = find_surplus(connections, 10)
     assert found is (None if chosen is None else connections[chosen])
+
+
+# Guards against pipelined requests that take memory outside the account: one
+# read holds thousands of them.
+def test_pipelined_requests_are_accounted_for():
+    account = MemoryAccount(LIMIT_BYTES)
+    parser = RequestParser(account)
+    parser.limits = LIMITS
+    with pytest.raises(RequestRejectedError, match='room'):
+        parser.feed(HEAD % b'X: y' * 5000, 0)
+    assert 0 < account.total <= LIMIT_BYTES
+    parser.close()
+    assert account.total == 0
+
+
+# Guards against responses of running requests that are given up for bodies that
+# have stopped short of their end.
+def test_stalled_bodies_are_given_up_before_responses():
+    account = MemoryAccount(LIMIT_BYTES)
+    given_up = []
+    for number in range(6):
+        body = account.open(lambda n=number: given_up.append(n), HeldKind.body)
+        body.resize(100_000)
+        body.opened_at -= 60
+    response = account.open(lambda: given_up.append('response'))
+    response.resize(400_000)
+    assert given_up
+    assert 'response' not in given_up
+    assert account.total <= LIMIT_BYTES
--- a/galenaswitch/gateway/continuation.py
+++ b/galenaswitch/gateway/continuation.py
@@ -99,7 +99,7 @@
         )
         self._metrics.count('stream_version_gone')
         raise RefusedError(
-            Reason.stage_failed if job.sent else Reason.version_gone,
+            Reason.stage_failed if job.may_have_run else Reason.version_gone,
             job.run,
             'no target of the version that began the stream serves',
         )
--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -145,7 +145,7 @@
             self._notify_end(owner, PlaceEnd(service, query.ident, '', False))
         reason = _REASONS.get(reply.reason, Reason.capacity)
         raise RefusedError(
-            Reason.stage_failed if job.sent else reason,
+            Reason.stage_failed if job.may_have_run else reason,
             job.run,
             'no engine has free capacity',
             reply.retry_after,
@@ -170,7 +170,7 @@
             may not end before the process stops.
         :raises TargetUnreachableError: when no byte was sent.
         """
-        if not job.sent:
+        if not job.may_have_run:
             self._sender.draining.check(job.request, is_sending=True)
         job.screening.start_send(job.run)
         run.screening = copy(job.screening)
@@ -311,7 +311,7 @@
 
     :raises RefusedError: when one may have, before the stages ran once more.
     """
-    if job.sent:
+    if job.may_have_run:
         raise RefusedError(
             Reason.stage_failed, job.run, refusal.detail
         ) from refusal
--- a/galenaswitch/gateway/handover.py
+++ b/galenaswitch/gateway/handover.py
@@ -297,9 +297,12 @@
         slow and the attempt may be dead.
         """
         job = silence.job
-        may_go_on_elsewhere = self._dispatcher.continuations.has_other_target(
-            job
-        ) and self._dispatcher.can_acquire_retry(job)
+        dispatcher = self._dispatcher
+        may_go_on_elsewhere = (
+            len(job.tried_targets) < MAX_ATTEMPTS
+            and dispatcher.continuations.has_other_target(job)
+            and dispatcher.can_acquire_retry(job)
+        )
         has_failed = silence.reading.done()
         return not (has_failed or may_go_on_elsewhere or job.spared)
 
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -170,7 +170,17 @@
     @property
     def run(self) -> ExecutionState:
         """Whether an engine may have run the request, for a refusal."""
-        return ExecutionState.unknown if self.sent else ExecutionState.not_run
+        if self.may_have_run:
+            return ExecutionState.unknown
+        return ExecutionState.not_run
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an engine may have run the request.
+
+        One that was ended for its silence may have, too.
+        """
+        return bool(self.sent or self.spared)
 
     @property
     def origin_ident(self) -> str:
@@ -265,7 +275,7 @@
         untried or fitting, job.useful_wait if untried else 0
     )
     if wait:
-        reason = Reason.stage_failed if job.sent else Reason.capacity
+        reason = Reason.stage_failed if job.may_have_run else Reason.capacity
         raise RefusedError(reason, job.run, 'all engines are paused', wait)
 
 
--- a/galenaswitch/gateway/selection.py
+++ b/galenaswitch/gateway/selection.py
@@ -122,7 +122,7 @@
             raise job.refuse(Reason.no_target, wait=wait)
         opened = await self._find_open(job, candidates, max_wait)
         warm = self._sender.turns.cold.prefer_warm(opened)
-        chosen = self._choose_untried(warm, now)
+        chosen = self._choose_untried(job, warm, now)
         if self._sender.turns.seats.is_brittle(chosen.pool):
             chosen = await self._find_seat(job, opened, chosen, max_wait)
             opened = (chosen,)
@@ -173,9 +173,10 @@
         return notices.select(candidates)
 
     def _choose_untried(
-        self, candidates: Sequence[Target], now: float
+        self, job: PlainJob, candidates: Sequence[Target], now: float
     ) -> Target:
-        work = WorkEstimate((), 0, 0, self._zone, now)
+        is_repeat = bool(job.tried)
+        work = WorkEstimate((), 0, 0, self._zone, now, is_repeat=is_repeat)
         return self._chooser.choose(candidates, work)
 
     async def _find_turn(
@@ -203,7 +204,7 @@
             job.request.service, limited, 0 if unlimited else max_wait
         )
         if target is None and unlimited:
-            return self._choose_untried(unlimited, now)
+            return self._choose_untried(job, unlimited, now)
         if target is None:
             detail = 'all targets are at their limits'
             raise job.refuse(Reason.capacity, detail, wait)
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -282,7 +282,9 @@
         if job.left <= 0:
             raise RefusedError(find_timeout_reason(job.run), job.run)
         if not self._may_retry(job, error, known_not_run):
-            reason = Reason.stage_failed if job.sent else Reason.capacity
+            reason = (
+                Reason.stage_failed if job.may_have_run else Reason.capacity
+            )
             raise RefusedError(reason, job.run)
         if isinstance(error, InputsLostError) or job.released:
             job.close_stages()
--- a/galenaswitch/gateway/turns.py
+++ b/galenaswitch/gateway/turns.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Sequence
+from itertools import starmap
 from typing import Any
 
 from galenaswitch.cold.targets import ColdTargets
@@ -81,7 +82,7 @@
             )
             return
         for limit in reply.limits:
-            if limit.incarnation not in self.pacer.rates:
+            if limit.incarnation not in self.pacer.named_rates:
                 self._apply(limit, link)
 
     def observe(self, target: Target, rate: float | None) -> None:
@@ -91,7 +92,8 @@
         """
         now = time.monotonic()
         if self.pacer.observe(target.incarnation, rate, now):
-            self._spread(self._make_limit(target.incarnation), None)
+            named_rate = self.pacer.named_rates.get(target.incarnation, 0)
+            self._spread(TargetLimit(target.incarnation, named_rate), None)
 
     async def find_turn(
         self, service: str, targets: Sequence[Target], max_wait: float
@@ -169,11 +171,7 @@
         self, link: Link, query: LimitsQuery
     ) -> LimitsReply:
         return LimitsReply(
-            tuple(
-                self._make_limit(incarnation)
-                for incarnation in self.rates
-                if not self.pacer.is_cold(incarnation)
-            )
+            tuple(starmap(TargetLimit, self.pacer.named_rates.items()))
         )
 
     def _make_limit(self, incarnation: str) -> TargetLimit:
@@ -185,7 +183,7 @@
 
     def _apply(self, limit: TargetLimit, source: Link) -> None:
         """Apply a limit that another VM has observed."""
-        is_news = limit.incarnation in self.pacer.rates
+        is_news = limit.incarnation in self.pacer.named_rates
         if limit.rate:
             now = time.monotonic()
             is_news = self.pacer.set_rate(limit.incarnation, limit.rate, now)
--- a/galenaswitch/limits/pacing.py
+++ b/galenaswitch/limits/pacing.py
@@ -95,6 +95,11 @@
         self._merge()
         return True
 
+    @property
+    def named_rates(self) -> dict[str, float]:
+        """Limits that targets have named, without those of cold targets."""
+        return dict(self._named_rates)
+
     def learn(self, incarnation: str, rate: float, now: float) -> None:
         """Set the limit of a target unless one is known."""
         self.refresh(now)
@@ -114,10 +119,16 @@
         :param cold: incarnations that are cold, and for how many seconds.
         """
         left = dict(cold)
+        find_rate = self._find_cold_rate or _find_no_rate
         for incarnation, rate in limits:
             if incarnation not in left:
                 self.learn(incarnation, rate, now)
-            elif self.cold_times.find(incarnation, now) is None:
+                continue
+            # The rate of a cold target that named a smaller one.
+            is_named = rate < find_rate(service)
+            if is_named and incarnation not in self._named_rates:
+                self.set_rate(incarnation, rate, now)
+            if self.cold_times.find(incarnation, now) is None:
                 self.cold_times.suspect(
                     incarnation, service, left[incarnation], now
                 )
--- a/galenaswitch/paths/exits.py
+++ b/galenaswitch/paths/exits.py
@@ -139,7 +139,7 @@
         A target that closes while a part of the request waits here has not
         closed in order: the tunnel breaks off behind the bytes that came.
         """
-        if self._transport.get_write_buffer_size() or self._tunnel.is_behind:
+        if has_unsent_bytes(self._transport) or self._tunnel.is_behind:
             reset(self._transport)
             return False
         self._tunnel.write(CLOSED_FRAME)
--- a/galenaswitch/platform/tests/test_failing_successors.py
+++ b/galenaswitch/platform/tests/test_failing_successors.py
@@ -101,3 +101,11 @@
     assert job.sent == 1
     allowed = [StreamJob.may_send_to(job, one) for one in targets[1:]]
     assert allowed == [True, False]
+
+
+# Guards against a refusal that says that a request has not run, though an
+# engine that was ended for its silence may have run it.
+def test_request_that_a_spared_engine_had_may_have_run():
+    target = Target('a', '1', 'z', 'desk', '')
+    assert StreamJob.may_have_run.fget(Mock(sent=0, spared=target))
+    assert not StreamJob.may_have_run.fget(Mock(sent=0, spared=None))
--- a/galenaswitch/routing/choice.py
+++ b/galenaswitch/routing/choice.py
@@ -37,6 +37,8 @@
     :param now: monotonic time in seconds.
     :param observed_answer_tokens: length of earlier similar answers in
         tokens, 0 when none was observed.
+    :param is_repeat: whether other targets were tried before, which aren't
+        among those to choose from.
     """
 
     blocks: tuple[int, ...]
@@ -45,6 +47,7 @@
     zone: str
     now: float
     observed_answer_tokens: float = 0
+    is_repeat: bool = False
 
 
 class Chooser(Protocol):
--- a/galenaswitch/routing/slowness.py
+++ b/galenaswitch/routing/slowness.py
@@ -5,8 +5,8 @@
 this VM has got.
 """
 
+from bisect import bisect_left
 from collections.abc import Sequence
-from statistics import median
 from typing import NamedTuple
 
 from galenaswitch.membership.lists import Target
@@ -52,10 +52,13 @@
 
     def choose(self, targets: Sequence[Target], work: WorkEstimate) -> Target:
         """Return a least loaded target that isn't slow, if there is one."""
-        slow = [one for one in targets if self._is_slow(one, targets, work.now)]
+        if work.is_repeat:
+            slow = [one for one in targets if one.name in self._pauses]
+        else:
+            slow = self._find_slow(targets, work.now)
         if not slow:
             return super().choose(targets, work)
-        for target in slow:
+        for target in () if work.is_repeat else slow:
             if self._is_due(target, work.now):
                 return target
         free = [
@@ -65,29 +68,48 @@
         ]
         return super().choose(free or targets, work)
 
-    def _is_slow(
-        self, target: Target, targets: Sequence[Target], now: float
-    ) -> bool:
-        """Tell whether a target is slow, and record when that changes."""
-        load = self._loads.get_load(target.name)
-        others = [
+    def _find_slow(self, targets: Sequence[Target], now: float) -> list[Target]:
+        """Return the slow targets, and record which have changed.
+
+        :param targets: all targets of a service that take requests. A part of
+            them has another median, so a repeat of a request changes nothing.
+        """
+        ordered = sorted(
             latency
             for one in targets
-            if one is not target
-            and (latency := self._loads.get_load(one.name).latency)
-        ]
-        if not others:
-            return False
-        usual = median(others)
-        limit = max(usual * SLOW_FACTOR, MIN_SLOW_SECONDS)
-        # The last response shows at once that a target has become quick again.
-        is_slow = min(load.latency, load.last_latency) > limit
-        if not is_slow:
-            self._pauses.pop(target.name, None)
-        elif target.name not in self._pauses:
-            self._pause(target, FIRST_PAUSE_SECONDS, now)
-            self._report(target, load, usual, now)
-        return is_slow
+            if (latency := self._loads.get_load(one.name).latency)
+        )
+        slow = []
+        for target in targets:
+            usual = self._find_usual(target, ordered)
+            load = self._loads.get_load(target.name)
+            # The last response shows at once that a target is quick again.
+            latency = min(load.latency, load.last_latency)
+            if usual is None or latency <= max(
+                usual * SLOW_FACTOR, MIN_SLOW_SECONDS
+            ):
+                self._pauses.pop(target.name, None)
+                continue
+            slow.append(target)
+            if target.name not in self._pauses:
+                self._pause(target, FIRST_PAUSE_SECONDS, now)
+                self._report(target, load, usual, now)
+        return slow
+
+    def _find_usual(
+        self, target: Target, ordered: Sequence[float]
+    ) -> float | None:
+        """Return the median latency of the other targets, ``None`` if unknown.
+
+        :param ordered: known latencies of all targets, the lowest first.
+        """
+        own = self._loads.get_load(target.name).latency
+        count = len(ordered) - bool(own)
+        if not count:
+            return None
+        skipped = bisect_left(ordered, own) if own else len(ordered)
+        middle = ((count - 1) // 2, count // 2)
+        return sum(ordered[one + (one >= skipped)] for one in middle) / 2
 
     def _is_due(self, target: Target, now: float) -> bool:
         """Tell whether a slow target gets a request now, to measure it."""
--- a/galenaswitch/routing/tests/test_slowness.py
+++ b/galenaswitch/routing/tests/test_slowness.py
@@ -104,3 +104,19 @@
     assert load.latency == 0
     load.observe_unanswered(0.4, 0.1)
     assert load.latency == 0.4
+
+
+# Guards against retries that end the pause of a slow target: without the target
+# that was tried, the median of the others is another one.
+def test_repeat_avoids_slow_targets_and_changes_no_pause(loads):
+    chooser = SlowLast(loads, LocalMetrics())
+    targets = [Target(name, '1', 'z', 'desk', 'h:1') for name in 'abcd']
+    for name, seconds in zip('abcd', (0.1, 0.1, 0.5, 0.5), strict=True):
+        loads.get_load(name).observe(seconds)
+    first = WorkEstimate((), 0, 0, 'z', NOW)
+    chooser.choose(targets, first)
+    pauses = dict(chooser._pauses)
+    repeat = WorkEstimate((), 0, 0, 'z', NOW + 5, is_repeat=True)
+    for _ in range(20):
+        assert chooser.choose(targets[1:], repeat).name == 'b'
+    assert chooser._pauses == pauses
