--- a/galenaswitch/platform/soak/runners.py
+++ b/galenaswitch/platform/soak/runners.py
@@ -54,8 +54,7 @@
 SLOW_FACTOR = 6.0
 # Time for which a target is down after a request has ended it.
 CRASH_SECONDS = 0.6
-# Largest body that a target reads.
-MAX_BODY_BYTES = 4_194_304
+MAX_BODY = 4_194_304
 # Slots in the document of a target whose slots aren't limited.
 DEFAULT_SLOTS = 8
 # Versions of the software of targets.
@@ -147,7 +146,7 @@
     async def start(self, host: str) -> web.AppRunner:
         """Start the target's server, and its proxy, which others connect to."""
         app = web.Application(
-            client_max_size=MAX_BODY_BYTES, middlewares=[self._room.let_in]
+            client_max_size=MAX_BODY, middlewares=[self._room.let_in]
         )
         app.on_response_prepare.append(partial(_add_notice, self))
         app.router.add_get('/health', self._answer_health)
