Leave silent targets of plain services to the ejector

One that is silent for ever became a slow target by the first of them and got too few requests to be ejected (test_target_that_is_silent_for_ever_is_ejected).

Beside hedges a target that is slow for requests that may be repeated is ejected as before. The tests of routing, hedging, shared silences, slow and silent targets and plain requests pass.

--- a/galenaswitch/gateway/plain_records.py
+++ b/galenaswitch/gateway/plain_records.py
@@ -47,17 +47,16 @@
     ) -> None:
         """Record failures of the targets in flight beside an answer in time.
 
-        Beside one that is late, all targets may be silent. Their attempts are
-        cancelled, so the time until now is the only sample of their latency.
+        Beside one that is late, all targets may be silent. A silent target is
+        left to the ejector: one that counted as slow would get too few requests
+        to be ejected.
 
         :param seconds: latency of the answer.
         :param timeout: latency from which it is late.
         """
         now = time.monotonic()
-        usual = self._loads.typical_latency(job.request.service)
         for name, sent_at in job.in_flight.items():
             silence = now - sent_at
-            self._loads.get_load(name).observe_unanswered(silence, usual)
             if silence > seconds:
                 self.extra.record_latency(job.request.service, silence)
             if seconds < timeout and self.extra.is_silent(silence, timeout):
--- a/galenaswitch/routing/loads.py
+++ b/galenaswitch/routing/loads.py
@@ -125,16 +125,6 @@
             seconds = self.latency + SMOOTHING * (seconds - self.latency)
         self.latency = seconds
 
-    def observe_unanswered(self, seconds: float, usual: float) -> None:
-        """Add the time without an answer of a call that was given up.
-
-        Up to the average latency, it says nothing about the target.
-
-        :param usual: average latency of the pool in seconds.
-        """
-        if seconds > max(self.latency, usual):
-            self.observe(seconds)
-
     def accept(self, report: LoadReport, now: float) -> None:
         """Replace the load report by one that arrived at a monotonic time."""
         self.report = report
