Test of evacuations: enough requests after one that a zone is used again

With four requests, a test failed by chance in one of sixteen runs: the policy draws one of two equal targets at random.

--- a/galenaswitch/platform/tests/test_evacuations.py
+++ b/galenaswitch/platform/tests/test_evacuations.py
@@ -73,10 +73,11 @@
     runner = make_plain_runner()
     list_zones(servers)
     counts = []
-    for names in (('a',), ('b',), ()):
+    # Without an evacuation, each request goes to a random one of the two.
+    for names, sends in ((('a',), 4), (('b',), 4), ((), SENDS)):
         evacuate(listed, zones, *names)
         before = len(servers[0].requests)
-        for _ in range(4):
+        for _ in range(sends):
             writer.started = False
             await runner.run(make_caller_request(make_route(kind)), writer)
         counts.append(len(servers[0].requests) - before)
