Placements: answer a query beside one whose time is over

uvloop returns a plain handle, without when(), for a timer that is due at once. The time of the next check is kept beside its handle.

--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -94,7 +94,8 @@
         self._arrived: dict[str, Waiting] = {}
         self._numbers = itertools.count()
         self._next_pass: asyncio.Handle | None = None
-        self._next_check: asyncio.TimerHandle | None = None
+        self._next_check: asyncio.Handle | None = None
+        self._next_check_at = 0.0
 
     async def place(self, query: PlaceQuestion) -> PlaceReply:
         """Return an engine for a request, waiting until one has capacity.
@@ -209,10 +210,11 @@
         """Let the next check of all waiting requests follow in time."""
         loop = asyncio.get_running_loop()
         due = loop.time() + min(max(0, seconds), RECHECK_SECONDS)
-        if self._next_check and self._next_check.when() > due:
+        if self._next_check and self._next_check_at > due:
             self._next_check.cancel()
             self._next_check = None
         if self._next_check is None:
+            self._next_check_at = due
             self._next_check = loop.call_at(due, self._check_all)
 
     def _check_all(self) -> None:
--- a/galenaswitch/gateway/tests/test_placements.py
+++ b/galenaswitch/gateway/tests/test_placements.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from galenaswitch.gateway.messages import (
     PlaceEnd,
@@ -54,6 +55,18 @@
     assert (await scheduler.place(make_query('a'))).target == 'e'
 
 
+# Guards against a query without a reply: a check that is due at once has no
+# timer on the event loop of the processes.
+def test_query_is_answered_beside_one_whose_time_is_over(scheduler):
+    async def place_both():
+        await scheduler.place(make_query('a'))
+        queries = [make_query('b', left=0.0), make_query('c', left=-0.1)]
+        return await asyncio.gather(*map(scheduler.place, queries))
+
+    replies = uvloop.run(place_both())
+    assert [reply.target for reply in replies] == ['', '']
+
+
 async def test_request_without_a_placement_gets_a_retry_delay(scheduler):
     await scheduler.place(make_query('a'))
     reply = await scheduler.place(make_query('b', left=0.2))
