--- a/galenaswitch/pipelines/hedging.py
+++ b/galenaswitch/pipelines/hedging.py
@@ -41,8 +41,19 @@
                 waiting |= hedges
                 delay = next(times, None)
     finally:
-        left = {task for task in tasks if not task.done()}
-        for task in left:
-            task.cancel()
-        if left:
-            await asyncio.wait(left)
+        await _end(tasks)
+
+
+async def _end(tasks: Iterable[asyncio.Task[Outcome]]) -> None:
+    """Cancel the attempts that are left, and retrieve all exceptions.
+
+    Asyncio logs an exception that nobody has retrieved.
+    """
+    left = {task for task in tasks if not task.done()}
+    for task in left:
+        task.cancel()
+    if left:
+        await asyncio.wait(left)
+    for task in tasks:
+        if not task.cancelled():
+            task.exception()
