--- a/galenaswitch/pipelines/budgets.py
+++ b/galenaswitch/pipelines/budgets.py
@@ -36,9 +36,13 @@
             self._max_allowance, self._allowance + self._share
         )
 
+    def can_acquire(self) -> bool:
+        """Tell whether the budget allows one extra attempt."""
+        return self._allowance >= 1
+
     def acquire(self) -> bool:
         """Use one extra attempt; return whether the budget allowed it."""
-        if self._allowance < 1:
+        if not self.can_acquire():
             return False
         self._allowance -= 1
         return True
--- a/galenaswitch/pipelines/requests.py
+++ b/galenaswitch/pipelines/requests.py
@@ -94,6 +94,11 @@
         """
         return self._sent
 
+    @property
+    def is_harmless(self) -> bool:
+        """Whether the request may be sent to one more target."""
+        return self._broken < MAX_BROKEN_TARGETS
+
     def record_sent(self, *, repeatable: bool) -> None:
         """Record that an attempt is about to be sent and may run."""
         self.attempts += 1
@@ -118,7 +123,7 @@
 
         :raises RefusedError: when it broke too many targets.
         """
-        if self._broken >= MAX_BROKEN_TARGETS:
+        if not self.is_harmless:
             raise RefusedError(
                 Reason.stage_failed,
                 self.run,
