Placements: only engines that a request may be sent to are requested

After a successor was ended once for its silence, max-attempts leaves only its engine for the request. The query for a placement didn't say so: the owner could place the request at a third engine, where the VM had to give the placement back and refuse the request, though the spared engine was free. Also a successor was prepared while only a third engine was left.

The query names all engines as avoided that the limit forbids, and where none is left no query is sent.

--- a/galenaswitch/gateway/continuation.py
+++ b/galenaswitch/gateway/continuation.py
@@ -89,7 +89,7 @@
 
         :raises RefusedError: when no target of its version serves.
         """
-        if job.version is None or self._find_targets(job):
+        if job.version is None or self.find_targets(job):
             return
         get_logger().info(
             'stream_version_gone',
@@ -108,13 +108,18 @@
         """Tell whether a target can begin or continue an answer."""
         return job.version in {None, target.version}
 
-    def has_other_target(self, job: StreamJob) -> bool:
-        """Tell whether a target that wasn't tried can continue an answer."""
-        tried = {target.name for target in job.tried_targets}
-        return any(
-            target.name not in tried for target in self._find_targets(job)
+    def find_targets(self, job: StreamJob) -> tuple[Target, ...]:
+        """Return the targets that can begin or continue an answer."""
+        return tuple(
+            target
+            for target in self.members.usable(job.request.service)
+            if self.fits(job, target)
         )
 
+    def has_other_target(self, job: StreamJob) -> bool:
+        """Tell whether a target may get a request that others were sent."""
+        return bool(job.find_open(self.find_targets(job)))
+
     def record_first_event(self, job: StreamJob, target: Target) -> None:
         """Note where a stream began or goes on, before its event goes out."""
         job.version = target.version
@@ -158,13 +163,6 @@
             request.fields.origin, request.workspace, service, version
         )
 
-    def _find_targets(self, job: StreamJob) -> tuple[Target, ...]:
-        return tuple(
-            target
-            for target in self.members.usable(job.request.service)
-            if self.fits(job, target)
-        )
-
     def _record(
         self, request: CallerRequest, outcome: str, origin: StreamOrigin | None
     ) -> None:
--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -107,21 +107,24 @@
         if job.event_deadline <= time.monotonic():
             raise RefusedError(find_timeout_reason(job.run), job.run)
         await wait_for_engine(
-            job, self._members.usable(service), self._sender.notices
+            job, self.continuations.find_targets(job), self._sender.notices
         )
         now = time.monotonic()
+        usable = self._members.usable(service)
+        forbidden = (one.name for one in usable if not job.may_send_to(one))
         query = make_placement_query(
             job,
             job.name_placement(),
             inputs,
             self.stages.zone,
             now,
-            self._sender.turns.find_limits(self._members.usable(service)),
+            self._sender.turns.find_limits(usable),
             self._sender.notices.find_closed(service),
         )
-        usable = self._members.usable(service)
-        cold = self._sender.turns.find_cold_times(usable)
-        query = query._replace(cold=cold)
+        query = query._replace(
+            avoided=(*query.avoided, *forbidden),
+            cold=self._sender.turns.find_cold_times(usable),
+        )
         # The owner may still place a request whose query was cancelled.
         with contextlib.ExitStack() as unanswered:
             unanswered.callback(self._withdraw, query)
--- a/galenaswitch/gateway/handover.py
+++ b/galenaswitch/gateway/handover.py
@@ -36,7 +36,6 @@
 from galenaswitch.gateway.jobs import (
     EngineRun,
     HandedOverError,
-    StageInputs,
     StreamJob,
 )
 from galenaswitch.gateway.notices import TargetClosedError
@@ -237,17 +236,13 @@
                     raise NoSuccessorError('the stages ran too often')
                 inputs = await self._dispatcher.run_stages(job)
                 unused.callback(inputs.close)
-            run = await self._place(job, inputs)
+            run = await self._dispatcher.place(job, inputs)
+            run.is_silent = True
             await unused.enter_async_context(run.resources)
             await self._send(silence, run)
             unused.pop_all()
         return run
 
-    async def _place(self, job: StreamJob, inputs: StageInputs) -> EngineRun:
-        run = await self._dispatcher.place(job, inputs)
-        run.is_silent = True
-        return run
-
     def _check(self, job: StreamJob) -> None:
         """Check that a successor can be had, before it costs anything.
 
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -8,7 +8,7 @@
 import contextlib
 import secrets
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from galenaswitch.connections.handlers import AnswerWriter
@@ -237,6 +237,15 @@
         is_other = self.spared and self.spared.name != target.name
         return not is_other or self.sent + 1 < self.request.route.attempts
 
+    def find_open(self, targets: Iterable[Target]) -> list[Target]:
+        """Return the targets that the request may be sent to now."""
+        tried = {target.name for target in self.tried_targets}
+        return [
+            one
+            for one in targets
+            if one.name not in tried and self.may_send_to(one)
+        ]
+
     def use_inputs(self, inputs: StageInputs) -> None:
         """Replace the results of the stages, which are released."""
         if inputs is not self.inputs:
@@ -261,16 +270,17 @@
 
 
 async def wait_for_engine(
-    job: StreamJob, usable: Sequence[Target], notices: TargetNotices
+    job: StreamJob, fitting: Sequence[Target], notices: TargetNotices
 ) -> None:
     """Wait until an untried engine isn't paused, if that is useful.
 
-    :raises RefusedError: when all are paused for too long.
+    :param fitting: engines of the version that the request needs.
+    :raises RefusedError: when all are paused for too long, or the limit of the
+        route allows none of them.
     """
-    fitting = [
-        target for target in usable if job.version in {None, target.version}
-    ]
-    untried = [one for one in fitting if one not in job.tried_targets]
+    untried = job.find_open(fitting)
+    if job.spared and not untried:
+        raise RefusedError(Reason.stage_failed, job.run, 'no attempt is left')
     wait = await notices.wait_for_open(
         untried or fitting, job.useful_wait if untried else 0
     )
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -112,9 +112,12 @@
 
     def handlers(self) -> dict[type[object], Callable[..., object]]:
         """Return the handlers of the messages from other VMs."""
+        dispatcher = self._dispatcher
         return {
-            PlaceEnd: lambda link, message: self.receive_end(message),
-            PlaceFirst: lambda _, message: self.receive_first_event(message),
+            PlaceEnd: lambda _, message: dispatcher.receive_end(message),
+            PlaceFirst: lambda _, message: dispatcher.receive_first_event(
+                message
+            ),
             PlaceQuestion: self.answer_placement_query,
         }
 
@@ -124,20 +127,8 @@
         query: PlaceQuestion,
     ) -> PlaceReply:
         """Answer the placement query of another VM."""
-        return await self.place_locally(query)
-
-    async def place_locally(self, query: PlaceQuestion) -> PlaceReply:
-        """Place a request with this VM's own scheduler."""
         return await self._dispatcher.place_locally(query)
 
-    def receive_first_event(self, message: PlaceFirst) -> None:
-        """Record the first event of a request that this VM placed."""
-        self._dispatcher.receive_first_event(message)
-
-    def receive_end(self, message: PlaceEnd) -> None:
-        """Record the end of a request that this VM placed."""
-        self._dispatcher.receive_end(message)
-
     async def _generate(self, job: StreamJob) -> None:
         await job.screening.admit()
         run = await self._begin(job)
