Paths: a VM that only peers answer for takes its path for lost

Connections to all targets that are accepted, but never answered, failed no attempt to connect, so nothing told the VM of its lost path. Silence of several targets now asks for a check: the same probe directly and through a peer. The path is lost when only the peer gets answers. While it is lost by silence, only an answered direct probe counts towards its return.

--- a/galenaswitch/connections/outbound.py
+++ b/galenaswitch/connections/outbound.py
@@ -250,6 +250,7 @@
         self._framing_bytes = 0
         self.history.start(ident, read_ident)
         self.was_used = True
+        self.outcome.begin()
         for part in encode_request(head, body):
             self._transport.write(part)
         return self._exchange
@@ -277,6 +278,7 @@
         that were not sent.
         """
         self._closed = True
+        self.outcome.finish()
         if self._transport and self._is_answered:
             self._transport.abort()
         elif self._transport:
--- a/galenaswitch/paths/dialer.py
+++ b/galenaswitch/paths/dialer.py
@@ -20,6 +20,7 @@
 from galenaswitch.paths.notes import NOTE_INTERVAL_SECONDS, PathNotes
 from galenaswitch.paths.probes import stays_open
 from galenaswitch.paths.races import race
+from galenaswitch.paths.silence_watch import SilenceWatch
 from galenaswitch.paths.tunnels import (
     Tunnels,
     TunnelUnavailableError,
@@ -80,6 +81,16 @@
         self._metrics = metrics
         self._checked = Marks(CHECK_INTERVAL_SECONDS)
         self._is_confirming = False
+        self._is_silent = False
+        self.silences = SilenceWatch(
+            direct,
+            tunnels,
+            members,
+            tasks,
+            metrics,
+            self.monitor,
+            self._lose_silent,
+        )
         self._last_answered = ''
         self._locks: WeakValueDictionary[str, asyncio.Lock] = (
             WeakValueDictionary()
@@ -123,7 +134,8 @@
         self, address: str, make_connection: MakeConnection, attempt: _Attempt
     ) -> TargetConnection:
         judge = partial(self._judge, address, time.monotonic())
-        make_judged = partial(_make_judged, make_connection, judge)
+        outcome = partial(Outcome, judge, address, self.silences)
+        make_judged = partial(_make_judged, make_connection, outcome)
         try:
             return await self._direct.open(address, make_judged)
         finally:
@@ -211,9 +223,24 @@
         )
         return list(others)[:CONFIRMING_TARGETS]
 
-    def _record_lost(self, addresses: set[str], *, is_hanging: bool) -> None:
+    def _lose_silent(self) -> None:
+        """Take the path for lost on which only peers get answers."""
+        if not self.monitor.is_lost:
+            addresses = self._find_addresses()
+            self._record_lost(addresses, is_hanging=True, is_silent=True)
+
+    def _record_lost(
+        self,
+        addresses: set[str],
+        *,
+        is_hanging: bool,
+        is_silent: bool = False,
+    ) -> None:
         self.monitor.record_lost(time.monotonic())
-        get_logger().warning('path_lost', is_hanging=is_hanging)
+        self._is_silent = is_silent
+        get_logger().warning(
+            'path_lost', is_hanging=is_hanging, is_silent=is_silent
+        )
         self._metrics.count('path_lost')
         if is_hanging:
             self.on_hang(addresses)
@@ -245,13 +272,21 @@
         addresses = self._find_addresses()
         if not addresses:
             return
-        address = random.choice(
-            sorted(addresses - self.monitor.regained or addresses)
-        )
         opened_at = time.monotonic()
-        if await stays_open(self._direct, address, PROBE_TIMEOUT_SECONDS):
-            self._record_direct(address, opened_at)
+        if self._is_silent:
+            # Connections that are accepted prove nothing here.
+            found = await self.silences.find_answering(self.monitor.regained)
         else:
+            address = random.choice(
+                sorted(addresses - self.monitor.regained or addresses)
+            )
+            found = (
+                address,
+                await stays_open(self._direct, address, PROBE_TIMEOUT_SECONDS),
+            )
+        if found and found[1]:
+            self._record_direct(found[0], opened_at)
+        elif found:
             self.monitor.record_failure()
 
     def _find_addresses(self) -> set[str]:
@@ -259,9 +294,9 @@
 
 
 def _make_judged(
-    make_connection: MakeConnection, judge: Callable[[bool], Any]
+    make_connection: MakeConnection, make_outcome: Callable[[], Outcome]
 ) -> TargetConnection:
     """Return a new connection whose outcome is judged."""
     connection = make_connection()
-    connection.outcome = Outcome(judge)
+    connection.outcome = make_outcome()
     return connection
--- a/galenaswitch/paths/service.py
+++ b/galenaswitch/paths/service.py
@@ -17,7 +17,10 @@
 
 
 class Paths:
-    """Connects the components that open connections to targets."""
+    """Connects the components that open connections to targets.
+
+    :ivar members: the targets, and the VMs that may be exits.
+    """
 
     def __init__(
         self,
@@ -29,7 +32,7 @@
         direct: DirectDialer,
     ) -> None:
         """Build the paths of the VM that ``service`` identifies."""
-        self._members = members
+        self.members = members
         self.is_available: Callable[[str], bool] = lambda node: True
         self.notes = PathNotes(service.identity, mesh)
         self.tunnels = Tunnels(
@@ -62,6 +65,6 @@
         if self.dialer.monitor.is_lost:
             return False
         return any(
-            not self._members.is_evacuated(target)
-            for target in self._members.find_targets_by_url(address)
+            not self.members.is_evacuated(target)
+            for target in self.members.find_targets_by_url(address)
         )
--- a/galenaswitch/paths/tunnels.py
+++ b/galenaswitch/paths/tunnels.py
@@ -72,6 +72,11 @@
         """Number of open tunnels."""
         return sum(map(len, self._open.values()))
 
+    @property
+    def has_exits(self) -> bool:
+        """Whether there is a VM that may be chosen as an exit."""
+        return bool(self._find_available())
+
     async def open(
         self, address: str, make_connection: Callable[[], TargetConnection]
     ) -> TargetConnection:
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -63,6 +63,7 @@
 from galenaswitch.programs.link_service import make_link_service
 from galenaswitch.programs.plain_service import make_plain_runner
 from galenaswitch.programs.vm_links import LinkObserver, collect_handlers
+from galenaswitch.programs.vm_paths import connect_paths
 from galenaswitch.programs.vm_stop import Draining
 from galenaswitch.quarantine.containment import Containment
 from galenaswitch.quarantine.fingerprints import Fingerprints
@@ -177,8 +178,7 @@
         self.notices = TargetNotices(
             self._wire, self.members, self.mesh, self.metrics
         )
-        self.notices.on_pause = self.paths.pauses.share
-        self.paths.pauses.apply = self.notices.apply_pause
+        connect_paths(self.paths, self.notices, self.turns, self._wire)
         self._sender = Sender(self.pool, self.turns, self.notices, self._wire)
         self.stages = StageRunner(
             settings.zone,
