Plain requests: wait shortly for a target of a service that has just ended

A request that met the end of one target, while its VM didn't know the new name of the other (421), had no target left and was refused, though both were back within a fraction of a second. One request of a service at a time now waits for up to 0.5 s, within its objective and the measured time of returns. Names that are known to be replaced are tried last.

--- a/galenaswitch/gateway/answers.py
+++ b/galenaswitch/gateway/answers.py
@@ -17,6 +17,7 @@
 from galenaswitch.gateway.calls import AnswerFields, CallerRequest, Wire
 from galenaswitch.gateway.events import EventBuffer
 from galenaswitch.refusals import RefusedError
+from galenaswitch.routing.returns import TargetReplacedError
 
 MIN_SUCCESS_STATUS = 200
 MIN_REDIRECT_STATUS = 300
@@ -59,7 +60,9 @@
         raise MismatchedAnswerError('the answer is for another request')
     if fields.inputs_lost:
         raise InputsLostError(f'the target answered {fields.status}')
-    if fields.misdirected or fields.not_run:
+    if fields.misdirected:
+        raise TargetReplacedError(f'the target answered {fields.status}')
+    if fields.not_run:
         raise TargetBusyError(f'the target answered {fields.status}')
     if not fields.genuine or fields.status in _NOT_RUN_STATUSES:
         raise TargetBrokenError(f'status {fields.status} may not be forwarded')
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -51,10 +51,6 @@
 # notice, and a non-idempotent request can't be retried then.
 MAX_IDLE_SECONDS = 3.0
 MAX_IDLE_NON_IDEMPOTENT_SECONDS = 0.3
-# A target counts as silent after this multiple of the pool's average latency,
-# but not before the minimum in seconds.
-TIMEOUT_FACTOR = 4.0
-MIN_TIMEOUT_SECONDS = 0.15
 # Most targets that one request is sent to, counting those that refuse it.
 MAX_ATTEMPTS = 4
 
@@ -90,7 +86,7 @@
         self._ejector = Ejector()
         self.records = AttemptRecords(loads, self._ejector)
         self._selection = TargetSelection(
-            zone, members, sender, chooser, self._ejector
+            zone, members, sender, chooser, self.records
         )
 
     async def run(self, request: CallerRequest, writer: AnswerWriter) -> None:
@@ -126,7 +122,8 @@
             may not end before the process stops.
         """
         while True:
-            max_wait = self._find_max_wait(job.request)
+            left = job.request.objective_deadline - time.monotonic()
+            max_wait = self._loads.find_max_wait(job.request.service, left)
             target = await self._selection.choose(job, max_wait)
             job.tried.add(target.name)
             if not job.progress.sent:
@@ -137,12 +134,6 @@
             except (TargetError, RefusedError) as error:
                 self._check_retry(job, job.error or error)
 
-    def _find_max_wait(self, request: CallerRequest) -> float:
-        """Return the longest wait with which a request is still on time."""
-        latency = self._loads.typical_latency(request.service)
-        left = request.objective_deadline - time.monotonic()
-        return max(0, left - latency)
-
     async def _race(self, job: PlainJob, target: Target) -> Answer:
         """Return the first answer of a target and of those asked besides."""
         extra = self.records.extra
@@ -161,15 +152,9 @@
         )
 
     def _find_answer_timeout(self, request: CallerRequest) -> float:
-        """Return the seconds after which a target counts as silent.
-
-        While the pool's latency is unknown, that is half of the time left.
-        """
-        typical_seconds = self._loads.typical_latency(request.service)
-        seconds = typical_seconds * TIMEOUT_FACTOR
-        if not typical_seconds:
-            seconds = (request.deadline - time.monotonic()) / 2
-        return max(MIN_TIMEOUT_SECONDS, seconds)
+        """Return the seconds after which a target counts as silent."""
+        left = request.deadline - time.monotonic()
+        return self._loads.find_answer_timeout(request.service, left)
 
     def _hedge(self, job: PlainJob) -> set[asyncio.Task[Answer]]:
         """Start an attempt besides those that are silent, if that is allowed.
--- a/galenaswitch/gateway/plain_records.py
+++ b/galenaswitch/gateway/plain_records.py
@@ -14,6 +14,7 @@
 from galenaswitch.membership.lists import Target
 from galenaswitch.routing.ejection import Ejector
 from galenaswitch.routing.loads import LoadView
+from galenaswitch.routing.return_waits import ReturnWaits
 
 
 class AttemptRecords:
@@ -22,10 +23,12 @@
     :ivar extra: receives the latencies and refusals, and decides on extra
         sends.
     :ivar ejector: leaves out failing targets.
+    :ivar returns: knows the targets that have ended.
     """
 
     def __init__(self, loads: LoadView, ejector: Ejector) -> None:
         """Build records without extra sends."""
+        self.returns = ReturnWaits()
         self.extra: ExtraWork = NoExtraWork()
         self._loads = loads
         self.ejector = ejector
@@ -34,6 +37,7 @@
         self, job: PlainJob, target: Target, answer: Answer, seconds: float
     ) -> None:
         """Record a complete answer of a target."""
+        self.returns.record_answer(target)
         self._loads.observe_pool_latency(job.request.service, seconds)
         self._loads.get_load(target.name).observe(seconds)
         if answer.head.status >= MIN_SERVER_ERROR_STATUS:
@@ -68,6 +72,7 @@
         """Record the failure of an attempt, unless nothing was sent."""
         if isinstance(error, TargetClosedError):
             return
+        self.returns.record_failure(target, error)
         self.extra.record_error(job, error)
         if isinstance(error, TargetUnreachableError):
             self.ejector.eject(target.name, now)
--- a/galenaswitch/gateway/selection.py
+++ b/galenaswitch/gateway/selection.py
@@ -15,7 +15,8 @@
 from galenaswitch.quarantine.screening import Screening
 from galenaswitch.refusals import Reason, RefusedError, find_timeout_reason
 from galenaswitch.routing.choice import Chooser, WorkEstimate
-from galenaswitch.routing.ejection import Ejector
+from galenaswitch.routing.return_waits import TargetRecords, UntriedTargets
+from galenaswitch.routing.returns import MAX_WAIT_SECONDS
 
 # Seconds after which a request that found no room may be retried.
 RETRY_AFTER_SECONDS = 0.5
@@ -38,6 +39,7 @@
     :ivar screening: screening of the request.
     :ivar progress: progress of all attempts.
     :ivar tried: names of the targets that were chosen.
+    :ivar wait_left: seconds that it may still wait for targets to return.
     :ivar in_flight: monotonic times at which attempts in flight were sent, by
         the names of their targets.
     :ivar error: error of the attempt that failed last.
@@ -51,6 +53,7 @@
         self.screening = screening
         self.progress = Progress()
         self.tried: set[str] = set()
+        self.wait_left = MAX_WAIT_SECONDS
         self.in_flight: dict[str, float] = {}
         self.error: TargetError | None = None
         self.failed: Answer | None = None
@@ -88,18 +91,17 @@
         members: Members,
         sender: Sender,
         chooser: Chooser,
-        ejector: Ejector,
+        records: TargetRecords,
     ) -> None:
         """Build a selection for a VM in ``zone``.
 
         :param chooser: picks one of the usable targets.
-        :param ejector: leaves out failing targets.
+        :param records: know which targets fail or have ended.
         """
         self._zone = zone
-        self._members = members
         self._sender = sender
         self._chooser = chooser
-        self._ejector = ejector
+        self._untried = UntriedTargets(members, records)
 
     async def choose(self, job: PlainJob, max_wait: float) -> Target:
         """Return a target that was not tried yet.
@@ -111,18 +113,19 @@
         if now >= job.request.deadline:
             run = job.progress.run
             raise RefusedError(find_timeout_reason(run), run)
-        usable = self._members.usable(job.request.service)
-        untried = [one for one in usable if one.name not in job.tried]
-        names = set(
-            self._ejector.select([target.name for target in untried], now),
+        candidates, waited = await self._untried.find(
+            job.request.service,
+            job.tried,
+            min(max_wait, job.wait_left, job.request.deadline - now),
         )
-        candidates = [target for target in untried if target.name in names]
+        job.wait_left -= waited
+        max_wait = max(0, max_wait - waited)
         if not candidates:
-            wait = self._sender.notices.find_wait(usable)
+            wait = self._sender.notices.find_pause(job.request.service)
             raise job.refuse(Reason.no_target, wait=wait)
         opened = await self._find_open(job, candidates, max_wait)
         warm = self._sender.turns.cold.prefer_warm(opened)
-        chosen = self._choose_untried(job, warm, now)
+        chosen = self._choose_untried(job, warm, time.monotonic())
         if self._sender.turns.seats.is_brittle(chosen.pool):
             chosen = await self._find_seat(job, opened, chosen, max_wait)
             opened = (chosen,)
--- a/galenaswitch/programs/plain_service.py
+++ b/galenaswitch/programs/plain_service.py
@@ -35,6 +35,7 @@
         loads,
         containment,
     )
+    runner.records.returns.metrics = metrics
     if settings.extra_work_ratio:
         runner.records.extra = ExtraSends(
             ExtraWorkPolicy(settings.extra_work_ratio),
--- a/galenaswitch/routing/loads.py
+++ b/galenaswitch/routing/loads.py
@@ -23,6 +23,10 @@
 SMOOTHING = 0.2
 # Age in seconds from which the average latency of a pool is ignored.
 MAX_AVERAGE_AGE_SECONDS = 5
+# A target counts as silent after this multiple of the pool's average latency,
+# but not before the minimum in seconds.
+TIMEOUT_FACTOR = 4.0
+MIN_TIMEOUT_SECONDS = 0.15
 # Limit of the requests at a target, as a multiple of the target's capacity.
 OVERCOMMIT_FACTOR = 2
 
@@ -223,6 +227,24 @@
             return 0
         return known.seconds
 
+    def find_max_wait(self, pool: str, left: float) -> float:
+        """Return the longest wait with which a request is still on time.
+
+        :param left: seconds until the request is late.
+        """
+        return max(0, left - self.typical_latency(pool))
+
+    def find_answer_timeout(self, pool: str, left: float) -> float:
+        """Return the seconds after which a target counts as silent.
+
+        While the pool's latency is unknown, that is half of the time left.
+
+        :param left: seconds until the deadline of the request.
+        """
+        typical_seconds = self.typical_latency(pool)
+        seconds = typical_seconds * TIMEOUT_FACTOR
+        return max(MIN_TIMEOUT_SECONDS, seconds or left / 2)
+
     def other_latencies(self, target: Target) -> list[float]:
         """Return the known latencies of the other targets of the pool."""
         names = self._pool_targets.get(target.pool, ())
