Stages: refuse what can't be made in time by the measured throughput

A stage that waited was refused only when even full batches at all targets could not serve it, and the time of its own batch didn't count. With targets slower than configured, requests waited until shortly before their deadline, and batches were sent whose results came after it.

A stage that waits is now judged at 1.25 times the throughput measured within the last 2 s, and at full batches without such a measurement. Its own batch counts, with the slowdown of the fastest target. A late stage on arrival counts only what ranks before it; once its request has begun, only the wait of this stage counts. The decision and its log lines move out of gateway/ (45 lines less); pieces_refused and pieces_hopeless are counters.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -38,7 +38,6 @@
     BatchedService,
     acquire_budget,
     count_crash,
-    estimate_retry_after,
     has_memory_pressure,
     make_pending_stage,
 )
@@ -52,6 +51,7 @@
 from galenaswitch.operations.process import TaskGroup
 from galenaswitch.pipelines.batch_queue import Batch, BatchQueue
 from galenaswitch.pipelines.pending import PendingStage
+from galenaswitch.pipelines.stage_admission import StageAdmission
 from galenaswitch.quarantine.containment import Containment
 
 # Seconds after which an idle connection to a target is not reused.
@@ -92,6 +92,9 @@
         self._budgets = budgets
         self._tasks = tasks
         self._batch_queue = BatchQueue()
+        self._admission = StageAdmission(
+            service.name, self._batch_queue, service.metrics
+        )
         self._done_events: dict[str, asyncio.Event] = {}
         self._stored_results = StoredResults(
             members, sender, wire, tasks, self._release_memory
@@ -126,29 +129,16 @@
         self._result_memory.query_new(targets, limits)
         key = f'{query.ident}/{query.pieces[0].stage}'
         pending = make_pending_stage(query, now)
-        wait_seconds = self._batch_queue.add(key, pending, targets, limits, now)
-        pause_seconds = self._notices.find_pause(self._service)
-        wait_seconds += pause_seconds
-        if wait_seconds > query.left:
-            self._batch_queue.remove(key)
-            get_logger().info(
-                'pieces_refused',
-                request=query.ident,
-                service=self._service,
-                wait=round(wait_seconds, 3),
-                left=round(query.left, 3),
-                waiting=self._batch_queue.waiting(),
-            )
-            drain_seconds = self._batch_queue.estimate_clear_seconds(
-                targets, limits
-            )
-            return PiecesReply(
-                (),
-                OUT_OF_CAPACITY,
-                estimate_retry_after(
-                    wait_seconds, query.left, drain_seconds + pause_seconds
-                ),
-            )
+        retry_after = self._admission.refuse_new(
+            key,
+            pending,
+            targets,
+            limits,
+            self._notices.find_pause(self._service),
+            now,
+        )
+        if retry_after:
+            return PiecesReply((), OUT_OF_CAPACITY, retry_after)
         return await self._wait_for_results(key, pending, query)
 
     def cancel(self, message: PiecesCancel) -> None:
@@ -237,23 +227,13 @@
 
     def _refuse_infeasible(self, limits: BatchLimits) -> None:
         """Refuse pending stages that can no longer meet their deadline."""
-        now = time.monotonic()
-        targets = self._members.usable(self._service)
-        resumed_at = now + self._notices.find_pause(self._service)
-        for key in self._batch_queue.find_infeasible(
-            targets, limits, resumed_at
+        for key, pending in self._admission.refuse_infeasible(
+            self._members.usable(self._service),
+            limits,
+            self._notices.find_pause(self._service),
+            time.monotonic(),
         ):
-            pending = self._batch_queue.pending_stages[key]
             pending.failure = OUT_OF_CAPACITY
-            self._batch_queue.remove(key)
-            get_logger().info(
-                'pieces_hopeless',
-                request=pending.ident,
-                service=self._service,
-                left=round(pending.deadline - now, 3),
-                waiting=self._batch_queue.waiting(),
-                targets=len(targets),
-            )
             self._finish_stage(key)
 
     async def _run_batch(self, batch: Batch, limits: BatchLimits) -> None:
--- a/galenaswitch/gateway/questions.py
+++ b/galenaswitch/gateway/questions.py
@@ -1,11 +1,10 @@
 """Rules by which a batcher admits queries for stage results.
 
-The rules cover the retry budget, memory pressure at producers, the pending
-stage that a query becomes, and the retry time after a refusal.
+The rules cover the retry budget, memory pressure at producers, and the pending
+stage that a query becomes.
 """
 
 import asyncio
-import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -15,7 +14,7 @@
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.limits.retries import RetryBudget
 from galenaswitch.membership.lists import Members
-from galenaswitch.pipelines.arrivals import WINDOW_SECONDS
+from galenaswitch.operations.metrics import LocalMetrics, Metrics
 from galenaswitch.pipelines.batch_queue import Batch
 from galenaswitch.pipelines.pending import PendingStage, Urgency
 from galenaswitch.quarantine.containment import Containment
@@ -23,9 +22,6 @@
 # Share of used result memory above which a target has memory pressure. The
 # remaining memory holds the results of one full batch.
 MEMORY_PRESSURE_SHARE = 0.6
-# Largest share by which the retry time of a refused caller is increased at
-# random.
-RETRY_AFTER_JITTER = 0.3
 
 
 def acquire_budget(
@@ -49,6 +45,7 @@
 
     name: str
     find_limits: Callable[[str], BatchLimits | None]
+    metrics: Metrics = LocalMetrics()
 
 
 async def count_crash(
@@ -87,28 +84,6 @@
     )
 
 
-def estimate_retry_after(
-    wait_seconds: float, seconds_left: float, drain_seconds: float
-) -> float:
-    """Return the seconds after which a retry will probably succeed.
-
-    A retry succeeds once the expected wait is shorter than the time left, or
-    once the current burst is over, whichever is earlier. A random spread keeps
-    callers that were refused together from returning together.
-
-    :param wait_seconds: expected seconds until the work items would be made.
-    :param seconds_left: seconds after which their results are useless.
-    :param drain_seconds: seconds in which all queued work items can be made.
-
-    >>> 1.0 <= estimate_retry_after(3.0, 2.0, 9.0) <= 1.3
-    True
-    >>> 2.5 <= estimate_retry_after(60.0, 2.0, 0.5) <= 3.25
-    True
-    """
-    seconds = min(wait_seconds - seconds_left, drain_seconds + WINDOW_SECONDS)
-    return seconds * random.uniform(1, 1 + RETRY_AFTER_JITTER)
-
-
 def make_pending_stage(query: PiecesQuestion, now: float) -> PendingStage:
     """Return the pending stage for a query that arrived at ``now``."""
     return PendingStage(
--- a/galenaswitch/pipelines/batch_queue.py
+++ b/galenaswitch/pipelines/batch_queue.py
@@ -26,6 +26,13 @@
 from galenaswitch.membership.lists import Target
 from galenaswitch.pipelines.arrivals import ArrivalRate
 from galenaswitch.pipelines.batch_plan import BatchPlan, BatchView, TargetView
+from galenaswitch.pipelines.forecasts import (
+    THROUGHPUT_MARGIN,
+    Capacity,
+    estimate_late_done,
+    find_capacity,
+    find_max_throughput,
+)
 from galenaswitch.pipelines.pending import PendingStage
 from galenaswitch.pipelines.target_states import TargetState
 from galenaswitch.pipelines.throughput import Throughput
@@ -72,8 +79,9 @@
         Otherwise the queue would serve it first as the most urgent, and all
         other stages would be late too.
 
-        :returns: expected wait in seconds. For a late stage, it includes the
-            waits of all remaining stages of the request.
+        :returns: expected seconds until its results are made. For a late
+            stage whose request has not begun, they include the waits of all
+            remaining stages.
         """
         rate = self._estimate_throughput(targets, limits)
         own_rank = pending.rank(now)
@@ -86,12 +94,23 @@
         late = known_late or not pending.may_wait(ahead / rate, now)
         pending.late = known_late or (late and ahead > limits.batch_size)
         self.pending_stages[key] = pending
+        capacity = _find_capacity(self, targets, limits, rate, now)
+        own = len(pending.queued)
         if pending.late:
-            return self._estimate_late_wait(pending, rate, now)
-        self._arrival_rate.record(len(pending.queued), now)
-        if late:
-            ahead = self.waiting()
-        return ahead / rate
+            late_rank = pending.rank(now)
+            ahead = sum(
+                len(other.queued)
+                for other in self.pending_stages.values()
+                if other.rank(now) <= late_rank
+            )
+            return estimate_late_done(
+                pending,
+                ahead,
+                self._arrival_rate.estimate_free_rate(rate, now),
+                capacity.estimate_batch(own, limits),
+            )
+        self._arrival_rate.record(own, now)
+        return capacity.estimate_done(ahead, own, limits)
 
     def estimate_clear_seconds(
         self,
@@ -107,14 +126,21 @@
         targets: Sequence[Target],
         limits: BatchLimits,
         now: float,
+        pause: float = 0,
     ) -> list[str]:
         """Return the keys of stages that can't meet their deadlines.
 
-        A stage is infeasible when the work items ahead of it and its own
-        take too long even in full batches at all targets. Started stages
-        are never infeasible.
+        A stage is infeasible when the work items ahead of it take too long at
+        the measured throughput, or without a recent measurement in full
+        batches at all targets, or when its own batch would end too late.
+        Started stages are never infeasible.
+
+        :param pause: seconds for which all targets take no batches.
         """
+        rate = self._throughput.find_recent(now)
         full = find_max_throughput(len(targets), limits)
+        likely = min(rate * THROUGHPUT_MARGIN, full) if rate else full
+        capacity = _find_capacity(self, targets, limits, likely, now)
         waiting = [
             pair for pair in self.pending_stages.items() if pair[1].queued
         ]
@@ -122,13 +148,24 @@
         infeasible = []
         ahead = 0
         for key, pending in waiting:
-            wait = (ahead + len(pending.queued)) / full
-            if pending.started or now + wait <= pending.deadline:
-                ahead += len(pending.queued)
+            own = len(pending.queued)
+            done = now + pause + capacity.estimate_done(ahead, own, limits)
+            if pending.started or done <= pending.deadline:
+                ahead += own
             else:
                 infeasible.append(key)
         return infeasible
 
+    def describe_throughput(
+        self, targets: Sequence[Target], limits: BatchLimits, now: float
+    ) -> dict[str, float | None]:
+        """Return the throughput that decides on stages, and its age."""
+        age = self._throughput.find_age(now)
+        return {
+            'rate': round(self._estimate_throughput(targets, limits), 1),
+            'age': None if age is None else round(age, 3),
+        }
+
     def record_completed(self, work_items: int, now: float) -> None:
         """Record completed work items to measure the throughput."""
         waiting = self.waiting() > 0
@@ -253,20 +290,6 @@
             find_max_throughput(len(targets), limits)
         )
 
-    def _estimate_late_wait(
-        self,
-        pending: PendingStage,
-        rate: float,
-        now: float,
-    ) -> float:
-        """Return the expected wait of a late stage, in seconds.
-
-        A late stage gets only the throughput that stages on time leave free.
-        The estimate assumes the same wait in each remaining stage.
-        """
-        free_rate = self._arrival_rate.estimate_free_rate(rate, now)
-        return self.waiting() / free_rate * pending.urgency.stages_left
-
     def _order_idle_targets(
         self,
         targets: Sequence[Target],
@@ -326,16 +349,14 @@
     return pending.rank(now, target.zone)
 
 
-def find_max_throughput(targets: int, limits: BatchLimits) -> float:
-    """Return the work items per second that targets make in full batches.
-
-    >>> find_max_throughput(2, BatchLimits(1, 4, 0.2, 0.05, 9e6, 4))
-    20.0
-    """
-    full_batch_seconds = (
-        limits.call_overhead_seconds
-        + limits.batch_size * limits.work_item_seconds
-    )
-    return (
-        max(1, targets) * limits.slots * limits.batch_size / full_batch_seconds
-    )
+def _find_capacity(
+    batch_queue: BatchQueue,
+    targets: Sequence[Target],
+    limits: BatchLimits,
+    rate: float,
+    now: float,
+) -> Capacity:
+    states = [batch_queue.target_state(target) for target in targets]
+    slowdowns = [one.find_certain_slowdown(now) for one in states]
+    slowdown = min(slowdowns, default=1.0)
+    return find_capacity(len(targets), limits, rate, slowdown)
--- a/galenaswitch/pipelines/pending.py
+++ b/galenaswitch/pipelines/pending.py
@@ -103,6 +103,11 @@
         """Monotonic time after which results are useless."""
         return self.urgency.deadline
 
+    @property
+    def has_inputs(self) -> bool:
+        """Whether the queued work items read results of earlier stages."""
+        return any(one.inputs for one in self.queued)
+
     @property
     def has_retries_left(self) -> bool:
         """Whether failed work items may be retried once more.
--- a/galenaswitch/pipelines/target_states.py
+++ b/galenaswitch/pipelines/target_states.py
@@ -19,6 +19,9 @@
 # of another VM. For about that long, two VMs may both act as the owner of its
 # service.
 SHARED_SECONDS = 2.0
+# A slowdown above 1 counts for forecasts for this many seconds after the last
+# answer. Later it may be over, and only further batches would show it.
+SLOWDOWN_SECONDS = 2.0
 # Above this slowdown, a target may be running batches of another VM.
 SHARED_MIN_SLOWDOWN = 1.4
 
@@ -55,6 +58,12 @@
         """Tell whether the target can get a batch at a monotonic time."""
         return self.calls < slots and self.paused_until <= now
 
+    def find_certain_slowdown(self, now: float) -> float:
+        """Return the slowdown that the next batch has at least."""
+        if now - self.answered_at <= SLOWDOWN_SECONDS:
+            return self.slowdown
+        return min(1.0, self.slowdown)
+
     def observe(self, ratio: float) -> None:
         """Update slowdown from one batch and reset the failure pause.
 
--- a/galenaswitch/pipelines/tests/test_lines.py
+++ b/galenaswitch/pipelines/tests/test_lines.py
@@ -12,7 +12,8 @@
 from galenaswitch.gateway.calls import WorkItem
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.membership.lists import Target
-from galenaswitch.pipelines.batch_queue import BatchQueue, find_max_throughput
+from galenaswitch.pipelines.batch_queue import BatchQueue
+from galenaswitch.pipelines.forecasts import find_max_throughput
 from galenaswitch.pipelines.pending import PendingStage, Urgency
 
 LIMITS = BatchLimits(1, 8, 0.2, 0.02, 1e9, 4)
--- a/galenaswitch/pipelines/throughput.py
+++ b/galenaswitch/pipelines/throughput.py
@@ -35,6 +35,7 @@
         self._completed: deque[tuple[float, int]] = deque()
         self._span_start: float | None = None
         self._average_rate = 0.0
+        self._measured_at: float | None = None
 
     def observe(self, work_items: int, now: float, *, waiting: bool) -> None:
         """Record work items that were completed at a monotonic time.
@@ -58,6 +59,7 @@
                 observed_rate - (self._average_rate or observed_rate)
             )
             self._average_rate = self._average_rate or observed_rate
+            self._measured_at = now
 
     def estimate(self, full: float) -> float:
         """Return the expected work items per second.
@@ -67,3 +69,16 @@
         if not self._average_rate:
             return full * INITIAL_RATE_SHARE
         return min(max(self._average_rate, full * MIN_RATE_SHARE), full)
+
+    def find_age(self, now: float) -> float | None:
+        """Return the age of the measurement in seconds, if there is one."""
+        return None if self._measured_at is None else now - self._measured_at
+
+    def find_recent(self, now: float) -> float:
+        """Return the measured work items per second, 0 if it isn't recent.
+
+        An earlier measurement may be one of other targets.
+        """
+        age = self.find_age(now)
+        is_recent = age is not None and age <= WINDOW_SECONDS
+        return self._average_rate if is_recent else 0
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -224,7 +224,7 @@
         """Return the batcher of a service on this VM; create it if needed."""
         if service not in self._batchers:
             self._batchers[service] = Batcher(
-                BatchedService(service, self.find_batch_limits),
+                BatchedService(service, self.find_batch_limits, self.metrics),
                 self.members,
                 self._sender,
                 self._wire,
