Stages: priority before the latest start among requests on time

A priority level counted as 0.5 s of latest start. An urgent request with several stages left shares its slack among them, so that a queue of less urgent ones with an earlier latest start made it late on arrival, and all of its stages then ranked last.

The order is now a module of its own: started stages, then those on time by priority and latest start, then late ones. Stages of begun requests are not overtaken. With a single priority the order is unchanged.

--- a/galenaswitch/pipelines/batch_queue.py
+++ b/galenaswitch/pipelines/batch_queue.py
@@ -18,7 +18,6 @@
 """
 
 from collections.abc import Iterable, Sequence
-from functools import partial
 from typing import NamedTuple
 
 from galenaswitch.gateway.calls import Load, WorkItem
@@ -34,6 +33,11 @@
     find_max_throughput,
 )
 from galenaswitch.pipelines.pending import PendingStage
+from galenaswitch.pipelines.stage_order import (
+    OrderTerms,
+    count_ahead,
+    order_stages,
+)
 from galenaswitch.pipelines.target_states import TargetState
 from galenaswitch.pipelines.throughput import Throughput
 
@@ -84,12 +88,8 @@
             remaining stages.
         """
         rate = self._estimate_throughput(targets, limits)
-        own_rank = pending.rank(now)
-        ahead = sum(
-            len(other.queued)
-            for other in self.pending_stages.values()
-            if other.rank(now) <= own_rank
-        )
+        terms = OrderTerms(now, rate, limits.batch_size)
+        ahead = count_ahead(pending, self.pending_stages.values(), terms)
         known_late = pending.late
         late = known_late or not pending.may_wait(ahead / rate, now)
         pending.late = known_late or (late and ahead > limits.batch_size)
@@ -97,15 +97,9 @@
         capacity = _find_capacity(self, targets, limits, rate, now)
         own = len(pending.queued)
         if pending.late:
-            late_rank = pending.rank(now)
-            ahead = sum(
-                len(other.queued)
-                for other in self.pending_stages.values()
-                if other.rank(now) <= late_rank
-            )
             return estimate_late_done(
                 pending,
-                ahead,
+                own + count_ahead(pending, self.pending_stages.values(), terms),
                 self._arrival_rate.estimate_free_rate(rate, now),
                 capacity.estimate_batch(own, limits),
             )
@@ -141,19 +135,17 @@
         full = find_max_throughput(len(targets), limits)
         likely = min(rate * THROUGHPUT_MARGIN, full) if rate else full
         capacity = _find_capacity(self, targets, limits, likely, now)
-        waiting = [
-            pair for pair in self.pending_stages.items() if pair[1].queued
-        ]
-        waiting.sort(key=lambda pair: pair[1].rank(now))
+        keys = {id(one): key for key, one in self.pending_stages.items()}
+        terms = OrderTerms(now, likely, limits.batch_size)
         infeasible = []
         ahead = 0
-        for key, pending in waiting:
+        for pending in order_stages(self.pending_stages.values(), terms):
             own = len(pending.queued)
             done = now + pause + capacity.estimate_done(ahead, own, limits)
             if pending.started or done <= pending.deadline:
                 ahead += own
             else:
-                infeasible.append(key)
+                infeasible.append(keys[id(pending)])
         return infeasible
 
     def describe_throughput(
@@ -214,13 +206,17 @@
         )
         if not is_any_idle:
             return None
-        waiting = [one for one in self.pending_stages.values() if one.queued]
-        if not waiting:
+        rate = self._estimate_throughput(targets, limits)
+        terms = OrderTerms(now, rate, limits.batch_size)
+        ordered = order_stages(self.pending_stages.values(), terms)
+        if not ordered:
             return None
-        first = min(waiting, key=lambda pending: pending.rank(now)).zone
+        first = ordered[0].zone
         for target in self._order_idle_targets(targets, limits, first, now):
             batch_plan = BatchPlan(self.make_view(targets, limits, now), target)
-            batch_plan.plan(sorted(waiting, key=partial(_rank_at, target, now)))
+            batch_plan.plan(
+                order_stages(ordered, terms._replace(zone=target.zone))
+            )
             if batch_plan.work_item_count:
                 work_items = batch_plan.dequeue()
                 return self._start_batch(target, work_items, limits, now)
@@ -341,14 +337,6 @@
         return Batch(target, work_items, expected)
 
 
-def _rank_at(
-    target: Target,
-    now: float,
-    pending: PendingStage,
-) -> tuple[bool, bool, float]:
-    return pending.rank(now, target.zone)
-
-
 def _find_capacity(
     batch_queue: BatchQueue,
     targets: Sequence[Target],
--- a/galenaswitch/pipelines/pending.py
+++ b/galenaswitch/pipelines/pending.py
@@ -11,10 +11,6 @@
 from galenaswitch.gateway.calls import WorkItem
 from galenaswitch.gateway.messages import HeldResults
 
-# For each priority level below the most urgent one, a pending stage ranks as
-# if its latest start were this many seconds later. A long wait outweighs any
-# priority, so no kind of request starves.
-PRIORITY_STEP_SECONDS = 0.5
 # At a target in its own zone, a pending stage ranks as if its latest start
 # were this many seconds earlier. The value is less than the usual slack of
 # requests.
@@ -178,22 +174,24 @@
         slack = self.start_by - now
         return seconds * self.urgency.stages_left <= slack
 
-    def rank(self, now: float, zone: str = '') -> tuple[bool, bool, float]:
+    def is_late(self, now: float) -> bool:
+        """Tell whether the request is known to miss its objective."""
+        return self.late or self.start_by < now
+
+    def rank(self, now: float, zone: str = '') -> tuple[bool, bool, int, float]:
         """Return the sort key of this stage; the lowest key is served first.
 
         Started stages come first, then stages that can be on time. Among
-        equals, the latest start counts, adjusted by priority and zone.
+        equals, the priority counts, then the latest start, adjusted by zone.
 
         :param zone: zone of the target that would run the work items.
         """
-        late = self.late or self.start_by < now
         zone_advance_seconds = (
             SAME_ZONE_ADVANCE_SECONDS if zone and zone == self.zone else 0
         )
         return (
             not self.started,
-            late,
-            self.start_by
-            + self.urgency.priority * PRIORITY_STEP_SECONDS
-            - zone_advance_seconds,
+            self.is_late(now),
+            self.urgency.priority,
+            self.start_by - zone_advance_seconds,
         )
