--- a/galenaswitch/platform/tests/test_stages.py
+++ b/galenaswitch/platform/tests/test_stages.py
@@ -318,7 +318,9 @@
                 await asyncio.sleep(0)
 
     async def answer(ident, **headers):
-        request = make_caller_request(route, ident, **STAGED, **headers)
+        # Attempts with the same key would share their first stage.
+        staged = {**STAGED, 'X-Piece-Key': ident}
+        request = make_caller_request(route, ident, **staged, **headers)
         with contextlib.suppress(RefusedError):
             await runner.run(request, table, AnswerRecorder())
 
