Stages: pace of hosts in the choice of a target and in expected times

The pace that hosts report was read but not used. The last report of a target now multiplies its slowdown, as a power of 0.5 that decreases to 0 within 0.3 s of age. It orders idle targets after their zone and counts in the expected time of a batch, against which the slowdown is measured. Targets without a pace have 1, which changes nothing. A fast pace makes no batch late sooner.

--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -86,6 +86,7 @@
         self._inputs = InputReleases(release)
         self._service = service.name
         self._find_limits = service.find_limits
+        self._metrics = service.metrics
         self._members = members
         self._sender = sender
         self._notices = sender.notices
@@ -229,6 +230,8 @@
             )
             if batch is None:
                 break
+            if batch.pace.factor != 1:
+                self._metrics.count('pieces_paced')
             self._tasks.start(self._run_batch(batch, limits))
             target_state = self._batch_queue.target_state(batch.target)
             self._inputs.watch(batch, target_state)
@@ -285,6 +288,8 @@
                 failures=[one.failure for one in outcomes if one.failure],
                 seconds=round(seconds, 3),
                 expected=round(batch.expected, 3),
+                pace=batch.pace.reported,
+                pace_age=round(batch.pace.age, 3),
                 waiting=self._batch_queue.waiting(),
                 held_bytes=round(target_state.held_bytes),
                 stored=len(self._stored_results),
--- a/galenaswitch/gateway/late_batches.py
+++ b/galenaswitch/gateway/late_batches.py
@@ -132,5 +132,9 @@
 
 
 def _find_timeout(batch: Batch) -> float:
-    """Return the seconds after which a batch is late."""
-    return batch.expected * TIMEOUT_FACTOR + TIMEOUT_MARGIN_SECONDS
+    """Return the seconds after which a batch is late.
+
+    A host that was fast a moment ago may be slow now.
+    """
+    expected = batch.expected / min(1.0, batch.pace.factor)
+    return expected * TIMEOUT_FACTOR + TIMEOUT_MARGIN_SECONDS
--- a/galenaswitch/pipelines/batch_queue.py
+++ b/galenaswitch/pipelines/batch_queue.py
@@ -38,7 +38,7 @@
     count_ahead,
     order_stages,
 )
-from galenaswitch.pipelines.target_states import TargetState
+from galenaswitch.pipelines.target_states import Pace, TargetState
 from galenaswitch.pipelines.throughput import Throughput
 
 # A target that is slower than the fastest target by more than this factor
@@ -52,11 +52,13 @@
     """Work items that one call sends to a target.
 
     :param expected: expected duration of the call in seconds.
+    :param pace: pace of the target's host as known when the call was made.
     """
 
     target: Target
     work_items: tuple[tuple[PendingStage, WorkItem], ...]
     expected: float
+    pace: Pace = Pace(1.0, 0.0, 1.0)
 
 
 class BatchQueue:
@@ -187,6 +189,8 @@
         """
         target_state = self.target_state(target)
         target_state.answered_at = now
+        if load:
+            target_state.record_pace(load.pace, now)
         if load and load.running + load.waiting >= target_state.calls:
             target_state.record_sharing(now)
 
@@ -314,7 +318,12 @@
         ]
         if self.waiting() <= len(fast_targets) * limits.batch_size:
             free = [pair for pair in free if pair[0] in fast_targets]
-        free.sort(key=lambda pair: (pair[0].zone != zone, pair[1].slowdown))
+        free.sort(
+            key=lambda pair: (
+                pair[0].zone != zone,
+                pair[1].estimate_slowdown(now),
+            )
+        )
         return [target for target, _ in free]
 
     def _start_batch(
@@ -333,8 +342,8 @@
             limits.call_overhead_seconds
             + len(work_items) * limits.work_item_seconds
         )
-        expected = usual_seconds * target_state.slowdown
-        return Batch(target, work_items, expected)
+        expected = usual_seconds * target_state.estimate_slowdown(now)
+        return Batch(target, work_items, expected, target_state.find_pace(now))
 
 
 def is_queued(batch_queue: BatchQueue, pending: PendingStage) -> bool:
