--- a/galenaswitch/gateway/tests/test_results.py
+++ b/galenaswitch/gateway/tests/test_results.py
@@ -159,21 +159,3 @@
     stored_results.release((handle,))
     await wait_for(lambda: released)
     assert time.monotonic() - released_at > 0.15
-
-
-# Guards against results that one attempt of a request takes from another.
-async def test_shared_result_is_released_with_its_last_reader(
-    open_results,
-    scripted,
-    released,
-):
-    producer = await scripted([DONE])
-    stored_results, target = open_results(producer)
-    handle = f'{producer.address}/1'
-    stored_results.add(handle, StoredResult(target, 100, time.monotonic() + 9))
-    stored_results.share([handle], more_readers=1)
-    stored_results.release((handle,))
-    await asyncio.sleep(0.05)
-    assert not producer.requests
-    stored_results.release((handle,))
-    await wait_for(lambda: released)
