Stages: fewer sorted passes over the queue

The order by priority made each arrival and each pass dearer. Nothing is sorted where ranks alone decide, and no stage is judged while all of them end before the earliest deadline.

--- a/galenaswitch/pipelines/batch_queue.py
+++ b/galenaswitch/pipelines/batch_queue.py
@@ -139,6 +139,11 @@
         full = find_max_throughput(len(targets), limits)
         likely = min(rate * THROUGHPUT_MARGIN, full) if rate else full
         capacity = _find_capacity(self, targets, limits, likely, now)
+        latest = pause + capacity.estimate_last(self.waiting(), limits)
+        if all(
+            now + latest <= one.deadline for one in self.pending_stages.values()
+        ):
+            return []
         keys = {id(one): key for key, one in self.pending_stages.items()}
         terms = OrderTerms(now, likely, limits.batch_size)
         infeasible = []
@@ -214,14 +219,14 @@
             return None
         rate = self._estimate_throughput(targets, limits)
         terms = OrderTerms(now, rate, limits.batch_size)
-        ordered = order_stages(self.pending_stages.values(), terms)
-        if not ordered:
+        waiting = [one for one in self.pending_stages.values() if one.queued]
+        if not waiting:
             return None
-        first = ordered[0].zone
+        first = min(waiting, key=lambda pending: pending.rank(now)).zone
         for target in self._order_idle_targets(targets, limits, first, now):
             batch_plan = BatchPlan(self.make_view(targets, limits, now), target)
             batch_plan.plan(
-                order_stages(ordered, terms._replace(zone=target.zone))
+                order_stages(waiting, terms._replace(zone=target.zone))
             )
             if batch_plan.work_item_count:
                 work_items = batch_plan.dequeue()
--- a/galenaswitch/pipelines/forecasts.py
+++ b/galenaswitch/pipelines/forecasts.py
@@ -63,6 +63,15 @@
         batch_seconds = self.estimate_batch(own, limits)
         return max((ahead + own) / self.full, wait_seconds + batch_seconds)
 
+    def estimate_last(self, waiting: int, limits: BatchLimits) -> float:
+        """Return the seconds until the results of all stages are made.
+
+        :param waiting: queued work items of all stages.
+        """
+        wait_seconds = max(0, waiting - self.in_round) / self.rate
+        batch_seconds = self.estimate_batch(limits.batch_size, limits)
+        return max(waiting / self.full, wait_seconds + batch_seconds)
+
 
 def find_capacity(
     targets: int, limits: BatchLimits, rate: float, slowdown: float
--- a/galenaswitch/pipelines/stage_order.py
+++ b/galenaswitch/pipelines/stage_order.py
@@ -73,7 +73,16 @@
     pending: PendingStage, stages: Iterable[PendingStage], terms: OrderTerms
 ) -> int:
     """Return the number of work items that are served before a stage."""
-    others = [one for one in stages if one is not pending]
+    others = [one for one in stages if one is not pending and one.queued]
+    priority = pending.urgency.priority
+    if pending.is_late(terms.now) or all(
+        one.urgency.priority == priority for one in others
+    ):
+        # The ranks alone decide, so that nothing needs to be sorted.
+        rank = pending.rank(terms.now)
+        return sum(
+            len(one.queued) for one in others if one.rank(terms.now) <= rank
+        )
     ordered = order_stages([*others, pending], terms)
     index = ordered.index(pending)
     return sum(len(other.queued) for other in ordered[:index])
