--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -49,9 +49,8 @@
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.process import TaskGroup
-from galenaswitch.pipelines.batch_queue import Batch, BatchQueue, is_queued
+from galenaswitch.pipelines.batch_queue import Batch, BatchQueue
 from galenaswitch.pipelines.pending import PendingStage
-from galenaswitch.pipelines.shared_stages import SharedStages
 from galenaswitch.pipelines.stage_admission import StageAdmission
 from galenaswitch.quarantine.containment import Containment
 
@@ -97,9 +96,6 @@
         self._admission = StageAdmission(
             service.name, self._batch_queue, service.metrics
         )
-        self._shared_stages = SharedStages(
-            service.name, self._batch_queue, service.metrics
-        )
         self._done_events: dict[str, asyncio.Event] = {}
         self._stored_results = StoredResults(
             members, sender, wire, tasks, self._release_memory
@@ -134,9 +130,6 @@
         self._result_memory.query_new(targets, limits)
         key = f'{query.ident}/{query.pieces[0].stage}'
         pending = make_pending_stage(query, now)
-        shared = self._shared_stages.join(key, pending, now)
-        if shared:
-            return await self._wait_for_results(key, shared, query)
         retry_after = self._admission.refuse_new(
             key,
             pending,
@@ -147,14 +140,13 @@
         )
         if retry_after:
             return PiecesReply((), OUT_OF_CAPACITY, retry_after)
-        self._shared_stages.enter(key, pending, now)
         return await self._wait_for_results(key, pending, query)
 
     def cancel(self, message: PiecesCancel) -> None:
         """Remove the queued work items of a request that was cancelled."""
         for key in list(self._done_events):
             if key.startswith(f'{message.ident}/'):
-                self._shared_stages.leave(key)
+                self._batch_queue.remove(key)
                 self._done_events[key].set()
 
     def release(self, message: ReleaseNote) -> None:
@@ -171,22 +163,18 @@
         done = asyncio.Event()
         self._replace_waiter(key, done)
         self._dispatch()
-        failure = 'cancelled'
         try:
             async with asyncio.timeout(query.left):
                 await done.wait()
         except TimeoutError:
-            failure = LATE
-            if pending.releasable_inputs:
-                pending.failure = pending.failure or LATE
+            pending.failure = pending.failure or LATE
         finally:
             if self._done_events.get(key) is done:
+                self._batch_queue.remove(key)
                 self._done_events.pop(key)
-                self._shared_stages.leave(key)
         if pending.missing_results:
-            if not pending.readers:
-                self._stored_results.release(tuple(pending.handles.values()))
-            failure = 'replaced' if key in self._done_events else failure
+            self._stored_results.release(tuple(pending.handles.values()))
+            failure = 'replaced' if key in self._done_events else 'cancelled'
             retry_after = max(0.1, self._notices.find_pause(self._service))
             return PiecesReply((), pending.failure or failure, retry_after)
         handles = tuple(
@@ -242,14 +230,14 @@
 
     def _refuse_infeasible(self, limits: BatchLimits) -> None:
         """Refuse pending stages that can no longer meet their deadline."""
-        for pending in self._admission.refuse_infeasible(
+        for key, pending in self._admission.refuse_infeasible(
             self._members.usable(self._service),
             limits,
             self._notices.find_pause(self._service),
             time.monotonic(),
         ):
             pending.failure = OUT_OF_CAPACITY
-            self._finish_stage(pending)
+            self._finish_stage(key)
 
     async def _run_batch(self, batch: Batch, limits: BatchLimits) -> None:
         started_at = time.monotonic()
@@ -343,14 +331,13 @@
     def _accept_result(
         self, pending: PendingStage, work_item: WorkItem, handle: str
     ) -> None:
-        is_wanted = is_queued(self._batch_queue, pending)
-        if not (is_wanted and pending.accept(work_item, handle)):
+        key = f'{pending.ident}/{work_item.stage}'
+        is_pending = self._batch_queue.pending_stages.get(key) is pending
+        if not (is_pending and pending.accept(work_item, handle)):
             self._stored_results.release((handle,))
             return
         if not pending.missing_results:
-            readers = len(pending.readers)
-            self._stored_results.share(pending.handles.values(), readers - 1)
-            self._finish_stage(pending)
+            self._done_events[key].set()
 
     def _handle_failure(
         self, batch: Batch, error: GalenaError, limits: BatchLimits
@@ -375,9 +362,10 @@
         self, pending: PendingStage, work_item: WorkItem, failure: str
     ) -> None:
         """Queue a work item again, or fail its pending stage."""
-        if not is_queued(self._batch_queue, pending) or pending.is_covered(
-            work_item
-        ):
+        key = f'{pending.ident}/{work_item.stage}'
+        if self._batch_queue.pending_stages.get(key) is not pending:
+            return
+        if pending.is_covered(work_item):
             return
         pending.retries += 1
         pause_seconds = self._notices.find_pause(self._service)
@@ -389,8 +377,9 @@
             pending.queued.insert(0, work_item)
             return
         pending.failure = failure
-        self._finish_stage(pending)
+        self._finish_stage(key)
 
-    def _finish_stage(self, pending: PendingStage) -> None:
-        for key in pending.readers & self._done_events.keys():
-            self._done_events[key].set()
+    def _finish_stage(self, key: str) -> None:
+        done = self._done_events.get(key)
+        if done:
+            done.set()
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -69,10 +69,8 @@
         self._stages.release()
 
     def close(self) -> None:
-        """Release the results of all finished stages.
-
-        Unfinished ones have ended with the task that ran them.
-        """
+        """Cancel unfinished stages and release results of finished stages."""
+        self._stages.cancel()
         self._stages.release()
 
 
--- a/galenaswitch/gateway/late_batches.py
+++ b/galenaswitch/gateway/late_batches.py
@@ -17,7 +17,7 @@
 from galenaswitch.limits.retries import RetryBudgets
 from galenaswitch.membership.lists import Members
 from galenaswitch.operations.logs import get_logger
-from galenaswitch.pipelines.batch_queue import Batch, BatchQueue, is_queued
+from galenaswitch.pipelines.batch_queue import Batch, BatchQueue
 
 # A batch is late after its expected seconds times the factor, plus the margin.
 TIMEOUT_FACTOR = 2.5
@@ -111,10 +111,9 @@
         budget = self._budgets.of(self._service.name)
         failure = TargetLateError.__name__
         for pending, work_item in batch.work_items:
-            if not (
-                is_queued(self._batch_queue, pending)
-                and pending.may_copy(work_item)
-            ):
+            key = f'{pending.ident}/{work_item.stage}'
+            is_pending = self._batch_queue.pending_stages.get(key) is pending
+            if not (is_pending and pending.may_copy(work_item)):
                 continue
             if may_retry(pending, failure, budget):
                 pending.retries += 1
--- a/galenaswitch/gateway/results.py
+++ b/galenaswitch/gateway/results.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import time
-from collections import Counter, deque
-from collections.abc import Callable, Iterable
+from collections import deque
+from collections.abc import Callable
 from typing import NamedTuple
 
 from galenaswitch.errors import TargetError
@@ -65,7 +65,6 @@
         self._tasks = tasks
         self._on_release = on_release
         self._stored: dict[str, StoredResult] = {}
-        self._more_readers: Counter[str] = Counter()
         self._unknown_results: deque[StoredResult] = deque()
         self._pending_releases: dict[str, list[str]] = {}
 
@@ -77,11 +76,6 @@
         """Add a result under its handle."""
         self._stored[handle] = stored
 
-    def share(self, handles: Iterable[str], more_readers: int) -> None:
-        """Keep results until further readers have released them, too."""
-        for handle in handles:
-            self._more_readers[handle] = more_readers
-
     def add_unknown(self, stored: StoredResult) -> None:
         """Add results of unknown handles, for example after a lost answer."""
         self._unknown_results.append(stored)
@@ -94,9 +88,6 @@
     def release(self, handles: tuple[str, ...]) -> None:
         """Release results; one call per producer collects several."""
         for handle in handles:
-            if self._more_readers[handle] > 0:
-                self._more_readers[handle] -= 1
-                continue
             producer = self._wire.find_producer(handle)
             collected = self._pending_releases.setdefault(producer, [])
             collected.append(handle)
@@ -152,7 +143,6 @@
 
     def _remove(self, handles: tuple[str, ...] | list[str]) -> None:
         for handle in handles:
-            self._more_readers.pop(handle, None)
             stored = self._stored.pop(handle, None)
             if stored:
                 self._on_release(stored)
--- a/galenaswitch/pipelines/batch_plan.py
+++ b/galenaswitch/pipelines/batch_plan.py
@@ -105,18 +105,13 @@
                 self._plan_stage(pending)
 
     def dequeue(self) -> tuple[tuple[PendingStage, WorkItem], ...]:
-        """Remove the planned work items from their stages and return them.
-
-        They name an attempt that waits for them, which may not be the one that
-        queued them.
-        """
+        """Remove the planned work items from their stages and return them."""
         dequeued: list[tuple[PendingStage, WorkItem]] = []
         for pending, count in self._planned_counts.values():
             pending.started = True
             pending.zone = self._target.zone
             dequeued.extend(
-                (pending, work_item._replace(ident=pending.ident))
-                for work_item in pending.queued[:count]
+                (pending, work_item) for work_item in pending.queued[:count]
             )
             pending.queued = pending.queued[count:]
         return tuple(dequeued)
--- a/galenaswitch/pipelines/batch_queue.py
+++ b/galenaswitch/pipelines/batch_queue.py
@@ -353,11 +353,6 @@
         return Batch(target, work_items, expected, target_state.find_pace(now))
 
 
-def is_queued(batch_queue: BatchQueue, pending: PendingStage) -> bool:
-    """Tell whether a pending stage has not ended."""
-    return any(one is pending for one in batch_queue.pending_stages.values())
-
-
 def _find_capacity(
     batch_queue: BatchQueue,
     targets: Sequence[Target],
--- a/galenaswitch/pipelines/pending.py
+++ b/galenaswitch/pipelines/pending.py
@@ -68,7 +68,6 @@
         """
         self.ident = ident
         self._fingerprint = fingerprint
-        self._readers: dict[str, str] = {}
         self.queued = list(work_items)
         self.missing_results = len(self.queued)
         self.result_bytes = result_bytes
@@ -90,16 +89,6 @@
         """What a crash implicates: the request, if its fingerprint is known."""
         return (self._fingerprint,) if self._fingerprint else ()
 
-    @property
-    def readers(self) -> dict[str, str]:
-        """Ids of the attempts that wait for the results, by their queries."""
-        return self._readers
-
-    @property
-    def is_in_flight(self) -> bool:
-        """Whether a batch with one of its work items is in flight."""
-        return self._in_flight.total() > 0
-
     @property
     def start_by(self) -> float:
         """Latest monotonic time to start a batch for a request on time."""
--- a/galenaswitch/pipelines/stage_admission.py
+++ b/galenaswitch/pipelines/stage_admission.py
@@ -63,7 +63,7 @@
         limits: BatchLimits,
         pause: float,
         now: float,
-    ) -> list[PendingStage]:
+    ) -> list[tuple[str, PendingStage]]:
         """Remove stages that can't be made in time any more, and return them.
 
         :param pause: seconds for which all targets take no batches.
@@ -84,5 +84,5 @@
                 late=pending.late,
                 **batch_queue.describe_throughput(targets, limits, now),
             )
-            refused.append(pending)
+            refused.append((key, pending))
         return refused
