Stages: cancel a query at each owner that has it

An owner that was queried in vain, and one that had become a former owner, kept the work items of requests that had ended. A query that is cancelled or unanswered is cancelled at the VM that has it, in place of at the VM that owns the service by then.

--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -69,8 +69,10 @@
         self._stages.release()
 
     def close(self) -> None:
-        """Cancel unfinished stages and release results of finished stages."""
-        self._stages.cancel()
+        """Release the results of all finished stages.
+
+        Unfinished ones have ended with the task that ran them.
+        """
         self._stages.release()
 
 
--- a/galenaswitch/gateway/stages.py
+++ b/galenaswitch/gateway/stages.py
@@ -7,6 +7,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
 from itertools import chain
 from typing import NamedTuple
 
@@ -108,18 +109,6 @@
             bool(self._find_pressured(final_stages)),
         )
 
-    def cancel(self) -> None:
-        """Cancel the unfinished stages at their batchers."""
-        services = {
-            stage.service
-            for stage, done in zip(self._stages, self._done_events, strict=True)
-            if not done.is_set()
-        }
-        for service in services:
-            self._runner.cancel(
-                self._owners.get(service, ''), service, self._request.ident
-            )
-
     def release(self) -> None:
         """Release the results of all finished stages."""
         held = self._find_held(self._handles)
@@ -349,12 +338,17 @@
         return StageJob(request, table, self, deadline, is_rerun=is_rerun)
 
     async def query(self, query: PiecesQuestion) -> tuple[str, PiecesReply]:
-        """Return the VM that made a stage's results, and its reply."""
+        """Return the VM that made a stage's results, and its reply.
+
+        Whichever VM was queried in vain, or has not replied when the wait is
+        cancelled, is told that the request needs no more work items.
+        """
         return await self._owner_router.query(
             query.service,
             query,
             query.left + REPLY_SLACK_SECONDS,
             self.make_locally,
+            partial(self._cancel, query),
         )
 
     async def answer(self, link: Link, query: PiecesQuestion) -> PiecesReply:
@@ -365,17 +359,6 @@
         """Make the results of a stage through this VM's batcher."""
         return await self._find_batcher(query.service).make_results(query)
 
-    def cancel(self, owner: str, service: str, ident: str) -> None:
-        """Cancel the work items of a request at their batcher.
-
-        :param owner: VM whose batcher replied, empty before any reply.
-        """
-        self._owner_router.notify(
-            owner or self._owner_router.find_owner(service),
-            PiecesCancel(service, ident),
-            self.receive_cancel,
-        )
-
     def release(self, held: HeldResults) -> None:
         """Release results through the VM whose batcher tracks them."""
         self._owner_router.notify(
@@ -398,3 +381,8 @@
             self._wire.find_producer(handle)
         )
         return target.zone if target else ''
+
+    def _cancel(self, query: PiecesQuestion, owner: str) -> None:
+        """Cancel the work items of a request at a VM, if it can be reached."""
+        message = PiecesCancel(query.service, query.ident)
+        self._owner_router.notify(owner, message, lambda _: None)
