--- a/galenaswitch/pipelines/batch_queue.py
+++ b/galenaswitch/pipelines/batch_queue.py
@@ -18,7 +18,6 @@
 """
 
 from collections.abc import Iterable, Sequence
-from functools import partial
 from typing import NamedTuple
 
 from galenaswitch.gateway.calls import Load, WorkItem
@@ -26,8 +25,20 @@
 from galenaswitch.membership.lists import Target
 from galenaswitch.pipelines.arrivals import ArrivalRate
 from galenaswitch.pipelines.batch_plan import BatchPlan, BatchView, TargetView
+from galenaswitch.pipelines.forecasts import (
+    THROUGHPUT_MARGIN,
+    Capacity,
+    estimate_late_done,
+    find_capacity,
+    find_max_throughput,
+)
 from galenaswitch.pipelines.pending import PendingStage
-from galenaswitch.pipelines.target_states import TargetState
+from galenaswitch.pipelines.stage_order import (
+    OrderTerms,
+    count_ahead,
+    order_stages,
+)
+from galenaswitch.pipelines.target_states import Pace, TargetState
 from galenaswitch.pipelines.throughput import Throughput
 
 # A target that is slower than the fastest target by more than this factor
@@ -41,11 +52,13 @@
     """Work items that one call sends to a target.
 
     :param expected: expected duration of the call in seconds.
+    :param pace: pace of the target's host as known when the call was made.
     """
 
     target: Target
     work_items: tuple[tuple[PendingStage, WorkItem], ...]
     expected: float
+    pace: Pace = Pace(1.0, 0.0, 1.0)
 
 
 class BatchQueue:
@@ -72,26 +85,30 @@
         Otherwise the queue would serve it first as the most urgent, and all
         other stages would be late too.
 
-        :returns: expected wait in seconds. For a late stage, it includes the
-            waits of all remaining stages of the request.
+        :returns: expected seconds until its results are made. For a late
+            stage whose request has not begun, they include the waits of all
+            remaining stages.
         """
         rate = self._estimate_throughput(targets, limits)
-        own_rank = pending.rank(now)
-        ahead = sum(
-            len(other.queued)
-            for other in self.pending_stages.values()
-            if other.rank(now) <= own_rank
-        )
+        terms = OrderTerms(now, rate, limits.batch_size)
+        ahead = count_ahead(pending, self.pending_stages.values(), terms)
         known_late = pending.late
         late = known_late or not pending.may_wait(ahead / rate, now)
         pending.late = known_late or (late and ahead > limits.batch_size)
         self.pending_stages[key] = pending
+        capacity = _find_capacity(self, targets, limits, rate, now)
+        own = len(pending.queued)
         if pending.late:
-            return self._estimate_late_wait(pending, rate, now)
-        self._arrival_rate.record(len(pending.queued), now)
-        if late:
-            ahead = self.waiting()
-        return ahead / rate
+            late_ahead = own + count_ahead(
+                pending, self.pending_stages.values(), terms
+            )
+            return estimate_late_done(
+                pending,
+                self._arrival_rate.estimate_late_wait(late_ahead, rate, now),
+                capacity.estimate_batch(own, limits),
+            )
+        self._arrival_rate.record(own, now)
+        return capacity.estimate_done(ahead, own, limits)
 
     def estimate_clear_seconds(
         self,
@@ -107,28 +124,49 @@
         targets: Sequence[Target],
         limits: BatchLimits,
         now: float,
+        pause: float = 0,
     ) -> list[str]:
         """Return the keys of stages that can't meet their deadlines.
 
-        A stage is infeasible when the work items ahead of it and its own
-        take too long even in full batches at all targets. Started stages
-        are never infeasible.
+        A stage is infeasible when the work items ahead of it take too long at
+        the measured throughput, or without a recent measurement in full
+        batches at all targets, or when its own batch would end too late.
+        Started stages are never infeasible.
+
+        :param pause: seconds for which all targets take no batches.
         """
+        rate = self._throughput.find_recent(now)
         full = find_max_throughput(len(targets), limits)
-        waiting = [
-            pair for pair in self.pending_stages.items() if pair[1].queued
-        ]
-        waiting.sort(key=lambda pair: pair[1].rank(now))
+        likely = min(rate * THROUGHPUT_MARGIN, full) if rate else full
+        capacity = _find_capacity(self, targets, limits, likely, now)
+        latest = pause + capacity.estimate_last(self.waiting(), limits)
+        if all(
+            now + latest <= one.deadline for one in self.pending_stages.values()
+        ):
+            return []
+        keys = {id(one): key for key, one in self.pending_stages.items()}
+        terms = OrderTerms(now, likely, limits.batch_size)
         infeasible = []
         ahead = 0
-        for key, pending in waiting:
-            wait = (ahead + len(pending.queued)) / full
+        for pending in order_stages(self.pending_stages.values(), terms):
+            own = len(pending.queued)
+            wait = pause + capacity.estimate_done(ahead, own, limits)
             if pending.started or now + wait <= pending.deadline:
-                ahead += len(pending.queued)
+                ahead += own
             else:
-                infeasible.append(key)
+                infeasible.append(keys[id(pending)])
         return infeasible
 
+    def describe_throughput(
+        self, targets: Sequence[Target], limits: BatchLimits, now: float
+    ) -> dict[str, float | None]:
+        """Return the throughput that decides on stages, and its age."""
+        age = self._throughput.find_age(now)
+        return {
+            'rate': round(self._estimate_throughput(targets, limits), 1),
+            'age': None if age is None else round(age, 3),
+        }
+
     def record_completed(self, work_items: int, now: float) -> None:
         """Record completed work items to measure the throughput."""
         waiting = self.waiting() > 0
@@ -158,6 +196,8 @@
         """
         target_state = self.target_state(target)
         target_state.answered_at = now
+        if load:
+            target_state.record_pace(load.pace, now)
         if load and load.running + load.waiting >= target_state.calls:
             target_state.record_sharing(now)
 
@@ -177,13 +217,17 @@
         )
         if not is_any_idle:
             return None
+        rate = self._estimate_throughput(targets, limits)
+        terms = OrderTerms(now, rate, limits.batch_size)
         waiting = [one for one in self.pending_stages.values() if one.queued]
         if not waiting:
             return None
         first = min(waiting, key=lambda pending: pending.rank(now)).zone
         for target in self._order_idle_targets(targets, limits, first, now):
             batch_plan = BatchPlan(self.make_view(targets, limits, now), target)
-            batch_plan.plan(sorted(waiting, key=partial(_rank_at, target, now)))
+            batch_plan.plan(
+                order_stages(waiting, terms._replace(zone=target.zone))
+            )
             if batch_plan.work_item_count:
                 work_items = batch_plan.dequeue()
                 return self._start_batch(target, work_items, limits, now)
@@ -253,20 +297,6 @@
             find_max_throughput(len(targets), limits)
         )
 
-    def _estimate_late_wait(
-        self,
-        pending: PendingStage,
-        rate: float,
-        now: float,
-    ) -> float:
-        """Return the expected wait of a late stage, in seconds.
-
-        A late stage gets only the throughput that stages on time leave free.
-        The estimate assumes the same wait in each remaining stage.
-        """
-        free_rate = self._arrival_rate.estimate_free_rate(rate, now)
-        return self.waiting() / free_rate * pending.urgency.stages_left
-
     def _order_idle_targets(
         self,
         targets: Sequence[Target],
@@ -295,7 +325,12 @@
         ]
         if self.waiting() <= len(fast_targets) * limits.batch_size:
             free = [pair for pair in free if pair[0] in fast_targets]
-        free.sort(key=lambda pair: (pair[0].zone != zone, pair[1].slowdown))
+        free.sort(
+            key=lambda pair: (
+                pair[0].zone != zone,
+                pair[1].estimate_slowdown(now),
+            )
+        )
         return [target for target, _ in free]
 
     def _start_batch(
@@ -314,28 +349,18 @@
             limits.call_overhead_seconds
             + len(work_items) * limits.work_item_seconds
         )
-        expected = usual_seconds * target_state.slowdown
-        return Batch(target, work_items, expected)
+        expected = usual_seconds * target_state.estimate_slowdown(now)
+        return Batch(target, work_items, expected, target_state.find_pace(now))
 
 
-def _rank_at(
-    target: Target,
+def _find_capacity(
+    batch_queue: BatchQueue,
+    targets: Sequence[Target],
+    limits: BatchLimits,
+    rate: float,
     now: float,
-    pending: PendingStage,
-) -> tuple[bool, bool, float]:
-    return pending.rank(now, target.zone)
-
-
-def find_max_throughput(targets: int, limits: BatchLimits) -> float:
-    """Return the work items per second that targets make in full batches.
-
-    >>> find_max_throughput(2, BatchLimits(1, 4, 0.2, 0.05, 9e6, 4))
-    20.0
-    """
-    full_batch_seconds = (
-        limits.call_overhead_seconds
-        + limits.batch_size * limits.work_item_seconds
-    )
-    return (
-        max(1, targets) * limits.slots * limits.batch_size / full_batch_seconds
-    )
+) -> Capacity:
+    states = [batch_queue.target_state(target) for target in targets]
+    slowdowns = [one.find_certain_slowdown(now) for one in states]
+    slowdown = min(slowdowns, default=1.0)
+    return find_capacity(len(targets), limits, rate, slowdown)
