Admission: more time never shortens the wait for an engine

A measured duration was deducted in full from the whole time of a request if it was shorter than that time, and left out if not. So a request slightly above the duration might wait for almost nothing, and one slightly below it until its end. With 10 in 100 streams of 20 s beside others of 1 s, requests of 10 and 11 s were rejected where those of 9 and 12 s waited.

The duration now leaves a quarter of itself, at most the whole time. Requests of 9 to 12 s wait alike; those below the duration may wait for less than before, as they would have begun too late.

--- a/galenaswitch/admission/policy.py
+++ b/galenaswitch/admission/policy.py
@@ -13,6 +13,11 @@
 # average. A request is rejected only if even these aren't enough: a rejection
 # of what could be served costs more than a late answer.
 OPTIMISM = 2.0
+# Share of the measured duration for which a request may wait whatever its whole
+# time is, but no longer than that time. The duration includes two deviations,
+# so most answers leave more. Half would let work of 2 s with a deadline of 3 s
+# begin too late.
+MIN_WAIT_SHARE = 0.25
 
 
 class Demand(NamedTuple):
@@ -137,14 +142,16 @@
     """Return the seconds after which a start is useless.
 
     The first event has to come before the caller leaves, the end of the answer
-    before the deadline. A duration that exceeds the whole time of the request
-    says that the measured answers were longer than this one can be, so it is
-    left out.
+    before the deadline. A duration near the whole time of the request, or above
+    it, says little: the measured answers were longer than this one can be. So
+    it leaves a part of that time, which never shrinks as the time grows.
     """
     longest = _deduct(demand.left, conditions.first_seconds)
-    if demand.total > conditions.run_seconds:
-        longest = min(longest, demand.complete_in - conditions.run_seconds)
-    return longest
+    if not demand.total:
+        return longest
+    least = min(demand.total, conditions.run_seconds * MIN_WAIT_SHARE)
+    waitable = max(demand.total - conditions.run_seconds, least)
+    return min(longest, demand.complete_in - demand.total + waitable)
 
 
 def _deduct(seconds: float, first_seconds: float) -> float:
