Admission: a single burst on an idle service is no lasting overload

Arrivals were counted over 2 s, so 60 requests at one moment counted as 30 a second for that long. At 24 slots and 24 a second those with a deadline of 3 or 8 s were rejected on arrival, and so were those that followed.

Arrivals within 0.1 s of the begin of a queue no longer count, unless more arrive than end over 10 s. A request of a burst that can't be on time is judged behind the late ones, among which it ranks; else a large burst would be admitted whole, since each one that is ranked behind the others makes room for the next. The tests of admission pass unchanged.

--- a/galenaswitch/admission/control.py
+++ b/galenaswitch/admission/control.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from galenaswitch.admission.arrivals import LastingArrivals
 from galenaswitch.admission.measurements import EngineMeasurements
 from galenaswitch.admission.policy import (
     AdmissionPolicy,
@@ -89,16 +90,16 @@
         self._queue = queue
         self._metrics = metrics
         self._policy = policy or MeasuredAdmission()
-        self._offered = ArrivalRate()
+        self._offered = LastingArrivals()
         self._arrivals: dict[tuple[int, bool], ArrivalRate] = {}
 
     def record_arrival(self, key: str, now: float) -> bool:
-        """Count a request that arrives.
+        """Count a request that arrives, before it waits.
 
         :param key: id of the request over its attempts, empty if unknown.
         :returns: whether its caller returns in time after a rejection.
         """
-        self._offered.record(1, now)
+        self._offered.record(now, is_first=not len(self._queue))
         return self.returns.claim(key, now)
 
     def record_admitted(self, waiting: Waiting, now: float) -> None:
--- a/galenaswitch/admission/policy.py
+++ b/galenaswitch/admission/policy.py
@@ -42,7 +42,7 @@
     :param late_ahead: the same, if it ranks with the late ones.
     :param rate: requests that end per second, ``None`` if not measured.
     :param offered_rate: requests that arrive per second, whatever becomes of
-        them.
+        them, without the burst in which the queue began.
     :param free_rate: the part of it that more urgent requests leave.
     :param late_free_rate: the part that all timely requests leave.
     :param first_seconds: time from a placement to the first event.
@@ -112,9 +112,12 @@
         latest = _deduct(demand.start_in, conditions.first_seconds)
         if conditions.offered_rate <= rate:
             wait = _find_wait(conditions.ahead, rate)
+            # The first one of the queue may be on time if luck has it.
+            is_late = wait > latest and conditions.ahead > 0
+            ahead = conditions.late_ahead if is_late else conditions.ahead
             return Verdict(
-                _can_end(conditions.ahead, rate, longest),
-                wait > latest,
+                _can_end(ahead, rate, longest),
+                is_late,
                 wait,
                 max(0.0, wait - longest),
             )
