Result memory: repeat a query that was not sent

A query for free result memory that a cold target, or one in an evacuated zone, didn't get counted as made, so the used bytes of that target were never corrected.

--- a/galenaswitch/gateway/result_memory.py
+++ b/galenaswitch/gateway/result_memory.py
@@ -8,6 +8,7 @@
 
 from galenaswitch.errors import InvalidInputError, TargetError
 from galenaswitch.gateway.calls import Wire
+from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.gateway.results import StoredResult
 from galenaswitch.gateway.routes import BatchLimits
 from galenaswitch.gateway.sending import Sender
@@ -53,13 +54,15 @@
         self._wire = wire
         self._tasks = tasks
         self._queried_at: dict[str, float] = {}
+        self._unsent: set[str] = set()
 
     def query_new(
         self, targets: tuple[Target, ...], limits: BatchLimits
     ) -> None:
         """Query each target that was not queried before."""
         for target in targets:
-            if target.incarnation not in self._queried_at:
+            name = target.incarnation
+            if name in self._unsent or name not in self._queried_at:
                 self.query(target, limits)
 
     def query(self, target: Target, limits: BatchLimits) -> None:
@@ -71,26 +74,23 @@
         ):
             return
         self._queried_at[target.incarnation] = now
+        self._unsent.discard(target.incarnation)
         self._tasks.start(self._query_target(target, limits))
 
     async def _query_target(self, target: Target, limits: BatchLimits) -> None:
         head = self._wire.make_free_bytes_query(target)
         try:
             async with self._sender.send(
-                target,
-                head,
-                b'',
-                MAX_IDLE_SECONDS,
-                names_limit=False,
+                target, head, b'', MAX_IDLE_SECONDS, names_limit=False
             ) as attempt:
                 await attempt.read_head(REPLY_TIMEOUT_SECONDS)
                 content = await attempt.read_complete(REPLY_TIMEOUT_SECONDS)
                 free_bytes = self._wire.read_free_bytes(content)
         except (TargetError, InvalidInputError) as error:
+            if isinstance(error, TargetClosedError):
+                self._unsent.add(target.incarnation)
             get_logger().info(
-                'room_unknown',
-                target=target.name,
-                reason=str(error),
+                'room_unknown', target=target.name, reason=str(error)
             )
             return
         target_state = self._batch_queue.target_state(target)
