Bound the pauses of slow targets and the leases of cold rates

Both kept an entry for each target or VM that ever had one. Pauses are now dropped ten minutes after their end, leases at the next one of their service. The two new tests fail without the change.

--- a/galenaswitch/cold/grants.py
+++ b/galenaswitch/cold/grants.py
@@ -91,10 +91,11 @@
 
         :param asked_at: monotonic time in seconds of the query to it.
         """
-        ends = self._ends_at.setdefault(service, {})
-        if not self._find_live(service, asked_at):
+        live = self._find_live(service, asked_at)
+        if not live:
             self._began_at[service] = asked_at
-        ends[node] = asked_at + LEASE_SECONDS
+        # Leases that have ended are dropped, also of VMs that are gone.
+        self._ends_at[service] = {**live, node: asked_at + LEASE_SECONDS}
 
     def find(self, service: str, rate: float, now: float) -> Grant:
         """Return what this VM may grant of a service's cold targets.
--- a/galenaswitch/cold/tests/test_grants.py
+++ b/galenaswitch/cold/tests/test_grants.py
@@ -136,3 +136,11 @@
         grants.record('desk', 'a', asked_at)
     grant = grants.find('desk', RATE, 1.5)
     assert (grant.share, grant.burst) == (0.25, 1)
+
+
+# Guards against leases of VMs that are gone, which are kept for good.
+def test_leases_that_have_ended_are_dropped():
+    grants = Grants()
+    for number in range(100):
+        grants.record('desk', f'vm{number}', number / 2)
+    assert len(grants._ends_at['desk']) <= 3
--- a/galenaswitch/routing/slowness.py
+++ b/galenaswitch/routing/slowness.py
@@ -24,6 +24,9 @@
 # that a target that stays slow holds up few requests.
 FIRST_PAUSE_SECONDS = 1.0
 MAX_PAUSE_SECONDS = 20.0
+# Seconds after the end of a pause for which it is remembered. A target that is
+# still there gets a request before, unless its service gets none.
+RETENTION_SECONDS = 600.0
 
 
 class Pause(NamedTuple):
@@ -125,6 +128,14 @@
 
     def _pause(self, target: Target, seconds: float, now: float) -> None:
         self._pauses[target.name] = Pause(seconds, now + seconds)
+        # Targets that have ended are not among those to choose from again.
+        outdated = [
+            name
+            for name, pause in self._pauses.items()
+            if pause.until + RETENTION_SECONDS < now
+        ]
+        for name in outdated:
+            self._pauses.pop(name)
 
     def _report(
         self, target: Target, load: TargetLoad, usual: float, now: float
--- a/galenaswitch/routing/tests/test_slowness.py
+++ b/galenaswitch/routing/tests/test_slowness.py
@@ -110,3 +110,18 @@
     for _ in range(20):
         assert chooser.choose(targets[1:], repeat).name == 'b'
     assert chooser._pauses == pauses
+
+
+# Guards against pauses of targets that have ended, which are kept for good.
+def test_pauses_of_targets_that_have_ended_are_dropped(loads):
+    chooser = SlowLast(loads, LocalMetrics())
+    for name, seconds in (('b', 0.1), ('c', 0.1)):
+        loads.get_load(name).observe(seconds)
+    for number in range(100):
+        names = (f'slow{number}', 'b', 'c')
+        loads.get_load(names[0]).observe(0.8)
+        targets = [Target(name, '1', 'z', 'desk', 'h:1') for name in names]
+        work = WorkEstimate((), 0, 0, 'z', NOW + number * 60)
+        chooser.choose(targets, work)
+    assert 'slow99' in chooser._pauses
+    assert len(chooser._pauses) < 15
