Connections: release what isn't served before lingering

A connection that is closed gently stays open for a second, so that its last response isn't overtaken by a reset. Requests behind that response, complete or arriving, kept their bodies and their room in the account of memory for as long. They are released at once. The new test fails without the change.

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -281,13 +281,15 @@
         """Close the connection without a reset that overtakes the response.
 
         The kernel resets a connection that is closed while bytes of the caller
-        are unread, and the caller may lose the response to that.
+        are unread, and the caller may lose the response to that. Requests
+        that wait behind the last response aren't served, and are released.
         """
         if self._closed:
             return
         self.end = self.end or end
         self._closed = True
         self.timer.stop()
+        self._parser.close()
         self._transport.write_eof()
         self._transport.resume_reading()
         loop = asyncio.get_running_loop()
--- a/galenaswitch/connections/tests/test_bodies.py
+++ b/galenaswitch/connections/tests/test_bodies.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from galenaswitch.connections import inbound
 from galenaswitch.connections.crowding import Wait, find_surplus
 from galenaswitch.connections.errors import RequestRejectedError
 from galenaswitch.connections.heads import AnswerHead
@@ -210,6 +211,23 @@
     assert not parser.body_bytes
 
 
+# Guards against bodies that are never used, and stay in memory while a
+# connection is closed so that its caller gets the last response.
+@pytest.mark.parametrize('sent', [MAX_BODY - 1, MAX_BODY])
+async def test_bodies_are_freed_before_the_connection_has_closed(
+    listen, monkeypatch, sent
+):
+    monkeypatch.setattr(inbound, 'LINGER_SECONDS', 30)
+    handler, listener, connect = await listen()
+    reader, _ = await connect(HEAD % b'A: b' + DECLARED + b'x' * sent)
+    await wait_until(lambda: listener.memory.total >= sent)
+    listener.draining = True
+    handler.may_answer.set()
+    assert (await reader.readline()).startswith(OK_HEAD)
+    await wait_until(lambda: listener.memory.total == 0)
+    assert len(listener.connections) == 1
+
+
 # Guards against many callers that don't read their responses.
 async def test_unread_responses_are_bounded_together(listen):
     handler, listener, connect = await listen(limit_bytes=20_000_000)
