Callers: the limit on slow readers counts the time without progress

A writer gave its caller up after 20 s in which the buffer didn't empty, also when the caller read all the time, as a large response over a slow path takes longer. It now gives up after 20 s in which nothing was taken. The deadline of the request bounds the whole time, the account the bytes.

--- a/galenaswitch/connections/unsent.py
+++ b/galenaswitch/connections/unsent.py
@@ -11,7 +11,8 @@
 # Unsent response bytes on one connection above which writers wait for the
 # slow caller, and from which the bytes are accounted for.
 MAX_UNSENT_BYTES = 16_384
-# Longest time in seconds that a caller may stop reading its response.
+# Longest time in seconds in which a caller takes nothing of its response. The
+# deadline of its request bounds the whole time.
 STALLED_READER_TIMEOUT_SECONDS = 20
 
 
@@ -69,15 +70,18 @@
 
         :raises CallerGoneError: when the caller reads nothing for too long.
         """
-        if self._writable.is_set():
-            return
-        try:
-            async with Timeout(STALLED_READER_TIMEOUT_SECONDS):
-                await self._writable.wait()
-        except TimeoutError as error:
-            raise CallerGoneError(
-                'the caller stopped reading its response'
-            ) from error
+        while not self._writable.is_set():
+            unsent = self._transport.get_write_buffer_size()
+            try:
+                async with Timeout(STALLED_READER_TIMEOUT_SECONDS):
+                    await self._writable.wait()
+            except TimeoutError as error:
+                self._count_unsent()
+                if self._transport.get_write_buffer_size() < unsent:
+                    continue
+                raise CallerGoneError(
+                    'the caller stopped reading its response'
+                ) from error
 
     def _count_unsent(self) -> None:
         if self._unsent:
