Cold targets: check the age of a stream's turn before the send

A plain request with a turn older than 0.8 s isn't sent to a cold target, since a VM that was frozen would send all that waited at once. Streams weren't checked: their turn is part of a placement.

--- a/galenaswitch/cold/targets.py
+++ b/galenaswitch/cold/targets.py
@@ -15,6 +15,10 @@
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.operations.process import TaskGroup
 
+# Seconds after which a turn at a cold target is no longer used. A VM that was
+# frozen would send at once what was to go out one after another.
+TURN_SECONDS = 0.8
+
 
 class ColdTargets:
     """Targets that are cold, as this VM knows them.
@@ -60,6 +64,18 @@
         """Return the targets that aren't cold, or all if all are cold."""
         return [one for one in targets if not self.is_cold(one)] or targets
 
+    def is_turn_over(self, target: Target, since: float) -> bool:
+        """Tell whether a turn is too old to be used at a cold target.
+
+        :param since: monotonic time of the turn in seconds.
+        """
+        age = time.monotonic() - since
+        if age <= TURN_SECONDS or not self.is_cold(target):
+            return False
+        get_logger().info('turn_passed', target=target.name, age=round(age, 3))
+        self._metrics.count('turn_passed')
+        return True
+
     def select(self, targets: Sequence[Target]) -> tuple[Target, ...]:
         """Return the targets that are warm or have a turn now."""
         now = time.monotonic()
--- a/galenaswitch/cold/tests/test_targets.py
+++ b/galenaswitch/cold/tests/test_targets.py
@@ -1,13 +1,15 @@
 """Cold targets of one VM: what it sends to them, and what others hear."""
 
 import time
-from unittest.mock import Mock
+from contextlib import nullcontext
+from unittest.mock import AsyncMock, MagicMock, Mock
 
 import pytest
 
 from galenaswitch.cold.grants import Grant
 from galenaswitch.connections.requests import InboundLimits
 from galenaswitch.errors import TargetBrokenError, TargetUnreachableError
+from galenaswitch.gateway.dispatch import StreamDispatcher
 from galenaswitch.gateway.messages import ColdTime, TargetLimit, TurnQuery
 from galenaswitch.gateway.notices import TargetClosedError
 from galenaswitch.gateway.routes import ColdLimits, RouteTable, Service
@@ -137,3 +139,22 @@
     assert spread.rate == RATE * 10
     reply = await turns._answer_limits_query(Mock(), Mock())
     assert reply.limits == (spread,)
+
+
+# Guards against streams that a VM sends all at once to a cold engine when it
+# wakes up, with turns that it got one after another.
+@pytest.mark.parametrize(
+    ('target', 'age', 'is_sent'),
+    [(COLD, 1.0, False), (COLD, 0.1, True), (WARM, 9.0, True)],
+)
+async def test_turn_of_a_stream_is_used_while_it_is_new(
+    turns, target, age, is_sent
+):
+    turns.cold.observe_entry(COLD, 1, 3.0)
+    sender = MagicMock(turns=turns)
+    placement = Mock(placed_at=time.monotonic() - age)
+    run = Mock(target=target, placement=placement)
+    run.resources.enter_async_context = AsyncMock()
+    with nullcontext() if is_sent else pytest.raises(TargetClosedError):
+        await StreamDispatcher.send(Mock(_sender=sender), Mock(sent=0), run)
+    assert sender.send.called == is_sent
--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -110,18 +110,16 @@
             job, self._members.usable(service), self._sender.notices
         )
         now = time.monotonic()
+        usable = self._members.usable(service)
         query = make_placement_query(
             job,
             job.name_placement(),
             inputs,
             self.stages.zone,
             now,
-            self._sender.turns.find_limits(self._members.usable(service)),
+            self._sender.turns.find_limits(usable),
             self._sender.notices.find_closed(service),
-        )
-        usable = self._members.usable(service)
-        cold = self._sender.turns.find_cold_times(usable)
-        query = query._replace(cold=cold)
+        )._replace(cold=self._sender.turns.find_cold_times(usable))
         # The owner may still place a request whose query was cancelled.
         with contextlib.ExitStack() as unanswered:
             unanswered.callback(self._withdraw, query)
@@ -137,8 +135,14 @@
         # but placed once more.
         for target in self._members.targets(service):
             if target.name == reply.target and self._may_run(job, target):
-                record = PlacementRecord(query.ident, owner, target, now)
-                return self._open_run(job, record, inputs)
+                # An owner of an earlier build doesn't tell when it was.
+                placed_at = min(now + reply.waited, time.monotonic())
+                record = PlacementRecord(
+                    query.ident, owner, target, now, placed_at
+                )
+                run = EngineRun(record, inputs)
+                run.resources.push(partial(self._end_run, service, run))
+                return run
         if reply.target:
             # The owner knows another version of the target, or an old list, or
             # the request may not be sent to one more target.
@@ -175,6 +179,9 @@
         job.screening.start_send(job.run)
         run.screening = copy(job.screening)
         job.tried_targets.append(run.target)
+        placed_at = run.placement.placed_at
+        if self._sender.turns.cold.is_turn_over(run.target, placed_at):
+            raise TargetClosedError('the turn at a cold target has passed')
         head = self.wire.make_request(
             job.request,
             run.target,
@@ -264,13 +271,6 @@
             and job.may_send_to(target)
         )
 
-    def _open_run(
-        self, job: StreamJob, placement: PlacementRecord, inputs: StageInputs
-    ) -> EngineRun:
-        run = EngineRun(placement, inputs)
-        run.resources.push(partial(self._end_run, job.request.service, run))
-        return run
-
     def _end_run(
         self,
         service: str,
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -40,12 +40,14 @@
     :param owner: VM that answered the query.
     :param target: engine of the placement.
     :param requested_at: monotonic time of the query in seconds.
+    :param placed_at: earliest monotonic time of the placement.
     """
 
     ident: str
     owner: str
     target: Target
     requested_at: float
+    placed_at: float
 
 
 class StageInputs:
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -163,11 +163,13 @@
     :param target: name of the engine, empty when none is available.
     :param retry_after: seconds after which a placement is likely.
     :param reason: reason of a rejection, empty if no engine had capacity.
+    :param waited: seconds from the arrival of the query until the placement.
     """
 
     target: str
     retry_after: float = 0
     reason: str = ''
+    waited: float = float('inf')
 
 
 class PlaceEnd(NamedTuple):
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -203,7 +203,8 @@
             first=round(placement.first_event_seconds, 3),
             running=self._assignment.placements.count_in_progress(),
         )
-        self._answer(query.ident, PlaceReply(placement.target.name))
+        reply = PlaceReply(placement.target.name, waited=now - pending.asked_at)
+        self._answer(query.ident, reply)
 
     def _schedule_check(self, seconds: float) -> None:
         """Let the next check of all waiting requests follow in time."""
--- a/galenaswitch/gateway/selection.py
+++ b/galenaswitch/gateway/selection.py
@@ -19,9 +19,6 @@
 
 # Seconds after which a request that found no room may be retried.
 RETRY_AFTER_SECONDS = 0.5
-# Seconds after which a turn at a cold target is no longer used. A VM that was
-# frozen would send at once what was to go out one after another.
-TURN_SECONDS = 0.8
 
 
 class Answer(NamedTuple):
@@ -209,8 +206,7 @@
             detail = 'all targets are at their limits'
             raise job.refuse(Reason.capacity, detail, wait)
         await asyncio.sleep(wait)
-        is_late = time.monotonic() > now + wait + TURN_SECONDS
-        if is_late and self._sender.turns.cold.is_cold(target):
+        if self._sender.turns.cold.is_turn_over(target, now + wait):
             detail = 'the turn at a cold target has passed'
             raise job.refuse(Reason.capacity, detail, RETRY_AFTER_SECONDS)
         return target
--- a/galenaswitch/gateway/tests/test_placements.py
+++ b/galenaswitch/gateway/tests/test_placements.py
@@ -70,6 +70,15 @@
     assert (await waiting).target == 'e'
 
 
+# Guards against the wait in the queue that counts for the age of a turn.
+async def test_placement_tells_how_long_the_request_has_waited(scheduler):
+    assert (await scheduler.place(make_query('a'))).waited < 0.05
+    waiting = asyncio.create_task(scheduler.place(make_query('b')))
+    await asyncio.sleep(0.1)
+    scheduler.record_end(make_end('a'))
+    assert 0.1 <= (await waiting).waited < 0.2
+
+
 @pytest.mark.parametrize('first', ['urgent', 'other'])
 async def test_most_urgent_request_gets_the_next_placement(scheduler, first):
     await scheduler.place(make_query('a'))
--- a/galenaswitch/gateway/turns.py
+++ b/galenaswitch/gateway/turns.py
@@ -116,10 +116,11 @@
 
     def find_limits(self, targets: Sequence[Target]) -> tuple[TargetLimit, ...]:
         """Return the known limits of some targets, in their order."""
+        rates = self.rates
         return tuple(
-            self._make_limit(target.incarnation)
+            TargetLimit(target.incarnation, rates[target.incarnation])
             for target in targets
-            if target.incarnation in self.rates
+            if target.incarnation in rates
         )
 
     def find_cold_times(
@@ -174,10 +175,6 @@
             tuple(starmap(TargetLimit, self.pacer.named_rates.items()))
         )
 
-    def _make_limit(self, incarnation: str) -> TargetLimit:
-        rate = self.pacer.rates.get(incarnation, 0)
-        return TargetLimit(incarnation, rate)
-
     async def _receive_limit(self, link: Link, message: TargetLimit) -> None:
         self._apply(message, link)
 
