Cold targets: log an unreadable cold time of an entry

A cold-left-ms that is no number of milliseconds up to an hour counted as 0 without a word. It still does, but is logged once for each target. The new test fails without the change.

--- a/galenaswitch/gateway/state_sync.py
+++ b/galenaswitch/gateway/state_sync.py
@@ -92,7 +92,7 @@
     def read_configuration_order(self, document: Any) -> WriterOrder:
         """Return the operator's order of a configuration, empty if unknown."""
 
-    def read_cold_seconds(self, document: Any) -> float:
+    def read_cold_seconds(self, document: Any, name: str) -> float:
         """Return for how long the target of a valid entry stays cold."""
 
     def read_target_order(self, document: Any) -> WriterOrder:
@@ -356,7 +356,7 @@
                 self._unreadable.report(stored, str(error))
                 continue
             targets.append(target)
-            left = self._documents.read_cold_seconds(stored.body)
+            left = self._documents.read_cold_seconds(stored.body, target.name)
             self.on_entry(target, stored.version, left)
         services = self.route_table.current.engine_services
         self._directory.apply_targets(self.versions.admit(targets, services))
--- a/galenaswitch/platform/documents.py
+++ b/galenaswitch/platform/documents.py
@@ -18,6 +18,7 @@
 
 import ipaddress
 import re
+import reprlib
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -38,6 +39,7 @@
     order_routes,
 )
 from galenaswitch.membership.lists import LEAVING, LIVE, Target
+from galenaswitch.operations.logs import get_logger
 from galenaswitch.platform.fields import (
     Document,
     check_range,
@@ -62,6 +64,10 @@
 # Longest time for which a target is cold, and largest rate of a cold one.
 MAX_COLD_SECONDS = 3600.0
 MAX_COLD_RATE = 1_000_000.0
+# Targets that are remembered for a log line about their cold time, and most
+# characters of what is logged of it.
+MAX_REPORTED = 8192
+MAX_LOGGED_FIELD = 40
 # A name is sent as the value of a header.
 _NAME = re.compile(r'[!-~]{1,256}')
 Entry = TypeVar('Entry')
@@ -70,6 +76,10 @@
 class PlatformDocuments:
     """Decoder that the state sync uses for documents of the object store."""
 
+    def __init__(self) -> None:
+        """Build a decoder that has read no document."""
+        self._reported: dict[str, None] = {}
+
     def read_configuration(self, document: Any) -> RouteTable:
         """Decode and check a configuration document."""
         return read_configuration(document)
@@ -88,9 +98,25 @@
         except InvalidInputError:
             return ()
 
-    def read_cold_seconds(self, document: Any) -> float:
-        """Decode for how long the target of a valid entry stays cold."""
-        return _read_cold_seconds(document.get('cold-left-ms'))
+    def read_cold_seconds(self, document: Any, name: str = '') -> float:
+        """Decode for how long the target of a valid entry stays cold.
+
+        A target serves also without a readable time, which is logged once.
+
+        :param name: name of the target.
+        """
+        field = document.get('cold-left-ms')
+        seconds = _read_cold_seconds(field)
+        if seconds is None and name not in self._reported:
+            self._reported[name] = None
+            if len(self._reported) > MAX_REPORTED:
+                self._reported.pop(next(iter(self._reported)))
+            get_logger().warning(
+                'cold_time_unreadable',
+                target=name,
+                found=reprlib.repr(field)[:MAX_LOGGED_FIELD],
+            )
+        return seconds or 0
 
     def read_target_order(self, document: Any) -> WriterOrder:
         """Decode the order of a target's entries, empty when it can't be read.
@@ -150,15 +176,17 @@
     )
 
 
-def _read_cold_seconds(field: Any) -> float:
-    """Decode the time for which a target stays cold, 0 if it can't be read.
+def _read_cold_seconds(field: Any) -> float | None:
+    """Decode the time for which a target stays cold, 0 if it has none.
 
-    A target serves also without a readable time.
+    :returns: ``None`` if it can't be read.
     """
+    if field is None:
+        return 0
     is_number = isinstance(field, (int, float)) and not isinstance(field, bool)
     if is_number and 0 <= field <= MAX_COLD_SECONDS * MILLISECONDS:
         return float(field) / MILLISECONDS
-    return 0
+    return None
 
 
 def _read_address(document: Document) -> str:
--- a/galenaswitch/platform/tests/test_documents.py
+++ b/galenaswitch/platform/tests/test_documents.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 from galenaswitch.errors import InvalidInputError
 from galenaswitch.gateway.routes import CallKind
@@ -135,3 +136,16 @@
     entry['cold-left-ms'] = left
     assert read_target('i-1', entry).name == 'i-1'
     assert PlatformDocuments().read_cold_seconds(entry) == seconds
+
+
+# Guards against a cold time that counts as none without a word, and against a
+# log line for each heartbeat.
+def test_odd_cold_time_is_logged_once_for_each_target(entry):
+    documents = PlatformDocuments()
+    with capture_logs() as lines:
+        for left in ('x' * 999, [[]] * 99, None, 1500):
+            entry['cold-left-ms'] = left
+            for name in ('i-1', 'i-2'):
+                documents.read_cold_seconds(entry, name)
+    assert [line['target'] for line in lines] == ['i-1', 'i-2']
+    assert all(len(line['found']) <= 40 for line in lines)
