Memory account: count the bodies of batches and what waits in tunnels

Both were bounded by limits of their own only, so that together with what callers send a process could hold more than its account. They are now holdings that are never given up; bodies that arrive and unread responses make room for them.

--- a/galenaswitch/connections/memory.py
+++ b/galenaswitch/connections/memory.py
@@ -10,6 +10,7 @@
 import math
 import time
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from enum import Enum, auto
 
 from galenaswitch.operations.logs import get_logger
@@ -38,13 +39,15 @@
 
     A ``body`` is incomplete, a ``request`` is complete and waits or runs, a
     ``response`` comes from a target, and bytes that are ``unsent`` were
-    written to a caller who doesn't read them.
+    written to a caller who doesn't read them. What is ``internal``, the bodies
+    of batches and the buffers of tunnels, is never given up.
     """
 
     body = auto()
     request = auto()
     response = auto()
     unsent = auto()
+    internal = auto()
 
 
 _GIVEN_UP_BY_SIZE = frozenset((HeldKind.response, HeldKind.unsent))
@@ -144,6 +147,16 @@
         self._holdings.add(holding)
         return holding
 
+    @contextmanager
+    def hold(self, size: int) -> Iterator[None]:
+        """Account for internal bytes until the end of a block."""
+        holding = self.open(None, HeldKind.internal)
+        holding.resize(size)
+        try:
+            yield
+        finally:
+            holding.close()
+
     def has_room(self, size: int, max_body_bytes: int) -> bool:
         """Tell whether a request may be kept until it has ended.
 
--- a/galenaswitch/gateway/batcher.py
+++ b/galenaswitch/gateway/batcher.py
@@ -307,7 +307,7 @@
         head, body = self._wire.make_batch(work_items, left, batch.target)
         ends_at = find_end(batch, now)
         async with self._sender.send(
-            batch.target, head, body, MAX_IDLE_SECONDS
+            batch.target, head, body, MAX_IDLE_SECONDS, is_own=True
         ) as attempt:
             answer = await attempt.read_head(ends_at - time.monotonic())
             content = await attempt.read_complete(ends_at - time.monotonic())
--- a/galenaswitch/gateway/result_memory.py
+++ b/galenaswitch/gateway/result_memory.py
@@ -68,10 +68,8 @@
     def query(self, target: Target, limits: BatchLimits) -> None:
         """Query a target, unless its last query was too recent."""
         now = time.monotonic()
-        if (
-            now - self._queried_at.get(target.incarnation, 0)
-            < MIN_QUERY_INTERVAL_SECONDS
-        ):
+        queried_at = self._queried_at.get(target.incarnation, 0)
+        if now - queried_at < MIN_QUERY_INTERVAL_SECONDS:
             return
         self._queried_at[target.incarnation] = now
         self._unsent.discard(target.incarnation)
--- a/galenaswitch/gateway/sending.py
+++ b/galenaswitch/gateway/sending.py
@@ -144,6 +144,7 @@
         ident: str = '',
         names_limit: bool = True,
         seat: str = '',
+        is_own: bool = False,
     ) -> AsyncIterator[Attempt]:
         """Send a request and yield its attempt.
 
@@ -155,6 +156,7 @@
         :param names_limit: whether an answer without a limit means that the
             target has none. Only answers to work do.
         :param seat: id of the seat of the request, empty for a new one.
+        :param is_own: whether no request of a caller holds the body.
         :raises TargetUnreachableError: when no byte was sent.
         :raises TargetClosedError: when the target takes no requests now.
         """
@@ -164,6 +166,8 @@
             if names_limit:
                 held.enter_context(self.turns.seats.hold(target, seat))
             held.push(partial(self._suspect_cold, target))
+            if is_own:
+                held.enter_context(self._pool.memory.hold(len(body)))
             async with self._open(
                 target, head, body, max_idle_seconds, ident, names_limit
             ) as attempt:
--- a/galenaswitch/paths/exits.py
+++ b/galenaswitch/paths/exits.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from galenaswitch.connections.dialing import DirectDialer
+from galenaswitch.connections.memory import MemoryAccount
 from galenaswitch.connections.sockets import (
     enable_dead_peer_detection,
     has_unread_bytes,
@@ -17,6 +19,7 @@
 from galenaswitch.operations.logs import get_logger
 from galenaswitch.operations.metrics import Metrics
 from galenaswitch.operations.timeouts import Timeout
+from galenaswitch.paths.buffers import CountedBuffer
 from galenaswitch.paths.frames import CLOSED_FRAME, encode_chunk
 from galenaswitch.paths.messages import (
     UNAVAILABLE,
@@ -37,7 +40,10 @@
 
 
 class Exits:
-    """Tunnels that this VM serves as an exit."""
+    """Tunnels that this VM serves as an exit.
+
+    :ivar memory: accounts for the bytes that wait in the tunnels.
+    """
 
     def __init__(
         self,
@@ -54,6 +60,7 @@
         self._dialer = dialer
         self._is_target = is_target
         self._metrics = metrics
+        self.memory = MemoryAccount()
         self._tunnels: set[_TunnelEnd] = set()
         self.find_pauses: Callable[[str], tuple[PauseNote, ...]] = (
             lambda address: ()
@@ -87,7 +94,9 @@
             return TunnelReply(UNAVAILABLE)
         try:
             async with Timeout(EXIT_CONNECT_SECONDS):
-                target = await self._dialer.open(query.address, _TargetEnd)
+                target = await self._dialer.open(
+                    query.address, partial(_TargetEnd, self.memory)
+                )
         except (OSError, TimeoutError, ValueError):
             return TunnelReply(UNREACHABLE)
         await self._join(link, target, query.address)
@@ -96,7 +105,7 @@
     async def _join(
         self, link: Link, target: '_TargetEnd', address: str
     ) -> None:
-        tunnel = _TunnelEnd(link, address, target, self._tunnels)
+        tunnel = _TunnelEnd(link, address, target, self._tunnels, self.memory)
         try:
             link.send(TunnelReply(pauses=self.find_pauses(address)))
         except PeerClosedError:
@@ -111,13 +120,15 @@
 class _TargetEnd(asyncio.Protocol):
     """Connection of an exit to a target."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory: MemoryAccount) -> None:
+        self._unsent = CountedBuffer(memory)
         self._transport: Any = None
         self._tunnel: Any = None
 
     def connection_made(self, transport: Any) -> None:
         """Wait with reading until the tunnel is joined."""
         self._transport = transport
+        self._unsent.attach(transport)
         enable_dead_peer_detection(transport)
         transport.pause_reading()
 
@@ -147,22 +158,26 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Break off the tunnel behind the bytes that have arrived."""
+        self._unsent.close()
         if self._tunnel:
             self._tunnel.close()
 
     def pause_writing(self) -> None:
         """Stop reading from the VM, as the target doesn't read."""
+        self._unsent.open()
         if self._tunnel:
             self._tunnel.pause_reading()
 
     def resume_writing(self) -> None:
         """Read from the VM again."""
+        self._unsent.close()
         if self._tunnel:
             self._tunnel.resume_reading()
 
     def write(self, chunk: bytes) -> None:
         """Send bytes to the target."""
         self._transport.write(chunk)
+        self._unsent.count()
 
     def pause_reading(self) -> None:
         """Stop reading from the target."""
@@ -195,12 +210,14 @@
         address: str,
         target: _TargetEnd,
         tunnels: 'set[_TunnelEnd]',
+        memory: MemoryAccount,
     ) -> None:
         # A link that nobody refers to closes its connection.
         self._link = link
         self.address = address
         self._target = target
         self._tunnels = tunnels
+        self._unsent = CountedBuffer(memory)
         self._transport: Any = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -218,6 +235,7 @@
     def connection_made(self, transport: Any) -> None:
         """Begin to pass on what the target sends."""
         self._transport = transport
+        self._unsent.attach(transport)
         enable_dead_peer_detection(transport)
         self._target.join(self)
 
@@ -238,6 +256,7 @@
         reached may have given it up.
         """
         self._stop_checks()
+        self._unsent.close()
         self._tunnels.discard(self)
         if error:
             self._target.reset()
@@ -246,15 +265,18 @@
 
     def pause_writing(self) -> None:
         """Stop reading from the target, as the VM doesn't read."""
+        self._unsent.open()
         self._target.pause_reading()
 
     def resume_writing(self) -> None:
         """Read from the target again."""
+        self._unsent.close()
         self._target.resume_reading()
 
     def write(self, frame: bytes) -> None:
         """Send a frame to the VM."""
         self._transport.write(frame)
+        self._unsent.count()
 
     def pause_reading(self) -> None:
         """Stop reading from the VM, but notice that it ends the tunnel."""
--- a/galenaswitch/programs/vm.py
+++ b/galenaswitch/programs/vm.py
@@ -109,9 +109,9 @@
             self.metrics,
             DirectDialer(settings.address),
         )
-        memory = MemoryAccount(
-            find_limit(settings.memory_bytes), self.metrics.count
-        )
+        limit_bytes = find_limit(settings.memory_bytes)
+        memory = MemoryAccount(limit_bytes, self.metrics.count)
+        self.paths.exits.memory = memory
         self.pool = ConnectionPool(self.paths.dialer, memory)
         store = PlatformStore(self.pool, settings.store, self.metrics)
         self.state_sync = StateSync(
