--- a/galenaswitch/admission/policy.py
+++ b/galenaswitch/admission/policy.py
@@ -13,6 +13,11 @@
 # average. A request is rejected only if even these aren't enough: a rejection
 # of what could be served costs more than a late answer.
 OPTIMISM = 2.0
+# Share of the measured duration for which a request may wait whatever its whole
+# time is, but no longer than that time. The duration includes two deviations,
+# so most answers leave more. Half would let work of 2 s with a deadline of 3 s
+# begin too late.
+MIN_WAIT_SHARE = 0.25
 
 
 class Demand(NamedTuple):
@@ -37,7 +42,7 @@
     :param late_ahead: the same, if it ranks with the late ones.
     :param rate: requests that end per second, ``None`` if not measured.
     :param offered_rate: requests that arrive per second, whatever becomes of
-        them.
+        them, without the burst in which the queue began.
     :param free_rate: the part of it that more urgent requests leave.
     :param late_free_rate: the part that all timely requests leave.
     :param first_seconds: time from a placement to the first event.
@@ -107,9 +112,12 @@
         latest = _deduct(demand.start_in, conditions.first_seconds)
         if conditions.offered_rate <= rate:
             wait = _find_wait(conditions.ahead, rate)
+            # The first one of the queue may be on time if luck has it.
+            is_late = wait > latest and conditions.ahead > 0
+            ahead = conditions.late_ahead if is_late else conditions.ahead
             return Verdict(
-                _can_end(conditions.ahead, rate, longest),
-                wait > latest,
+                _can_end(ahead, rate, longest),
+                is_late,
                 wait,
                 max(0.0, wait - longest),
             )
@@ -137,14 +145,16 @@
     """Return the seconds after which a start is useless.
 
     The first event has to come before the caller leaves, the end of the answer
-    before the deadline. A duration that exceeds the whole time of the request
-    says that the measured answers were longer than this one can be, so it is
-    left out.
+    before the deadline. A duration near the whole time of the request, or above
+    it, says little: the measured answers were longer than this one can be. So
+    it leaves a part of that time, which never shrinks as the time grows.
     """
     longest = _deduct(demand.left, conditions.first_seconds)
-    if demand.total > conditions.run_seconds:
-        longest = min(longest, demand.complete_in - conditions.run_seconds)
-    return longest
+    if not demand.total:
+        return longest
+    least = min(demand.total, conditions.run_seconds * MIN_WAIT_SHARE)
+    waitable = max(demand.total - conditions.run_seconds, least)
+    return min(longest, demand.complete_in - demand.total + waitable)
 
 
 def _deduct(seconds: float, first_seconds: float) -> float:
