Tests: lock the loopback network of each soak

Test files that xdist runs side by side, two runs on one machine and cases of the review could start processes on the same addresses, which failed with 'Address already in use'. Each soak now locks a file per network in the temporary folder and takes the next number if the first is locked. Processes inherit the lock, and a soak waits for their end before it frees the network.

Tests with addresses of their own read the number that was taken; no expectation changed.

--- a/galenaswitch/platform/soak/machines.py
+++ b/galenaswitch/platform/soak/machines.py
@@ -50,6 +50,7 @@
     :ivar retry_slack: retries that they allow in addition.
     :ivar memory_mb: most memory of the process in the settings, in MB.
     :ivar max_descriptors: most open descriptors in the settings.
+    :ivar inherited: descriptors that the process inherits.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         self.retry_slack = 50
         self.memory_mb = 300
         self.max_descriptors = 4096
+        self.inherited: tuple[int, ...] = ()
 
     @property
     def callers(self) -> str:
@@ -130,6 +132,7 @@
                     env=environment,
                     stdout=log,
                     stderr=log,
+                    pass_fds=self.inherited,
                 )
                 self.start_count += 1
                 code = await self._process.wait()
@@ -172,6 +175,11 @@
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
 
+    async def wait_ended(self) -> None:
+        """Wait until a process that was killed has ended."""
+        if self._process:
+            await self._process.wait()
+
     def _write_settings(self) -> None:
         text = SETTINGS.format(
             zone=self.zone,
--- a/galenaswitch/platform/soak/soak.py
+++ b/galenaswitch/platform/soak/soak.py
@@ -23,6 +23,7 @@
     draw_faults,
 )
 from galenaswitch.platform.soak.machines import Machine
+from galenaswitch.platform.soak.networks import Network
 from galenaswitch.platform.soak.promises import check_all
 from galenaswitch.platform.soak.records import Records, open_records
 from galenaswitch.platform.soak.runners import (
@@ -48,8 +49,8 @@
     """Parameters of a soak.
 
     :param seed: seed from which faults and requests are drawn.
-    :param network: second number of the loopback addresses, which keeps
-        concurrent soaks apart.
+    :param network: second number of the loopback addresses that is tried
+        first. The soak takes the next one that no other soak uses.
     :param machines: number of machines under test.
     :param callers: number of callers that send requests during the soak.
     :param seconds: span in which all faults start and end.
@@ -96,8 +97,11 @@
     def __init__(self, plan: Plan, folder: Path) -> None:
         """Build the machines and fakes of a plan; none of them runs yet.
 
+        The network of the soak is taken until it is closed.
+
         :param folder: folder of the machines' settings files and logs.
         """
+        self.network = Network(plan.network)
         self.records = open_records()
         self._plan = plan
         self._started_at = time.monotonic()
@@ -117,7 +121,7 @@
             for number, service in enumerate(plan.services)
         ]
         addresses = [
-            f'127.{plan.network}.{1 + number % len(ZONES)}.{1 + number}'
+            self.network.make_address(1 + number % len(ZONES), 1 + number)
             for number in range(plan.machines)
         ]
         seeds = ','.join(f'{address}:8003' for address in addresses[:3])
@@ -133,6 +137,8 @@
             )
             for number, address in enumerate(addresses)
         ]
+        for machine in self._machines:
+            machine.inherited = (self.network.descriptor,)
         self._balancer = Balancer(
             [machine.readiness for machine in self._machines]
         )
@@ -151,7 +157,7 @@
         """
         for machine in self._machines:
             machine.check_address()
-        host = f'127.{self._plan.network}.9.1'
+        host = self.network.make_address(9, 1)
         server = web.AppRunner(self._store.make_application())
         self._servers.append(server)
         await server.setup()
@@ -208,18 +214,20 @@
         return recovered_at
 
     async def close(self) -> None:
-        """Stop the tasks, machines, proxies and servers of the soak."""
+        """Stop the tasks, machines, proxies and servers, free the network."""
         for task in self._tasks:
             task.cancel()
         for machine in self._machines:
             machine.kill()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for machine in self._machines:
+            await machine.wait_ended()
             await machine.store.stop()
         for target in self._targets:
             await target.proxy.stop()
         for server in self._servers:
             await server.cleanup()
+        self.network.release()
 
     async def _expire_targets(self) -> None:
         """Remove entries of targets that are gone, as the platform does."""
--- a/galenaswitch/platform/tests/driver.py
+++ b/galenaswitch/platform/tests/driver.py
@@ -1,6 +1,7 @@
 """Fixture with the processes of a soak, to which a test sends requests."""
 
 import asyncio
+import contextlib
 import random
 import secrets
 from typing import NamedTuple
@@ -10,6 +11,7 @@
 from yarl import URL
 
 from galenaswitch.platform.soak.callers import API_KEY, HOST, Caller
+from galenaswitch.platform.soak.networks import Network
 from galenaswitch.platform.soak.soak import Plan, Soak
 
 # Callers that a test starts.
@@ -74,13 +76,30 @@
         return Sent(ident, sent_at, status, self.soak._now() - sent_at)
 
 
+@pytest.fixture
+def take_network():
+    """Return a function that takes a network until the end of the test.
+
+    The number that it gets is the first one tried.
+    """
+    with contextlib.ExitStack() as taken:
+
+        def take(first):
+            network = Network(first)
+            taken.callback(network.release)
+            return network
+
+        yield take
+
+
 @pytest.fixture
 async def open_driver(tmp_path):
     """Return a function that starts the processes of a soak and a driver.
 
-    With ``version``, all targets are of one software version at first. Other
-    parameters are those of the plan. With ``retries=False``, the settings of
-    the machines allow no retries.
+    The number of its network is the first one tried. With ``version``, all
+    targets are of one software version at first. Other parameters are those of
+    the plan. With ``retries=False``, the settings of the machines allow no
+    retries.
     """
     opened = []
 
--- a/galenaswitch/platform/tests/test_partitions.py
+++ b/galenaswitch/platform/tests/test_partitions.py
@@ -14,7 +14,7 @@
     open_records,
 )
 
-CUT_OFF, OTHER = '127.139.1.1', '127.139.1.2'
+NETWORK = 139
 TIMEOUT_SECONDS = 0.3
 PARTITION = InjectedFault('partition hang', 0, 10.0, 20.0)
 
@@ -38,12 +38,25 @@
 
 
 @pytest.fixture
-async def proxy():
+def network(take_network):
+    """Return the network of the addresses of servers and clients."""
+    return take_network(NETWORK)
+
+
+@pytest.fixture
+def clients(network):
+    """Return the addresses of a client that is cut off and of another one."""
+    return network.make_address(1, 1), network.make_address(1, 2)
+
+
+@pytest.fixture
+async def proxy(network):
     """Return a proxy of a server that sends back what it receives."""
-    server = await asyncio.start_server(echo, '127.139.9.1', 0)
+    host = network.make_address(9, 1)
+    server = await asyncio.start_server(echo, host, 0)
     address = server.sockets[0].getsockname()
     proxy = Proxy(lambda: address)
-    await proxy.start('127.139.9.1')
+    await proxy.start(host)
     yield proxy
     await proxy.stop()
     server.close()
@@ -79,32 +92,36 @@
     ],
 )
 async def test_partition_hits_connections_of_one_client(
-    proxy, connect, mode, old_answered, new_error
+    proxy, connect, clients, mode, old_answered, new_error
 ):
-    old = await connect(CUT_OFF)
-    other = await connect(OTHER)
+    cut_off, other_client = clients
+    old = await connect(cut_off)
+    other = await connect(other_client)
     assert await is_answered(old)
     assert await is_answered(other)
-    proxy.cut_off(CUT_OFF, mode)
+    proxy.cut_off(cut_off, mode)
     assert await is_answered(old) == old_answered
     if new_error:
         with pytest.raises(TimeoutError):
-            await connect(CUT_OFF)
+            await connect(cut_off)
     else:
-        assert not await is_answered(await connect(CUT_OFF))
+        assert not await is_answered(await connect(cut_off))
     assert await is_answered(other)
-    assert await is_answered(await connect(OTHER))
-    proxy.reconnect(CUT_OFF)
-    assert await is_answered(await connect(CUT_OFF))
+    assert await is_answered(await connect(other_client))
+    proxy.reconnect(cut_off)
+    assert await is_answered(await connect(cut_off))
 
 
 # Guards against a target that a partitioned client reaches after its restart.
-async def test_partition_lasts_while_a_proxy_starts_again(proxy, connect):
-    proxy.cut_off(CUT_OFF, 'hang')
+async def test_partition_lasts_while_a_proxy_starts_again(
+    proxy, connect, clients
+):
+    cut_off, other_client = clients
+    proxy.cut_off(cut_off, 'hang')
     await proxy.go_down(0.05)
     with pytest.raises(TimeoutError):
-        await connect(CUT_OFF)
-    assert await is_answered(await connect(OTHER))
+        await connect(cut_off)
+    assert await is_answered(await connect(other_client))
 
 
 @pytest.mark.parametrize('mode', PARTITION_MODES)
--- a/galenaswitch/platform/tests/test_soak.py
+++ b/galenaswitch/platform/tests/test_soak.py
@@ -243,7 +243,7 @@
 async def test_soak_does_not_start_on_addresses_in_use(tmp_path):
     soak = Soak(Plan(1, network=77), tmp_path)
     with (
-        socket.create_server(('127.77.1.1', 8002)),
+        socket.create_server((soak.network.make_address(1, 1), 8002)),
         pytest.raises(OSError, match='in use'),
     ):
         await soak.open()
--- a/galenaswitch/platform/tests/test_untrusted_callers.py
+++ b/galenaswitch/platform/tests/test_untrusted_callers.py
@@ -166,18 +166,20 @@
 
 
 @pytest.fixture
-async def start_machine(tmp_path):
+async def start_machine(take_network, tmp_path):
     """Return a function that starts a process, its store and a target."""
     started_at = time.monotonic()
     records, store = open_records(), FakeStore()
     tasks, servers, callers = [], [], []
-    ip = f'127.{NETWORK}.1.1'
+    network = take_network(NETWORK)
+    ip, host = network.make_address(1, 1), network.make_address(9, 1)
 
     def now():
         return time.monotonic() - started_at
 
     target = FakeTarget(0, 'desk', 'north', records, {}, now)
     machine = Machine(0, 'north', ip, f'{ip}:8003', tmp_path, records, now)
+    machine.inherited = (network.descriptor,)
 
     async def start(descriptors, max_body_bytes=MAX_BODY_BYTES):
         machine.memory_mb = MEMORY_MB
@@ -189,8 +191,8 @@
         server = web.AppRunner(store.make_application())
         servers.append(server)
         await server.setup()
-        await web.TCPSite(server, f'127.{NETWORK}.9.1', 0).start()
-        servers.append(await target.start(f'127.{NETWORK}.9.1'))
+        await web.TCPSite(server, host, 0).start()
+        servers.append(await target.start(host))
         await machine.start_store_proxy(server.addresses[0])
         balancer = Balancer([machine.readiness])
         for work in (target.register(store), machine.run(), balancer.watch()):
@@ -209,6 +211,7 @@
         task.cancel()
     machine.kill()
     await asyncio.gather(*tasks, return_exceptions=True)
+    await machine.wait_ended()
     await machine.store.stop()
     await target.proxy.stop()
     for server in servers:
