Tests: count calls of the store by kind while nobody follows it

test_kind_is_not_followed_while_nobody_follows_the_store allowed 18 calls in 2 s, three probes of each of six VMs, but the count included the listings of the two followers, 8 in 2 s. The probes come after pauses of 0.5 to 1.5 s: six measurements gave 10 to 13 probes, so 18 to 21 calls in all.

The fake store counts calls by kind. The bound of 18 is for the probes, those of the followers' kind are bounded by their pauses, and no call at all may be for the kind that nobody may follow.

--- a/galenaswitch/following/tests/test_feeds.py
+++ b/galenaswitch/following/tests/test_feeds.py
@@ -5,6 +5,7 @@
 import pytest
 
 from galenaswitch.following.duty import rank_followers
+from galenaswitch.following.probe import PROBE_KIND
 from galenaswitch.following.tests.conftest import (
     KIND,
     MAX_UNFED_SECONDS,
@@ -81,10 +82,15 @@
     )
     mixed.store.mode = 'busy'
     await asyncio.sleep(BOUND_SECONDS)
-    mixed.store.call_count = 0
+    mixed.store.calls_by_kind.clear()
     await asyncio.sleep(2)
+    calls = mixed.store.calls_by_kind
+    assert not calls[NEW_KIND]
     # Six VMs may probe once a second.
-    assert mixed.store.call_count <= 6 * 3
+    assert calls[PROBE_KIND] <= 6 * 3
+    # The two followers list their kind again after pauses of half a second.
+    assert calls[KIND] <= 2 * 5
+    assert set(calls) <= {PROBE_KIND, KIND}
     mixed.store.put(NEW_KIND, 'north', {})
     mixed.store.put(KIND, 'b', {})
     mixed.store.mode = 'well'
--- a/galenaswitch/platform/soak/store.py
+++ b/galenaswitch/platform/soak/store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -41,6 +41,7 @@
     :ivar revision: revision of the last change.
     :ivar era: number that rises with each restore, and is in all answers.
     :ivar call_count: number of calls received.
+    :ivar calls_by_kind: number of calls received for each kind of object.
     """
 
     def __init__(self) -> None:
@@ -49,6 +50,7 @@
         self.revision = 1
         self.era = 1
         self.call_count = 0
+        self.calls_by_kind: Counter[str] = Counter()
         self._objects: dict[tuple[str, str], Document] = {}
         self._history: deque[tuple[int, str, Document, bool]] = deque()
         self._compacted_revision = 0
@@ -114,6 +116,7 @@
         handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
     ) -> web.StreamResponse:
         self.call_count += 1
+        self.calls_by_kind[request.match_info.get('kind', '')] += 1
         answer = await handler(request)
         answer.headers[ERA_HEADER] = str(self.era)
         return answer
