Tests: take streams up only when their VMs have ended

test_no_stream_is_joined_at_a_machine_out_of_step took a stream as broken off 0.2 s after SIGKILL. Beside 8 busy processes on 7 cores the killed VMs were still alive after 0.28 s, and no caller had seen an end, so 0 streams were found (1 of 4 runs; in the others VMs ended within 0.02 to 0.09 s). The three running streams were 0.16 to 0.47 s old; that their first event was missing isn't shown.

The test now waits until each of these streams has ended at its caller. It picks those whose caller has an event of the new version and lacks four or more, where it guessed by the age of the run at the engine before. For this, records of a soak hold the bytes that callers are receiving.

--- a/galenaswitch/platform/soak/callers.py
+++ b/galenaswitch/platform/soak/callers.py
@@ -219,7 +219,13 @@
         url = URL(
             f'http://{self._addresses[machine]}{stream.path}', encoded=True
         )
-        answer = await _exchange(session, url, _make_headers(stream, ident))
+        content = bytearray()
+        self._records.received[ident] = content
+        headers = _make_headers(stream, ident)
+        try:
+            answer = await _exchange(session, url, headers, content)
+        finally:
+            self._records.received.pop(ident)
         sent = SentRequest(
             ident,
             stream.kind,
@@ -281,11 +287,14 @@
     session: aiohttp.ClientSession,
     url: URL,
     headers: dict[str, str],
+    content: bytearray,
 ) -> Answer:
-    """Send a request and read its answer until it ends or fails."""
+    """Send a request and read its answer until it ends or fails.
+
+    :param content: gets the bytes of the answer as they are received.
+    """
     timeout = aiohttp.ClientTimeout(total=DEADLINE_SECONDS + 2)
     body = f'body-{headers["X-Attempt-Id"]}'
-    content = bytearray()
     status, from_target, leaving = 0, False, ''
     try:
         async with session.post(
--- a/galenaswitch/platform/soak/records.py
+++ b/galenaswitch/platform/soak/records.py
@@ -160,6 +160,8 @@
         to, by attempt id.
     :param spans: times for which fake targets worked, in the order of their
         ends.
+    :param received: bytes of the answers that callers are receiving, by
+        attempt id.
     """
 
     paths_by_ident: dict[str, str]
@@ -171,8 +173,9 @@
     arrivals: list[Arrival]
     machines_by_ident: dict[str, int]
     spans: list[RunSpan]
+    received: dict[str, bytearray]
 
 
 def open_records() -> Records:
     """Return empty records of a new soak."""
-    return Records({}, [], [], [], [], [], [], {}, [])
+    return Records({}, [], [], [], [], [], [], {}, [], {})
--- a/galenaswitch/platform/tests/test_out_of_step.py
+++ b/galenaswitch/platform/tests/test_out_of_step.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 import signal
 
 import aiohttp
@@ -17,9 +18,11 @@
 CUT_SECONDS = 0.5
 # Time in which a VM that stands still gets take-ups, which wait for it.
 QUEUE_SECONDS = 0.2
-# Time after which a stream that an engine runs has brought its first event.
-BEGIN_SECONDS = 0.15
 MIN_TAKE_UPS = 3
+# Events, at 33 a second, that streams lack when the VMs are killed. A stream
+# with fewer may have ended before its VM has.
+MIN_EVENTS_LEFT = 4
+POLL_SECONDS = 0.02
 
 
 class Subject:
@@ -36,6 +39,7 @@
         self.engines = [one for one in soak._targets if one.service == 'llm']
         self.stands_still = stands_still
         self.store_mode = store_mode
+        self.running = set()
 
     def step_out(self):
         """Cut the VM off, or let it stand still, while a version joins.
@@ -55,31 +59,32 @@
             engine.proxy.cut()
 
     async def wait_streams(self):
-        """Wait until several streams of the new version have begun to run.
+        """Wait until callers have events of several new streams.
 
         Those of the VM itself don't count, since they won't break off.
         """
         records = self.soak.records
-        running = []
-        while len(running) < MIN_TAKE_UPS:
-            await asyncio.sleep(0.02)
-            names = {engine.name for engine in self.engines[1:]}
-            latest = self.soak._now() - BEGIN_SECONDS
-            ended = {sent.ident for sent in records.sent}
-            running = [
-                run
-                for run in records.ran
-                if run.target in names
-                and run.ident not in ended
-                and run.started_at < latest
-                and records.machines_by_ident.get(run.ident)
-            ]
-
-    def break_streams(self):
-        """Kill all other VMs, and let the old engine be reached again."""
+        while len(self.running) < MIN_TAKE_UPS:
+            await asyncio.sleep(POLL_SECONDS)
+            self.running = {
+                ident
+                for ident, content in records.received.items()
+                if records.machines_by_ident[ident]
+                and b'.v2\n' in content
+                and self._count_left(ident) >= MIN_EVENTS_LEFT
+            }
+
+    async def break_streams(self):
+        """Kill all other VMs, and let the old engine be reached again.
+
+        A process that is killed lives on until it gets processor time, so the
+        streams break off some time later.
+        """
         for machine in self.soak._machines[1:]:
             machine.kill()
         self.engines[0].proxy.change_mode('well')
+        while self.running.intersection(self.soak.records.received):
+            await asyncio.sleep(POLL_SECONDS)
 
     async def step_in(self):
         """Let the VM go on, and some time later also with the store."""
@@ -102,6 +107,13 @@
             if sent.status == OK and not sent.complete and '.v2\n' in sent.body
         ]
 
+    def _count_left(self, ident):
+        """Return the number of events that a stream lacks."""
+        records = self.soak.records
+        path = records.paths_by_ident[ident].partition('?')[0]
+        numbers = re.findall(rb'id: (\d+)\n', records.received[ident])
+        return int(path.rpartition('/')[2]) - int(numbers[-1])
+
     async def take_up(self, stream):
         """Take a stream up at the VM, and record the attempt."""
         caller = Caller(
@@ -137,8 +149,7 @@
     subject.step_out()
     await asyncio.sleep(JOIN_SECONDS)
     await subject.wait_streams()
-    subject.break_streams()
-    await asyncio.sleep(QUEUE_SECONDS)
+    await subject.break_streams()
     streams = subject.find_broken()
     assert len(streams) >= MIN_TAKE_UPS
     taken_up = [asyncio.create_task(subject.take_up(one)) for one in streams]
