--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -140,8 +140,14 @@
         # but placed once more.
         for target in self._members.targets(service):
             if target.name == reply.target and self._may_run(job, target):
-                record = PlacementRecord(query.ident, owner, target, now)
-                return self._open_run(job, record, inputs)
+                # An owner of an earlier build doesn't tell when it was.
+                placed_at = min(now + reply.waited, time.monotonic())
+                record = PlacementRecord(
+                    query.ident, owner, target, now, placed_at
+                )
+                run = EngineRun(record, inputs)
+                run.resources.push(partial(self._end_run, service, run))
+                return run
         if reply.target:
             # The owner knows another version of the target, or an old list, or
             # the request may not be sent to one more target.
@@ -178,6 +184,9 @@
         job.screening.start_send(job.run)
         run.screening = copy(job.screening)
         job.tried_targets.append(run.target)
+        placed_at = run.placement.placed_at
+        if self._sender.turns.cold.is_turn_over(run.target, placed_at):
+            raise TargetClosedError('the turn at a cold target has passed')
         head = self.wire.make_request(
             job.request,
             run.target,
@@ -267,13 +276,6 @@
             and job.may_send_to(target)
         )
 
-    def _open_run(
-        self, job: StreamJob, placement: PlacementRecord, inputs: StageInputs
-    ) -> EngineRun:
-        run = EngineRun(placement, inputs)
-        run.resources.push(partial(self._end_run, job.request.service, run))
-        return run
-
     def _end_run(
         self,
         service: str,
