Seats: ask all VMs before a VM owns a brittle service again

Two came as the ownership moved to a VM that had started 0.25 s before, because no VM was up for 6 s, and back 0.4 s later, and to it once more 3 s later. The VM that was the owner again trusted its collection from before, which lacks the seats that the other one gave meanwhile, and filled all targets at once with requests that waited there.

A VM that becomes the owner now gives no seat before all VMs were asked after that. Replies to the question also tell the seats that a VM has just given to others, in a new last field. Log line and counter: seats_outdated.

The new tests of gateway/tests/test_seats.py fail without the change.

--- a/galenaswitch/gateway/seat_messages.py
+++ b/galenaswitch/gateway/seat_messages.py
@@ -77,6 +77,10 @@
 
 
 class SeatsReply(NamedTuple):
-    """Reply with all seats that a VM has taken at targets of a service."""
+    """Reply with all seats that a VM has taken at targets of a service.
+
+    :param given: seats that it has given to others a short time ago.
+    """
 
     held: tuple[HeldSeat, ...]
+    given: tuple[HeldSeat, ...] = ()
--- a/galenaswitch/gateway/seat_owner.py
+++ b/galenaswitch/gateway/seat_owner.py
@@ -8,8 +8,8 @@
 import asyncio
 import bisect
 import itertools
-import math
 import time
+from collections import defaultdict
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -20,23 +20,16 @@
     SeatReply,
     SeatsQuery,
 )
+from galenaswitch.limits.seat_knowledge import SeatKnowledge
 from galenaswitch.limits.seats import HeldSeat, Seat, SeatLedger
 from galenaswitch.membership.lists import Machine, Members, Target
 from galenaswitch.membership.mesh import Mesh
 from galenaswitch.operations.logs import get_logger
+from galenaswitch.operations.metrics import Metrics
 from galenaswitch.operations.process import TaskGroup
 
 # Seconds after which a VM that doesn't tell its seats counts as lost.
 COLLECT_TIMEOUT_SECONDS = 0.4
-# Seconds between two collections of the seats of all VMs, and age from which
-# the last one is too old to give out seats.
-COLLECT_INTERVAL_SECONDS = 2.0
-# The same after one in which a VM didn't answer, and age from which the last
-# answer of a VM is too old to give out its share. A single answer that is lost
-# or late doesn't cost a share; a VM that is cut off costs it after two.
-REPEAT_SECONDS = 0.5
-MAX_ANSWER_AGE_SECONDS = 3.0
-MAX_COLLECTION_AGE_SECONDS = 6.0
 # Seconds between two looks for seats that became free without a message.
 POLL_SECONDS = 0.1
 
@@ -60,6 +53,7 @@
         owner_router: OwnerRouter,
         tasks: TaskGroup,
         ledger: SeatLedger,
+        metrics: Metrics,
     ) -> None:
         """Build an owner that knows the seats in ``ledger``."""
         self._members = members
@@ -67,12 +61,13 @@
         self._owner_router = owner_router
         self._tasks = tasks
         self._ledger = ledger
+        self._metrics = metrics
         self._numbers = itertools.count()
         self._waiting: dict[str, list[Waiting]] = {}
         self._collections: dict[str, asyncio.Task[None]] = {}
-        self._collected_at: dict[str, float] = {}
-        self._told: dict[str, dict[str, float]] = {}
-        self._incomplete: set[str] = set()
+        self._knowledge: defaultdict[str, SeatKnowledge] = defaultdict(
+            SeatKnowledge
+        )
 
     async def give(self, query: SeatQuery) -> SeatReply:
         """Give a seat, or wait for one as long as that is useful.
@@ -118,10 +113,14 @@
 
     def select(self, targets: Sequence[Target]) -> tuple[Target, ...]:
         """Return the targets of one service that have a free seat."""
-        if not targets or not self._is_collected(targets[0].pool):
+        if not targets:
             return ()
-        share = self._find_share(targets[0].pool)
+        knowledge = self._find_knowledge(targets[0].pool)
         now = time.monotonic()
+        if not knowledge.is_known(now):
+            return ()
+        names = {one.name for one in self._members.machines()}
+        share = knowledge.find_share(self._mesh.node, names, now)
         return tuple(
             target
             for target in targets
@@ -161,34 +160,23 @@
         self._ledger.take(chosen.incarnation, query.ident, seat)
         return SeatReply(chosen.incarnation)
 
-    def _find_share(self, service: str) -> float:
-        """Return the share of all seats that this VM may give out.
-
-        VMs that are cut off from each other may have an owner each.
-        """
-        own = {self._mesh.node}
-        machines = {one.name for one in self._members.machines()} | own
-        is_owner = self._owner_router.find_owner(service) in own
-        oldest = time.monotonic() - MAX_ANSWER_AGE_SECONDS
-        told = {
-            name
-            for name, told_at in self._told.get(service, {}).items()
-            if is_owner and told_at > oldest
-        }
-        return len(machines & (told | own)) / len(machines)
-
-    def _is_collected(self, service: str) -> bool:
-        """Tell whether the seats of all VMs are known, and ask if need be."""
-        age = time.monotonic() - self._collected_at.get(service, -math.inf)
-        is_incomplete = service in self._incomplete
-        interval = REPEAT_SECONDS if is_incomplete else COLLECT_INTERVAL_SECONDS
-        if age > interval and service not in self._collections:
+    def _find_knowledge(self, service: str) -> SeatKnowledge:
+        """Return what is known of a service's seats, and ask if need be."""
+        now = time.monotonic()
+        knowledge = self._knowledge[service]
+        owner = self._owner_router.find_owner(service)
+        if knowledge.observe_owner(is_owner=owner == self._mesh.node, now=now):
+            self._metrics.count('seats_outdated')
+            age = knowledge.find_age(now)
+            get_logger().info('seats_outdated', service=service, age=age)
+        if knowledge.is_due(now) and service not in self._collections:
             task = self._tasks.start(self._collect(service))
             self._collections[service] = task
-        return age <= MAX_COLLECTION_AGE_SECONDS
+        return knowledge
 
     async def _collect(self, service: str) -> None:
         """Ask all other VMs which seats they have taken."""
+        asked_at = time.monotonic()
         try:
             told = await asyncio.gather(
                 *(
@@ -199,13 +187,12 @@
             )
         finally:
             self._collections.pop(service, None)
-        now = time.monotonic()
-        answered = dict.fromkeys(filter(None, told), now)
-        self._told.setdefault(service, {}).update(answered)
-        self._incomplete.discard(service)
-        if len(answered) < len(told):
-            self._incomplete.add(service)
-        self._collected_at[service] = now
+        self._knowledge[service].record(
+            tuple(filter(None, told)),
+            asked_at,
+            is_complete=all(told),
+            now=time.monotonic(),
+        )
         self.serve(service)
 
     async def _collect_from(self, machine: Machine, service: str) -> str:
@@ -223,6 +210,7 @@
             )
             return ''
         self._report(service, machine.name, reply.held)
+        self._ledger.learn_given(reply.given, time.monotonic())
         return machine.name
 
     def _report(
--- a/galenaswitch/gateway/seats.py
+++ b/galenaswitch/gateway/seats.py
@@ -51,7 +51,7 @@
         self._ledger = SeatLedger()
         self.brittleness = Brittleness(mesh, metrics, self._ledger.hold_off)
         self._owner = SeatOwner(
-            members, mesh, owner_router, tasks, self._ledger
+            members, mesh, owner_router, tasks, self._ledger, metrics
         )
         self._members = members
         self._mesh = mesh
@@ -165,10 +165,11 @@
         self._ledger.take(target.incarnation, ident, seat)
 
     def _find_held(self, service: str) -> tuple[HeldSeat, ...]:
-        targets = self._members.targets(service)
-        return self._ledger.find_held(
-            self._mesh.node, {one.incarnation for one in targets}
-        )
+        incarnations = self._find_incarnations(service)
+        return self._ledger.find_held(self._mesh.node, incarnations)
+
+    def _find_incarnations(self, service: str) -> set[str]:
+        return {one.incarnation for one in self._members.targets(service)}
 
     async def _answer_seat_query(
         self, link: Link, query: SeatQuery
@@ -178,7 +179,13 @@
     async def _answer_seats_query(
         self, link: Link, query: SeatsQuery
     ) -> SeatsReply:
-        return SeatsReply(self._find_held(query.service))
+        now = time.monotonic()
+        return SeatsReply(
+            self._find_held(query.service),
+            self._ledger.find_given(
+                self._mesh.node, self._find_incarnations(query.service), now
+            ),
+        )
 
     async def _receive_end(self, link: Link, message: SeatEnd) -> None:
         self._end(message)
--- a/galenaswitch/gateway/tests/test_seats.py
+++ b/galenaswitch/gateway/tests/test_seats.py
@@ -75,6 +75,37 @@
     assert sorted(filter(None, found)) == ['one', 'two', 'two']
 
 
+# Guards against an owner that takes over again, and gives out the seats that
+# the owner in between gave.
+async def test_owner_that_takes_over_again_asks_first(seats, peer):
+    seats.brittleness.observe(ONE, 3, refused=False)
+    _, ident = await seats.find_seat((TWO,), 0.2, 5)
+    seats.release('desk', ident)
+    router = seats._owner_router
+    router.find_owner = lambda service: 'b'
+    seats.select((ONE, TWO))
+    held = [HeldSeat('one/1', f'h{number}') for number in range(2)]
+    given = [HeldSeat('two/1', f'g{number}') for number in range(2)]
+    peer.request.return_value = SeatsReply(tuple(held), tuple(given))
+    router.find_owner = lambda service: 'me'
+    assert seats.select((ONE, TWO)) == ()
+    assert await find(seats) is None
+
+
+# Guards against an owner that doesn't tell the next one what it has just given.
+async def test_seats_that_were_just_given_are_told(seats, peer):
+    seats.brittleness.observe(ONE, 3, refused=False)
+    query = SeatQuery('desk', 'new', 'c', 'two/1', (), 0.2, 5, ())
+    reply = await seats.handlers()[SeatQuery](Mock(), query)
+    answer = seats.handlers()[SeatsQuery]
+    assert reply.incarnation == 'two/1'
+    told = await answer(Mock(), SeatsQuery('desk'))
+    assert HeldSeat('two/1', 'new') in told.given
+    await seats.handlers()[SeatEnd](Mock(), SeatEnd('desk', 'new'))
+    told = await answer(Mock(), SeatsQuery('desk'))
+    assert HeldSeat('two/1', 'new') not in told.given
+
+
 async def test_seat_of_a_request_that_ended_is_given_again(seats):
     seats.brittleness.observe(ONE, 3, refused=False)
     target, ident = await seats.find_seat((ONE,), 0.2, 5)
--- a/galenaswitch/limits/seats.py
+++ b/galenaswitch/limits/seats.py
@@ -183,6 +183,35 @@
             if self._incarnations[ident] in incarnations
         )
 
+    def find_given(
+        self, vm: str, incarnations: set[str], now: float
+    ) -> tuple[HeldSeat, ...]:
+        """Return the seats of others than a VM that are new.
+
+        Their VMs may not report them yet.
+
+        :param incarnations: targets of the seats.
+        """
+        return tuple(
+            HeldSeat(incarnation, ident)
+            for incarnation in incarnations
+            for ident, seat in self._seats.get(incarnation, {}).items()
+            if seat.vm != vm and now - seat.given_at < REPLY_SECONDS
+        )
+
+    def learn_given(self, given: Iterable[HeldSeat], now: float) -> None:
+        """Take the seats that another VM has given, unless they are known.
+
+        Each is freed after some time unless its VM reports it.
+        """
+        for one in given:
+            freed_at = self._freed_at.get(one.ident, -math.inf)
+            is_known = one.ident in self._incarnations
+            if not is_known and now - freed_at >= FREED_SECONDS:
+                # It is too old to be passed on by this VM as a new one.
+                seat = Seat('', now - REPLY_SECONDS, now + REPLY_SECONDS)
+                self.take(one.incarnation, one.ident, seat)
+
     def hold_off(self, incarnation: str, now: float) -> bool:
         """Record that a target has turned a request away.
 
--- a/galenaswitch/limits/tests/test_seats.py
+++ b/galenaswitch/limits/tests/test_seats.py
@@ -88,3 +88,17 @@
     services = BrittleServices()
     assert not services.observe('desk', None, 0)
     assert not services.end('desk')
+
+
+# Guards against seats of lost requests that two owners tell each other of.
+def test_seat_that_another_owner_gave_ends_unless_it_is_reported():
+    ledger = SeatLedger()
+    ledger.end('ended', now=9.5)
+    ledger.learn_given(
+        [HeldSeat('t/1', ident) for ident in ('one', 'two', 'ended')], now=10
+    )
+    assert ledger.count('t/1') == 2
+    assert not ledger.find_given('me', {'t/1'}, now=10)
+    ledger.report('a', {'t/1'}, [HeldSeat('t/1', 'one')], now=10.5)
+    ledger.drop_expired(now=11.1)
+    assert ledger.count('t/1') == 1
