--- a/review/kit.py
+++ b/review/kit.py
@@ -21,7 +21,6 @@
 
 from aiohttp import web
 
-from galenaswitch.platform.soak.networks import Network
 from galenaswitch.platform.soak.store import FakeStore
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -213,7 +212,6 @@
         self.stopped_at: list[float] = []
         self._settings = folder / f'{name}.conf'
         self.log = folder / f'{name}.log'
-        self.inherited: tuple[int, ...] = ()
         self._record = record
 
     async def start(self) -> None:
@@ -248,7 +246,6 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                pass_fds=self.inherited,
             )
         self._record.write(f'machine {self.name} starts')
 
@@ -291,7 +288,7 @@
         self.store = FakeStore()
         self.machines: list[Machine] = []
         self._folder = folder
-        self._network = _take_network()
+        self._network = _find_network()
         self._servers: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task[Any]] = []
         self._store_address = ('', 0)
@@ -305,8 +302,9 @@
         runner = web.AppRunner(app, handler_cancellation=True)
         await runner.setup()
         self._servers.append(runner)
-        address = self._network.make_address(200, number)
-        site = web.TCPSite(runner, address, 0, shutdown_timeout=0.1)
+        site = web.TCPSite(
+            runner, f'127.{self._network}.200.{number}', 0, shutdown_timeout=0.1
+        )
         await site.start()
         host, port = runner.addresses[0]
         return host, port
@@ -314,14 +312,13 @@
     async def start_machines(self, zones: list[str]) -> None:
         """Start one machine for each entry and wait until all are ready."""
         for number, zone in enumerate(zones):
-            ip = self._network.make_address(1, number + 1)
+            ip = f'127.{self._network}.1.{number + 1}'
             link = Link(self._store_address)
             await link.start(ip)
             name = f'edge-{zone}-{number + 1}'
             self.machines.append(
                 Machine(name, zone, ip, self._folder, link, self.record)
             )
-            self.machines[-1].inherited = (self._network.descriptor,)
         seeds = ','.join(f'{one.ip}:8003' for one in self.machines[:3])
         for machine in self.machines:
             machine.seeds = seeds
@@ -351,21 +348,18 @@
             await machine.link.stop()
         for server in self._servers:
             await server.cleanup()
-        self._network.release()
 
 
-def _take_network() -> Network:
-    """Take a network on whose addresses no port is in use."""
+def _find_network() -> int:
+    """Return the second number of addresses on which no port is in use."""
     ports = (FRONT_PORT, READY_PORT, CONTROL_PORT, METRICS_PORT)
-    for first in random.sample(range(20, 250), 40):
-        network = Network(first)
+    for network in random.sample(range(20, 250), 40):
         try:
             for port in ports:
                 for number in (1, 2, 3, 4, 5, 6):
-                    host = network.make_address(1, number)
+                    host = f'127.{network}.1.{number}'
                     socket.create_server((host, port)).close()
         except OSError:
-            network.release()
             continue
         return network
     raise CannotRunError('no free loopback addresses')
