--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,9 @@
-"""A stream goes on at a runner that started again with another version."""
+"""A stopping machine takes a stream that lasts longer than its grace period."""
 
 import asyncio
 import contextlib
+import signal
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -11,33 +11,28 @@
 from case_kit import (  # noqa: E402
     FRONT,
     Message,
-    Runner,
     Site,
+    call,
     encode,
     make_configuration,
     make_headers,
     make_route,
     read_body,
-    read_head,
     run_case,
 )
 
-RUNNERS = 2
-STREAMS = 24
-EVENTS = 60
-EVENT_SECONDS = 0.08
-DOWN_SECONDS = 0.3
-# Seconds from the new start of a runner to its next write to the store, which
-# is due every heartbeat-ms (1.2 s).
-REGISTER_SECONDS = 0.6
-# A sound runner falls silent for so long and goes on.
-SILENT_SECONDS = 1.6
-# Seconds from the begin of that silence to the end of the other runner.
-LEAD_SECONDS = 0.4
+GRACE_SECONDS = 8.0
+# Requests sent later than this after SIGTERM are owed a complete answer.
+LATE_SECONDS = 3.0
+# Seconds between two machines that get SIGTERM (sites: gap_s = 1.3, x = 1).
+GAP_SECONDS = 1.3
+EVENT_SECONDS = 0.055
+SHORT_EVENTS = 8
+LONG_EVENTS = 83
 
 
 async def play(site: Site) -> bool:
-    """Return whether streams hold events of two versions."""
+    """Return whether a stream was cut that the rule protects."""
     record = site.record
     site.store.put(
         'config',
@@ -46,16 +41,16 @@
             1,
             [
                 make_route(
-                    'notes',
+                    'chat',
                     'llm',
                     'streaming',
                     **{
                         'timeout-ms': 15000,
                         'target-latency-ms': 1900,
                         'target-itl-ms': 300,
-                        'stream-resume': True,
+                        'max-attempts': 1,
                         'sticky-sessions': True,
-                        'max-attempts': 3,
+                        'stream-resume': False,
                     },
                 )
             ],
@@ -71,110 +66,131 @@
             ],
         ),
     )
-    silent_until = [0.0]
-    open_writers: dict[int, set[asyncio.StreamWriter]] = {}
 
     def serve(number: int):  # noqa: ANN202
         async def handle(head: Message, reader, writer) -> bool:  # noqa: ANN001
             await read_body(reader, head)
-            runner = site.runners[number]
+            name = site.runners[number].name
             ident = head.find('x-attempt-id')
             if not ident:
                 writer.write(encode('HTTP/1.1 200 OK', {}, b'{}'))
                 return True
-            after = int(head.find('last-event-id') or 0)
-            version = runner.version
-            record.add(
-                'run',
-                runner=runner.name,
-                version=version,
-                request=ident,
-                after=after,
-            )
-            open_writers.setdefault(number, set()).add(writer)
+            # Within the number of output tokens that the request allows.
+            count = int(head.path.rpartition('/')[2])
+            record.add('run', runner=name, request=ident, events=count)
             writer.write(
                 (
                     'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
-                    f'X-Attempt-Id: {ident}\r\n'
-                    f'X-Server-Seal: {runner.name}.1\r\n'
+                    f'X-Attempt-Id: {ident}\r\nX-Server-Seal: {name}.1\r\n'
                     'Transfer-Encoding: chunked\r\n\r\n'
                 ).encode()
             )
-            for event in range(after + 1, EVENTS + 1):
+            for event in range(1, count + 1):
                 await asyncio.sleep(EVENT_SECONDS)
-                if number == 1:
-                    await asyncio.sleep(max(0, silent_until[0] - record.now))
-                text = f'id: {event}\ndata: {version}\n\n'.encode()
+                text = f'id: {event}\ndata: {ident}\n\n'.encode()
                 writer.write(b'%x\r\n%b\r\n' % (len(text), text))
                 await writer.drain()
             writer.write(b'0\r\n\r\n')
+            record.add('run-complete', runner=name, request=ident)
             return True
 
         return handle
 
-    for number in range(RUNNERS):
+    for number in range(3):
         await site.add_runner('llm', 'north', serve(number), slots=64)
-    await site.start_machines(['north'] * 2)
-    versions: dict[str, set[str]] = {}
-    runs: dict[str, Message] = {}
+    await site.start_machines(['north'] * 3)
+    first, second, _ = site.machines
+    rotation = {machine.name: True for machine in site.machines}
+
+    async def probe(machine) -> None:  # noqa: ANN001
+        """Ask a machine once a second as the platform does."""
+        missed = 0
+        while True:
+            missed = 0 if await machine.is_ready() else missed + 1
+            in_rotation = missed < 2
+            if rotation[machine.name] != in_rotation:
+                record.add('rotation', machine=machine.name, member=in_rotation)
+            rotation[machine.name] = in_rotation
+            await asyncio.sleep(1)
 
-    async def take(number: int) -> None:
-        machine = site.machines[number % 2]
+    probes = [asyncio.create_task(probe(one)) for one in site.machines]
+
+    async def ask(events: int) -> tuple[float, Message | None, float]:
         headers = make_headers(
             15000,
             X_Model='m',
-            X_Token_Usage='500,180',
-            X_Prompt_Prefix=f'5c1e{number:04x}:200,91bd{number:04x}:300',
+            X_Token_Usage='500,250',
+            X_Prompt_Prefix='5c1e07a2:200,91bd3f06:300',
         )
         ident = headers['X-Attempt-Id']
-        record.add('send', request=ident, machine=machine.name)
-        reader, writer = await asyncio.open_connection(machine.ip, FRONT)
-        writer.write(encode('POST /notes/1 HTTP/1.1', headers, ident.encode()))
-        runs[ident] = await read_head(reader)
-        body = b''
-        with contextlib.suppress(EOFError, OSError, ValueError):
-            body = await read_body(reader, runs[ident])
-        lines = body.decode().splitlines()
-        versions[ident] = {
-            line.partition(': ')[2] for line in lines if line.startswith('data')
-        }
+        sent_at = record.now
+        record.add('send', request=ident, machine=first.name)
+        answer = None
+        with contextlib.suppress(OSError, EOFError, TimeoutError):
+            answer = await call(
+                f'{first.ip}:{FRONT}',
+                f'POST /chat/{events} HTTP/1.1',
+                headers,
+                b'prompt',
+                20,
+            )
         record.add(
             'answer',
             request=ident,
-            status=runs[ident].status,
-            events=sum(1 for line in lines if line.startswith('id')),
-            versions=','.join(sorted(versions[ident])),
+            status=answer.status if answer else 0,
+            complete=bool(answer and answer.complete),
         )
-        writer.close()
-
-    def crash(number: int) -> Runner:
-        runner = site.runners[number]
-        runner.stop()
-        for writer in open_writers.pop(number, ()):
-            writer.transport.abort()
-        return runner
-
-    async def start_again(number: int, version: str) -> None:
-        runner = crash(number)
-        record.add('runner-ends', runner=runner.name, version=runner.version)
-        await asyncio.sleep(DOWN_SECONDS)
-        runner.version = version
-        runner.born = int(time.time() * 1000)
-        record.add('runner-starts', runner=runner.name, version=version)
-        await runner.start_again(REGISTER_SECONDS)
+        return sent_at, answer, record.now
 
     await asyncio.sleep(3)
-    asked = [asyncio.create_task(take(number)) for number in range(STREAMS)]
-    await asyncio.sleep(1.5)
-    silent_until[0] = record.now + SILENT_SECONDS
-    record.add('runner-silent', runner=site.runners[1].name)
+    warm = await asyncio.gather(*(ask(SHORT_EVENTS) for _ in range(10)))
+    if any(not answer or answer.status != 200 for _, answer, _ in warm):
+        raise RuntimeError('the machine does not serve in calm')
+    # Keeps the stopping process up; it is complete in good time.
+    running = asyncio.create_task(ask(LONG_EVENTS))
+    await asyncio.sleep(0.3)
+    stopped_at = record.now
+    ends = []
     if site.trouble:
-        await asyncio.sleep(LEAD_SECONDS)
-        await start_again(0, '2.0')
-    await asyncio.gather(*asked)
-    mixed = [ident for ident, found in versions.items() if len(found) > 1]
-    record.add('result', mixed=len(mixed), streams=len(versions))
-    return len(mixed) > 2
+        record.add('SIGTERM', machine=first.name)
+        first.signal(signal.SIGTERM)
+        ends.append(asyncio.create_task(first.process.wait()))
+        await asyncio.sleep(GAP_SECONDS)
+        record.add('SIGTERM', machine=second.name)
+        second.signal(signal.SIGTERM)
+        ends.append(asyncio.create_task(second.process.wait()))
+    # Fewer than half in rotation: the platform uses all machines of the zone.
+    while site.trouble and sum(rotation.values()) * 2 >= len(rotation):
+        await asyncio.sleep(0.02)
+        if record.now - stopped_at > GRACE_SECONDS:
+            raise RuntimeError('the machines stayed in rotation')
+    await asyncio.sleep(max(0, stopped_at + LATE_SECONDS + 0.1 - record.now))
+    asked = [asyncio.create_task(ask(SHORT_EVENTS)) for _ in range(3)]
+    asked.extend(asyncio.create_task(ask(LONG_EVENTS)) for _ in range(3))
+    answers = await asyncio.gather(*asked)
+    _, kept, _ = await running
+    for end in ends:
+        await end
+    for one in probes:
+        one.cancel()
+    cut = [
+        (sent_at, ended_at)
+        for sent_at, answer, ended_at in answers
+        if sent_at > stopped_at + LATE_SECONDS
+        and answer
+        and answer.status == 200
+        and not answer.complete
+    ]
+    record.add(
+        'result',
+        cut=len(cut),
+        kept=bool(kept and kept.complete),
+        asked=len(answers),
+        refused=sum(
+            1 for _, answer, _ in answers if answer and answer.status == 503
+        ),
+    )
+    return bool(cut)
 
 
 run_case(play, Path(__file__).resolve().parent)
--- a/review/case_kit.py
+++ b/review/case_kit.py
@@ -354,6 +354,7 @@
         self._sequence = 0
         self._beats: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, ip: str) -> None:
         """Listen, and write the entry at each heartbeat."""
@@ -377,10 +378,13 @@
         self._store.remove('servers', self.name)
 
     def stop(self) -> None:
-        """End without a notice; the entry stays."""
+        """End without a notice and drop all connections; the entry stays."""
         if self._beats:
             self._beats.cancel()
         self.end()
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
 
     async def start_again(self, seconds: float) -> None:
         """Listen again under the same name and address.
@@ -424,6 +428,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         kept = True
+        self._writers.add(writer)
         with contextlib.suppress(EOFError, OSError, asyncio.LimitOverrunError):
             while kept:
                 head = await read_head(reader)
@@ -441,6 +446,7 @@
                     )
                     continue
                 kept = await self._handle(head, reader, writer)
+        self._writers.discard(writer)
         writer.close()
 
 
@@ -689,7 +695,13 @@
     """
     record = Record(folder)
     loop = asyncio.new_event_loop()
-    result = loop.run_until_complete(_run(play, record))
+    task = loop.create_task(_run(play, record))
+    # A script that is told to stop ends its processes, too.
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        result = loop.run_until_complete(task)
+    except asyncio.CancelledError:
+        result = UNABLE
     # Connections of the stand-ins may be open; nothing waits for their ends.
     os._exit(result)
 
