A stop takes late streams by a bound, not by the longest one before

Cause: the longest measured answer stood for the longest possible one. The streams named 648 tokens each; those before had 20 events, the cut ones 216. The same estimate answered whether a stream may be promised and whether it is worth a try.

Change: draining/paces.py measures the pace of each engine with its load. Late in a stop a stream is taken if its deadline ends in time, or the tokens that it names at that pace; the pace grows in proportion to the load beyond the measured one, and no stream is added beside others that would last too long. An expectation counts only before the balancer knows of the stop, for streams that can't be resumed from 20 similar ones on. PlaceReply tells the load. stop_decided and stop_cut log what decided and what was expected.

Why it works: an event holds one token at least, a step of an engine takes a fixed time and one for each request; what the bound can't know (others, one silence) has a factor of 1.5 and 1.25 s.

A cut request has two log lines.

--- /dev/null
+++ b/galenaswitch/draining/__init__.py
@@ -0,0 +1,1 @@
+"""Estimates that tell which requests end before a VM stops."""
--- a/galenaswitch/gateway/dispatch.py
+++ b/galenaswitch/gateway/dispatch.py
@@ -5,15 +5,18 @@
 """
 
 import contextlib
+import math
 import time
 from collections.abc import Callable
 from copy import copy
 from functools import partial
 from types import TracebackType
 
+from galenaswitch.draining.estimates import EngineLoad
 from galenaswitch.errors import TargetBusyError, TargetError
 from galenaswitch.gateway.calls import Wire
 from galenaswitch.gateway.continuation import ContinuationPolicy
+from galenaswitch.gateway.draining import Draining
 from galenaswitch.gateway.failures import LOST, may_have_crashed
 from galenaswitch.gateway.jobs import (
     EngineRun,
@@ -106,6 +109,8 @@
         service = job.request.service
         if job.event_deadline <= time.monotonic():
             raise RefusedError(find_timeout_reason(job.run), job.run)
+        if not job.may_have_run:
+            self._sender.draining.check_arrival(job.request)
         await wait_for_engine(
             job, self.continuations.find_targets(job), self._sender.notices
         )
@@ -124,6 +129,7 @@
         query = query._replace(
             avoided=(*query.avoided, *forbidden),
             cold=self._sender.turns.find_cold_times(usable),
+            left=min(query.left, _find_send_time(job, self._sender.draining)),
         )
         # The owner may still place a request whose query was cancelled.
         with contextlib.ExitStack() as unanswered:
@@ -143,7 +149,7 @@
                 # An owner of an earlier build doesn't tell when it was.
                 placed_at = min(now + reply.waited, time.monotonic())
                 record = PlacementRecord(
-                    query.ident, owner, target, now, placed_at
+                    query.ident, owner, target, now, placed_at, reply.load
                 )
                 run = EngineRun(record, inputs)
                 run.resources.push(partial(self._end_run, service, run))
@@ -179,8 +185,7 @@
             may not end before the process stops.
         :raises TargetUnreachableError: when no byte was sent.
         """
-        if not job.may_have_run:
-            self._sender.draining.check(job.request, is_sending=True)
+        _begin_pace(job, run, self._sender)
         job.screening.start_send(job.run)
         run.screening = copy(job.screening)
         job.tried_targets.append(run.target)
@@ -311,6 +316,34 @@
         self._owner_router.notify(owner, message, self.receive_end)
 
 
+def _begin_pace(job: StreamJob, run: EngineRun, sender: Sender) -> None:
+    """Begin to measure the pace of an attempt that is sent now.
+
+    :raises RefusedError: when no engine may have run its request, which may not
+        end before the process stops.
+    """
+    target = run.target
+    draining = sender.draining
+    engine = draining.paces.get(job.request.service, target.incarnation)
+    load = engine.find_next_load(run.placement.load)
+    most_load = math.inf
+    if not job.may_have_run:
+        is_cold = sender.turns.cold.is_cold(target)
+        most_load = draining.check_send(
+            job.request, EngineLoad(target.incarnation, load, is_cold)
+        )
+    run.pace = engine.begin(job.request.fields.prompt_tokens, load)
+    run.pace.most_load = most_load
+    run.resources.callback(run.pace.end)
+
+
+def _find_send_time(job: StreamJob, draining: Draining) -> float:
+    """Return for how many seconds a placement is of use to a request."""
+    if job.may_have_run:
+        return math.inf
+    return draining.find_send_time(job.request)
+
+
 def _check_not_sent(job: StreamJob, refusal: RefusedError) -> None:
     """Check that no engine may have run a request whose stages are refused.
 
--- a/galenaswitch/gateway/draining.py
+++ b/galenaswitch/gateway/draining.py
@@ -8,9 +8,23 @@
 import time
 from typing import NamedTuple
 
+from galenaswitch.draining.estimates import (
+    EARLY_FACTOR,
+    LATE_FACTOR,
+    SILENCE_SECONDS,
+    EndEstimator,
+    EngineLoad,
+    Estimate,
+    Expectations,
+    SendState,
+    TokenBounds,
+    find_most_load,
+)
+from galenaswitch.draining.paces import EnginePaces
 from galenaswitch.gateway.calls import CallerRequest
 from galenaswitch.gateway.durations import RequestDurations
 from galenaswitch.gateway.routes import CallKind
+from galenaswitch.operations.logs import get_logger
 from galenaswitch.refusals import ExecutionState, Reason, RefusedError
 
 # A caller that a stopping VM refuses may retry after this many seconds, as its
@@ -19,28 +33,33 @@
 # A request in progress ends these seconds before the process stops, so that its
 # refusal is sent.
 STOP_MARGIN_SECONDS = 0.15
-# Factors of the longest measured time at a target, early and late in a stop.
-EARLY_FACTOR = 1.1
-LATE_FACTOR = 1.25
-# Sound targets may be silent for about this long in the middle of an answer.
-SILENCE_SECONDS = 1.25
 
 
-class Margin(NamedTuple):
-    """Margin for requests that last longer than those that were measured.
+class Decision(NamedTuple):
+    """Whether a stopping VM takes a request, and why.
 
-    :param factor: factor of the measured time at the target.
-    :param seconds: time for silences of sound targets.
+    :param is_taken: whether the request ends before the stop.
+    :param estimate: the shortest estimate of its end.
+    :param left: seconds until the requests in progress end.
+    :param decided_at: monotonic time in seconds.
     """
 
-    factor: float
-    seconds: float
+    is_taken: bool
+    estimate: Estimate
+    left: float
+    decided_at: float
 
-
-# While the balancer doesn't know of the stop, it may send a caller that was
-# refused to this VM again. So a small risk of a cut answer costs callers less.
-EARLY_MARGIN = Margin(EARLY_FACTOR, 0)
-LATE_MARGIN = Margin(LATE_FACTOR, SILENCE_SECONDS)
+    def describe(self) -> dict[str, object]:
+        """Return the fields of a log line."""
+        pace = self.estimate.pace
+        return {
+            'basis': self.estimate.basis,
+            'expected': round(self.estimate.seconds, 3),
+            'left': round(self.left, 3),
+            'event_seconds': round(pace.event_seconds, 4) if pace else None,
+            'measured_load': pace.load if pace else None,
+            'pace_age': round(pace.age, 3) if pace else None,
+        }
 
 
 class Draining:
@@ -51,6 +70,7 @@
     :ivar noticed_at: monotonic time in seconds at which the balancer has
         noticed that the process stops.
     :ivar durations: measured durations of requests.
+    :ivar paces: measured paces of engines.
     """
 
     def __init__(self) -> None:
@@ -58,6 +78,25 @@
         self.stop_deadline: float | None = None
         self.noticed_at = -math.inf
         self.durations = RequestDurations()
+        self.paces = EnginePaces()
+        bounds = TokenBounds(self.paces, self.durations)
+        early = Expectations(self.durations, EARLY_FACTOR)
+        late = Expectations(self.durations, LATE_FACTOR, SILENCE_SECONDS)
+        # What bounds a request besides its deadline, by its kind and whether
+        # the balancer knows of the stop. Before that, a caller that is refused
+        # may get the same VM again, and a small risk of a cut answer costs it
+        # less. A request that may not be repeated has to end at any odds: cut
+        # off, its caller couldn't learn whether it ran. A plain one that may be
+        # repeated ends with a refusal and not with a part of its answer.
+        self._estimators: dict[
+            tuple[CallKind, bool], tuple[EndEstimator, ...]
+        ] = {
+            (CallKind.stream, False): (bounds, early),
+            (CallKind.stream, True): (bounds,),
+            (CallKind.repeatable, False): (early,),
+            (CallKind.repeatable, True): (late,),
+        }
+        self._taken: dict[str, Decision] = {}
 
     def find_end(self, deadline: float) -> float:
         """Return the time at which a request with ``deadline`` has to end."""
@@ -65,38 +104,112 @@
             return deadline
         return min(deadline, self.stop_deadline - STOP_MARGIN_SECONDS)
 
-    def check(self, request: CallerRequest, *, is_sending: bool) -> None:
+    def check_arrival(self, request: CallerRequest) -> None:
+        """Check that a request, which has no target yet, ends before the stop.
+
+        :raises RefusedError: when it doesn't, whatever target it gets.
+        """
+        self._check(request, SendState(is_sending=False))
+
+    def check_send(
+        self, request: CallerRequest, engine: EngineLoad | None = None
+    ) -> float:
         """Check that a request, which no target has run, ends before the stop.
 
-        :param is_sending: whether its target is known and gets it now.
-        :raises RefusedError: when the request may last beyond the stop.
+        :param engine: target of a stream.
+        :returns: most requests at the engine with which the stream ends in
+            time, infinity if that doesn't count.
+        :raises RefusedError: when the request may last beyond the stop, or
+            others at its engine with it.
         """
+        state = SendState(is_sending=True, engine=engine)
+        decision = self._check(request, state)
+        if decision is None or time.monotonic() < self.noticed_at:
+            return math.inf
+        return find_most_load(request, decision.estimate, decision.left)
+
+    def find_send_time(self, request: CallerRequest) -> float:
+        """Return for how many seconds it is of use to wait for a target."""
         if self.stop_deadline is None:
-            return
-        if self._find_expected_end(request, is_sending) > self.find_end(
-            request.deadline
-        ):
+            return math.inf
+        decision = self._decide(request, SendState(is_sending=True))
+        return max(0, decision.left - decision.estimate.seconds)
+
+    def log_cut(self, request: CallerRequest) -> None:
+        """Log that the stop ended a request, and what was expected of it."""
+        decision = self._taken.get(request.ident)
+        expected: dict[str, object] = {'basis': 'before-stop'}
+        if decision:
+            expected = decision.describe()
+            expected['age'] = round(time.monotonic() - decision.decided_at, 3)
+        get_logger().warning(
+            'stop_cut',
+            request=request.ident,
+            route=request.route.name,
+            tokens=request.fields.answer_tokens,
+            **expected,
+        )
+
+    def forget(self, request: CallerRequest) -> None:
+        """Forget the decision on a request that has ended."""
+        self._taken.pop(request.ident, None)
+
+    def _check(
+        self, request: CallerRequest, state: SendState
+    ) -> Decision | None:
+        if self.stop_deadline is None:
+            return None
+        decision = self._decide(request, state)
+        if state.is_sending or not decision.is_taken:
+            get_logger().info(
+                'stop_decided',
+                request=request.ident,
+                route=request.route.name,
+                taken=decision.is_taken,
+                is_sending=state.is_sending,
+                tokens=request.fields.answer_tokens,
+                load=state.engine.running if state.engine else None,
+                **decision.describe(),
+            )
+        if not decision.is_taken:
             raise RefusedError(
                 Reason.not_ready,
                 ExecutionState.not_run,
                 'the process is stopping',
                 RETRY_AFTER_SECONDS,
             )
+        if request.ident:
+            self._taken[request.ident] = decision
+        return decision
 
-    def _find_expected_end(
-        self, request: CallerRequest, is_sending: bool
-    ) -> float:
-        """Return the monotonic time at which a request has ended by all odds.
-
-        That is its deadline, unless shorter requests of its route were
-        measured. One that may not be repeated has to end at any odds: cut off,
-        its caller couldn't learn whether it ran.
-        """
-        expected = self.durations.estimate(request)
-        if expected is None or request.route.kind is CallKind.once:
-            return request.deadline
+    def _decide(self, request: CallerRequest, state: SendState) -> Decision:
         now = time.monotonic()
-        margin = EARLY_MARGIN if now < self.noticed_at else LATE_MARGIN
-        scaled = expected.scale(margin.factor)
-        seconds = scaled.running if is_sending else scaled.total
-        return min(request.deadline, now + seconds + margin.seconds)
+        left = self.find_end(request.deadline) - now
+        estimate = self._estimate(request, state, now)
+        is_taken = estimate.seconds <= left
+        if is_taken and not self._fits_beside_others(request, state):
+            is_taken = False
+            estimate = estimate._replace(basis='other-streams')
+        return Decision(is_taken, estimate, left, now)
+
+    def _estimate(
+        self, request: CallerRequest, state: SendState, now: float
+    ) -> Estimate:
+        """Return the shortest estimate; no request outlasts its deadline."""
+        estimators = self._estimators.get(
+            (request.route.kind, now >= self.noticed_at), ()
+        )
+        found = (one.estimate(request, state) for one in estimators)
+        deadline = Estimate('deadline', request.deadline - now)
+        return min(
+            (deadline, *filter(None, found)), key=lambda one: one.seconds
+        )
+
+    def _fits_beside_others(
+        self, request: CallerRequest, state: SendState
+    ) -> bool:
+        """Tell whether streams at an engine end in time with one more."""
+        if state.engine is None:
+            return True
+        engine = self.paces.get(request.service, state.engine.incarnation)
+        return state.engine.running <= engine.most_load
--- a/galenaswitch/gateway/durations.py
+++ b/galenaswitch/gateway/durations.py
@@ -3,11 +3,9 @@
 import time
 from typing import NamedTuple
 
+from galenaswitch.draining.maxima import RecentMaximum
 from galenaswitch.gateway.calls import CallerRequest
 
-# Time in seconds after which a new measurement begins. The last complete one
-# counts as well.
-WINDOW_SECONDS = 60.0
 # Ratio of the longest answers of two neighbouring size classes.
 SIZE_FACTOR = 2.0
 # Route, service and size class of an answer.
@@ -19,10 +17,12 @@
 
     :param queued: from the arrival to the send to the target that answers.
     :param running: from that send to the end of the answer.
+    :param measured: number of requests that were measured.
     """
 
     queued: float
     running: float
+    measured: int = 1
 
     @property
     def total(self) -> float:
@@ -39,21 +39,19 @@
 
     def __init__(self, now: float) -> None:
         """Begin a window at a monotonic time in seconds."""
-        self._began_at = now
-        self._current = Duration(0, 0)
-        self._last = Duration(0, 0)
+        self._queued = RecentMaximum(now)
+        self._running = RecentMaximum(now)
 
     def add(self, duration: Duration, now: float) -> None:
         """Add the duration of a request that ended at a monotonic time."""
-        if now - self._began_at > WINDOW_SECONDS:
-            self._began_at = now
-            self._last = self._current
-            self._current = Duration(0, 0)
-        self._current = _find_longest(self._current, duration)
+        self._queued.add(duration.queued, now)
+        self._running.add(duration.running, now)
 
     def find(self) -> Duration:
         """Return the longest time in the queue and at the target."""
-        return _find_longest(self._current, self._last)
+        return Duration(
+            self._queued.largest, self._running.largest, self._running.count
+        )
 
 
 class RequestDurations:
@@ -82,7 +80,8 @@
         """Return the longest recent duration of similar requests.
 
         A size that was not measured takes the next larger one that was, or
-        twice the time of the next smaller one for each size between.
+        twice the time of the next smaller one for each size between. That is
+        no bound: answers may be longer than all measured ones.
 
         :returns: ``None`` when no request of its route was measured.
         """
@@ -100,9 +99,3 @@
 def _find_key(request: CallerRequest) -> DurationKey:
     size = request.fields.answer_tokens.bit_length()
     return request.route.name, request.service, size
-
-
-def _find_longest(one: Duration, other: Duration) -> Duration:
-    return Duration(
-        max(one.queued, other.queued), max(one.running, other.running)
-    )
--- a/galenaswitch/gateway/events.py
+++ b/galenaswitch/gateway/events.py
@@ -18,7 +18,8 @@
 class EventBuffer:
     r"""Holds back the end of a stream until its last event is complete.
 
-    ``has_events`` tells whether the current target has sent an event.
+    ``has_events`` tells whether the current target has sent an event, and
+    ``count`` counts the events of all targets.
 
     >>> buffer = EventBuffer()
     >>> buffer.feed(b'id: 1\ndata: a\n\nid: 2\nda')
@@ -34,6 +35,7 @@
         self.last_id = last_id
         self.is_broken = False
         self.has_events = False
+        self.count = 0
         self._partial_event = bytearray()
 
     @property
@@ -98,6 +100,7 @@
             return False
         self.last_id = ident
         self.has_events = True
+        self.count += 1
         return True
 
 
--- a/galenaswitch/gateway/handling.py
+++ b/galenaswitch/gateway/handling.py
@@ -84,7 +84,7 @@
         table = self._find_table()
         try:
             caller_request = check_request(request, table, self._wire)
-            self._draining.check(caller_request, is_sending=False)
+            self._draining.check_arrival(caller_request)
         except RefusedError as error:
             self._close_behind(writer, error)
             ident = self._wire.read_request(request.head).ident
@@ -130,6 +130,8 @@
                 self._outcomes.record_departure(event, ended, writer, error)
                 raise
             outcome = _make_internal_refusal(caller_request, error)
+        finally:
+            self._draining.forget(caller_request)
         if outcome:
             self._close_behind(writer, outcome)
             ending = refuse(writer, self._wire, caller_request.ident, outcome)
@@ -151,6 +153,8 @@
         How far it came isn't known here, so nothing is promised about it.
         """
         is_stopped = self._draining.find_end(math.inf) < caller_request.deadline
+        if is_stopped:
+            self._draining.log_cut(caller_request)
         return RefusedError(
             Reason.deadline,
             ExecutionState.unknown,
--- a/galenaswitch/gateway/jobs.py
+++ b/galenaswitch/gateway/jobs.py
@@ -13,6 +13,7 @@
 
 from galenaswitch.connections.handlers import AnswerWriter
 from galenaswitch.connections.heads import AnswerHead
+from galenaswitch.draining.paces import StreamPace
 from galenaswitch.errors import GalenaError, TargetError
 from galenaswitch.gateway.calls import CallerRequest
 from galenaswitch.gateway.events import EventBuffer
@@ -41,6 +42,8 @@
     :param target: engine of the placement.
     :param requested_at: monotonic time of the query in seconds.
     :param placed_at: earliest monotonic time of the placement.
+    :param load: requests at the engine with this one, 0 if the owner didn't
+        tell.
     """
 
     ident: str
@@ -48,6 +51,7 @@
     target: Target
     requested_at: float
     placed_at: float
+    load: int = 0
 
 
 class StageInputs:
@@ -87,6 +91,7 @@
     :ivar answer: head of the answer, ``None`` before it has arrived.
     :ivar screening: screening as of the send, ``None`` before it and once a
         failure was examined.
+    :ivar pace: measures the pace of the engine, ``None`` before the send.
     :ivar sent_at: monotonic time of the send in seconds.
     :ivar is_silent: whether nothing has come from the engine, or nothing after
         a silence.
@@ -100,6 +105,7 @@
         self.attempt: Attempt | None = None
         self.answer: AnswerHead | None = None
         self.screening: Screening | None = None
+        self.pace: StreamPace | None = None
         self.sent_at = 0.0
         self.is_silent = False
 
@@ -108,6 +114,11 @@
         """Engine of the attempt."""
         return self.placement.target
 
+    def record_events(self, count: int) -> None:
+        """Record how many events of the stream have arrived so far."""
+        if self.pace:
+            self.pace.record_events(count)
+
 
 class HandedOverError(GalenaError):
     """Another attempt has a request now."""
--- a/galenaswitch/gateway/messages.py
+++ b/galenaswitch/gateway/messages.py
@@ -164,12 +164,15 @@
     :param retry_after: seconds after which a placement is likely.
     :param reason: reason of a rejection, empty if no engine had capacity.
     :param waited: seconds from the arrival of the query until the placement.
+    :param load: requests at the engine with this one, 0 from a VM that doesn't
+        tell.
     """
 
     target: str
     retry_after: float = 0
     reason: str = ''
     waited: float = float('inf')
+    load: int = 0
 
 
 class PlaceEnd(NamedTuple):
--- a/galenaswitch/gateway/placements.py
+++ b/galenaswitch/gateway/placements.py
@@ -204,7 +204,11 @@
             first=round(placement.first_event_seconds, 3),
             running=self._assignment.placements.count_in_progress(),
         )
-        reply = PlaceReply(placement.target.name, waited=now - pending.asked_at)
+        reply = PlaceReply(
+            placement.target.name,
+            waited=now - pending.asked_at,
+            load=self._assignment.placements.find_load(query.ident),
+        )
         self._answer(query.ident, reply)
 
     def _schedule_check(self, seconds: float) -> None:
--- a/galenaswitch/gateway/plain.py
+++ b/galenaswitch/gateway/plain.py
@@ -127,7 +127,7 @@
             target = await self._selection.choose(job, max_wait)
             job.tried.add(target.name)
             if not job.progress.sent:
-                self._sender.draining.check(job.request, is_sending=True)
+                self._sender.draining.check_send(job.request)
             job.screening.start_send(job.progress.run)
             try:
                 return await self._race(job, target)
--- a/galenaswitch/gateway/streams.py
+++ b/galenaswitch/gateway/streams.py
@@ -209,6 +209,7 @@
             if job.events.is_oversized:
                 raise TargetBrokenError('an event is larger than the limit')
             if complete_events:
+                run.record_events(job.events.count)
                 self._record_first_event(job, run)
                 if run.screening:
                     run.screening.record_events()
--- a/galenaswitch/platform/tests/test_handling.py
+++ b/galenaswitch/platform/tests/test_handling.py
@@ -225,7 +225,8 @@
     assert writer.head.status == LATE
     assert writer.finished
     assert metrics.dump()['request.deadline-exceeded'] == 1
-    (line,) = lines
+    cut, line = lines
+    assert cut['event'] == 'stop_cut'
     assert line['run'] == 'unknown'
     assert line['detail'] == 'the process is stopping'
 
--- a/galenaswitch/platform/tests/test_stopping_streams.py
+++ b/galenaswitch/platform/tests/test_stopping_streams.py
@@ -14,10 +14,14 @@
 # Events of the short and the long streams; one comes each 0.03 s.
 SHORT, LONG = 10, 110
 MEASURING_SECONDS = 6.0
+# Streams that are sent late, seconds after SIGTERM, and one that outlasts them.
+LATE_SECONDS = 2.6
+LATE_STREAMS = 3
+KEPT = 150
 REQUEST = (
     f'POST /chat/{{events}} HTTP/1.1\r\nHost: {HOST}\r\n'
     'X-Attempt-Id: {ident}\r\nX-Deadline-Ms: 30000\r\n'
-    f'Authorization: Bearer {API_KEY}\r\nX-Token-Usage: 300,{{events}}\r\n'
+    f'Authorization: Bearer {API_KEY}\r\nX-Token-Usage: 300,{{tokens}}\r\n'
     'X-Prompt-Prefix: aa:200,{ident}:100\r\nContent-Length: 2\r\n\r\nok'
 )
 
@@ -62,17 +66,25 @@
             except OSError:
                 await asyncio.sleep(0.01)
                 continue
-            while await self._send(events, reader, writer):
+            while await self._send(events, events, reader, writer):
                 await asyncio.sleep(0.01)
             writer.close()
 
-    async def _send(self, events, reader, writer):
+    async def send(self, events, tokens):
+        """Send one stream that names more tokens than it has events."""
+        host, port = self._machine.callers.split(':')
+        reader, writer = await asyncio.open_connection(host, port)
+        await self._send(events, tokens, reader, writer)
+        writer.close()
+
+    async def _send(self, events, tokens, reader, writer):
         """Send a request; tell whether the connection may be used again."""
         ident = f'{next(self._idents):016x}'
         sent_at = time.monotonic()
         head = content = b''
         try:
-            writer.write(REQUEST.format(events=events, ident=ident).encode())
+            request = REQUEST.format(events=events, tokens=tokens, ident=ident)
+            writer.write(request.encode())
             head = await reader.readuntil(b'\r\n\r\n')
             if head.startswith(b'HTTP/1.1 200'):
                 content = await reader.readuntil(b'\r\n0\r\n\r\n')
@@ -106,3 +118,42 @@
     assert [one.age for one in taken if not one.is_complete] == []
     assert {one.events for one in taken if one.age > 1} == {SHORT}
     assert any(not one.has_begun for one in late if one.events == LONG)
+
+
+async def send_all(callers, count, events, tokens):
+    """Send several streams at one time."""
+    sends = (callers.send(events, tokens) for _ in range(count))
+    await asyncio.gather(*sends)
+
+
+# Guards against streams that a stop takes late and cuts, as others that named
+# as many tokens were shorter (review, case 8), and against short ones that it
+# refuses though they name few. A change of the settings ends no stop.
+@pytest.mark.timeout(90)
+@pytest.mark.parametrize('changes_settings', [False, True])
+async def test_late_stream_is_taken_by_the_tokens_that_it_names(
+    open_driver, changes_settings
+):
+    driver = await open_driver(147, machines=2)
+    for target in driver.soak._targets:
+        target.mode = 'well'
+    machine = driver.soak._machines[0]
+    stopping = StoppingMachine(machine)
+    callers = Callers(stopping)
+    for _ in range(3):
+        await send_all(callers, 2 * LATE_STREAMS + 1, SHORT, LONG)
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(callers.send(KEPT, KEPT))
+        await asyncio.sleep(0.1)
+        callers.stopped_at = time.monotonic()
+        tasks.create_task(stopping.stop())
+        await asyncio.sleep(LATE_SECONDS / 2)
+        if changes_settings:
+            machine.change_settings()
+        await asyncio.sleep(LATE_SECONDS / 2)
+        tasks.create_task(send_all(callers, LATE_STREAMS, LONG, LONG))
+        tasks.create_task(send_all(callers, LATE_STREAMS, SHORT, SHORT))
+    late = [one for one in callers.received if one.age > 0]
+    taken = [one.events for one in late if one.is_complete]
+    cut = [one for one in late if one.has_begun and not one.is_complete]
+    assert (taken, cut) == ([SHORT] * LATE_STREAMS, [])
--- a/galenaswitch/routing/engines.py
+++ b/galenaswitch/routing/engines.py
@@ -169,6 +169,14 @@
         """Return the number of requests in progress on all engines."""
         return len(self._incarnations)
 
+    def find_load(self, ident: str) -> int:
+        """Return the number of requests at an engine as one was placed there.
+
+        That one counts, those that were placed behind it don't.
+        """
+        engine = self._find_engine(ident)
+        return list(engine.running).index(ident) + 1 if engine else 0
+
     def dump(self) -> dict[str, dict[str, float]]:
         """Return the estimated state of each engine."""
         return {
