A stop leaves a connection that was just opened time for its request

The callers may send them again, but aren't told that they haven't run, nor when to return.

Cause: idle connections are closed each 0.05 s, and a connection that was accepted a moment before its first byte is idle.

Change: Listener.close_idle spares those idle for less than 0.25 s in a stop.

--- a/galenaswitch/connections/inbound.py
+++ b/galenaswitch/connections/inbound.py
@@ -105,10 +105,16 @@
         """Count an event."""
         self._metrics.count(name)
 
-    def close_idle(self) -> None:
-        """Close all connections without a request in progress."""
+    def close_idle(self, least_idle_seconds: float = 0) -> None:
+        """Close all connections without a request in progress.
+
+        :param least_idle_seconds: time for which a connection has to be idle,
+            so that a caller that has just opened it can send its request.
+        """
+        latest = asyncio.get_running_loop().time() - least_idle_seconds
         for connection in list(self.connections):
-            connection.close_if_idle()
+            if connection.timer.started_at <= latest:
+                connection.close_if_idle()
 
     def record_failure(
         self, request: InboundRequest, error: BaseException
--- a/galenaswitch/connections/tests/test_inbound.py
+++ b/galenaswitch/connections/tests/test_inbound.py
@@ -119,6 +119,21 @@
     assert listener.busy == 1
 
 
+# Guards against a stop that closes a connection before the request comes for
+# which its caller has just opened it.
+async def test_close_idle_leaves_a_new_connection_time_for_a_request(listen):
+    _, listener, reader, writer = await listen(respond_ok)
+    await asyncio.sleep(0.01)
+    listener.close_idle(5)
+    writer.write(GET)
+    response = await reader.readuntil(b'\r\n\r\n')
+    assert response.startswith(b'HTTP/1.1 200')
+    await asyncio.sleep(0.2)
+    listener.close_idle(0.1)
+    assert not await reader.read()
+    assert not listener.connections
+
+
 async def test_incomplete_head_is_rejected_with_408(listen):
     limits = InboundLimits(header_timeout_seconds=0.1)
     _, _, reader, writer = await listen(respond_ok, limits)
--- a/galenaswitch/programs/vm_stop.py
+++ b/galenaswitch/programs/vm_stop.py
@@ -13,6 +13,9 @@
 # The port of callers closes these seconds before the end of a stop, so that
 # each connection that was accepted gets its answer.
 CLOSED_PORT_SECONDS = 0.3
+# A connection that was opened a moment ago has this many seconds for the begin
+# of its request. Its caller learns nothing from a close.
+LEAST_IDLE_SECONDS = 0.25
 
 
 class Draining:
@@ -36,7 +39,7 @@
         """
         self._callers.draining = True
         while time.monotonic() < self.end - CLOSED_PORT_SECONDS:
-            self._callers.close_idle()
+            self._callers.close_idle(LEAST_IDLE_SECONDS)
             if not self._is_busy:
                 break
             await asyncio.sleep(STOP_POLL_SECONDS)
@@ -45,7 +48,7 @@
         # What was accepted before the port closed is read first.
         await asyncio.sleep(STOP_POLL_SECONDS)
         while self._is_busy and time.monotonic() < self.end:
-            self._callers.close_idle()
+            self._callers.close_idle(LEAST_IDLE_SECONDS)
             await asyncio.sleep(STOP_POLL_SECONDS)
 
     @property
