Tests of late streams have a file of their own, and two checks more

Change: the nine tests of bounds stand in test_late_streams.py, unchanged but for their fixtures. A stream has to leave room for a silence, and one that waited is refused late in a stop though similar ones would fit.

--- a/galenaswitch/platform/tests/test_draining.py
+++ b/galenaswitch/platform/tests/test_draining.py
@@ -4,16 +4,13 @@
 from unittest.mock import Mock
 
 import pytest
-from structlog.testing import capture_logs
 
 from galenaswitch.connections.requests import InboundRequest
 from galenaswitch.draining.estimates import (
     MIN_SIMILAR_STREAMS,
     SILENCE_SECONDS,
-    EngineLoad,
 )
 from galenaswitch.draining.maxima import WINDOW_SECONDS
-from galenaswitch.draining.paces import MIN_MEASUREMENTS
 from galenaswitch.gateway.draining import Draining
 from galenaswitch.gateway.handling import Gateway
 from galenaswitch.gateway.routes import CallKind
@@ -157,16 +154,32 @@
 
 # Guards against requests that get a target late in a stop, after a wait, and
 # are cut.
+# Late in a stop, similar streams don't bound it.
 @pytest.mark.parametrize(
-    ('running', 'taken'), [(4.5, False), (1.0, True), (None, False)]
+    ('running', 'noticed', 'taken'),
+    [
+        (4.5, False, False),
+        (1.0, False, True),
+        (None, False, False),
+        (1.0, True, False),
+        (None, True, False),
+    ],
 )
 async def test_waiting_stream_is_refused_before_its_target_gets_it(
-    make_route, scripted, run_stream, observe, stop, writer, running, taken
+    make_route,
+    scripted,
+    run_stream,
+    observe,
+    stop,
+    writer,
+    running,
+    noticed,
+    taken,
 ):
     route = make_route(CallKind.stream, timeout=15.0)
     if running:
         observe(route, 0, running)
-    stop(3, noticed=False)
+    stop(3, noticed=noticed)
     target = await scripted([COMPLETE_STREAM])
     headers = {'X-Deadline-Ms': '15000', **make_usage(20)}
     if taken:
@@ -281,176 +294,3 @@
     draining.durations.observe(request, time.monotonic() - 1)
     stop(7, noticed=False)
     assert await is_taken(route) == resumable
-
-
-@pytest.fixture
-def measure_pace(draining, monkeypatch):
-    """Return a function that measures streams at an engine of ``desk``.
-
-    :param gap: seconds from one event to the next.
-    :param load: streams that run at one time.
-    """
-    clock = Mock(monotonic=time.monotonic)
-    monkeypatch.setattr('galenaswitch.draining.paces.time', clock)
-
-    def measure(gap, load=1, engine='e1', prompt=300):
-        now = time.monotonic() - 10
-        for _ in range(MIN_MEASUREMENTS):
-            clock.monotonic = Mock(return_value=now)
-            found = draining.paces.get('desk', engine)
-            streams = [found.begin(prompt, load) for _ in range(load)]
-            for count in range(1, 12):
-                clock.monotonic = Mock(return_value=now + gap * count)
-                for stream in streams:
-                    stream.record_events(count)
-            for stream in streams:
-                stream.end()
-        clock.monotonic = time.monotonic
-
-    return measure
-
-
-@pytest.fixture
-def send_late(make_route, make_caller_request, draining):
-    """Return a function that tells whether a stream is sent to an engine.
-
-    :param tokens: number of tokens that it names.
-    :param load: streams at the engine with it.
-    """
-
-    def send(tokens, load=1, engine='e1', prompt=300, is_cold=False):
-        route = make_route(CallKind.stream, timeout=30.0)
-        headers = {
-            'X-Deadline-Ms': '30000',
-            'X-Token-Usage': f'{prompt},{tokens}',
-        }
-        request = make_caller_request(route, **headers)
-        try:
-            most_load = draining.check_send(
-                request, EngineLoad(engine, load, is_cold)
-            )
-        except RefusedError:
-            return False
-        stream = draining.paces.get('desk', engine).begin(prompt, load)
-        stream.most_load = most_load
-        return True
-
-    return send
-
-
-# Guards against streams that a stop takes since those before them were short,
-# though they may be longer, and cuts (review, case 8).
-@pytest.mark.parametrize(
-    ('tokens', 'taken'), [(0, False), (20, True), (60, True), (648, False)]
-)
-def test_named_tokens_bound_a_stream_late_in_a_stop(
-    make_route, observe, measure_pace, send_late, stop, tokens, taken
-):
-    observe(make_route(CallKind.stream), 0, 0.44, size=tokens)
-    measure_pace(0.022)
-    stop(4.15)
-    assert send_late(tokens) == taken
-
-
-# Guards against a pace at few requests that is expected at many, and against a
-# stream that slows those that were taken before it.
-def test_more_streams_than_measured_slow_each_other(
-    measure_pace, send_late, stop
-):
-    measure_pace(0.022)
-    stop(4.15)
-    taken = [send_late(20, load) for load in range(1, 31)]
-    assert taken == [load <= 3 for load in range(1, 31)]
-
-
-def test_stream_is_refused_that_would_slow_longer_ones(
-    measure_pace, send_late, stop
-):
-    measure_pace(0.022)
-    stop(4.15)
-    assert send_late(60)
-    assert not send_late(20, load=2)
-    assert send_late(20, load=2, engine='e2')
-
-
-@pytest.mark.parametrize('load', [1, 6])
-def test_pace_at_the_highest_load_holds_for_lower_ones(
-    measure_pace, send_late, stop, load
-):
-    measure_pace(0.02)
-    measure_pace(0.1, load=6)
-    stop(4.15)
-    assert not send_late(20, load)
-    assert send_late(16, load)
-
-
-# Guards against an engine that is taken for another one, or for one that has
-# been up for longer, and against a longer prompt than all measured ones.
-@pytest.mark.parametrize(
-    ('changes', 'taken'),
-    [
-        ({}, True),
-        ({'engine': 'slow'}, False),
-        ({'engine': 'unknown'}, False),
-        ({'is_cold': True}, False),
-        ({'prompt': 30_000}, False),
-    ],
-)
-def test_pace_of_the_engine_and_prompt_counts(
-    measure_pace, send_late, stop, changes, taken
-):
-    measure_pace(0.022)
-    measure_pace(0.2, engine='slow')
-    stop(4.15)
-    assert send_late(20, **changes) == taken
-
-
-# Guards against a promise from measurements that are too few or too old.
-@pytest.mark.parametrize(('age', 'taken'), [(0, True), (130, False)])
-def test_old_pace_promises_nothing(
-    measure_pace, send_late, stop, monkeypatch, age, taken
-):
-    measure_pace(0.022)
-    later = Mock(monotonic=lambda: time.monotonic() + age)
-    monkeypatch.setattr('galenaswitch.draining.paces.time', later)
-    stop(4.15)
-    assert send_late(20) == taken
-
-
-def test_process_that_has_just_started_promises_nothing(send_late, stop):
-    stop(7.25)
-    assert not send_late(1)
-
-
-# Guards against a wait for an engine until it is too late for the stream.
-def test_wait_for_an_engine_ends_while_the_stream_fits(
-    make_route, make_caller_request, draining, measure_pace, stop
-):
-    route = make_route(CallKind.stream, timeout=30.0)
-    headers = {'X-Deadline-Ms': '30000', 'X-Token-Usage': '300,20'}
-    request = make_caller_request(route, **headers)
-    assert draining.find_send_time(request) == float('inf')
-    measure_pace(0.022)
-    stop(4.15)
-    assert 1.5 < draining.find_send_time(request) < 2.9
-
-
-# Guards against decisions of a stop that its logs don't explain.
-def test_stop_logs_what_it_decides_and_cuts(
-    make_route, make_caller_request, draining, measure_pace, stop
-):
-    route = make_route(CallKind.stream, timeout=30.0)
-    headers = {'X-Deadline-Ms': '30000', 'X-Token-Usage': '300,20'}
-    request = make_caller_request(route, **headers)
-    measure_pace(0.022)
-    stop(4.15)
-    with capture_logs() as lines:
-        draining.check_send(request, EngineLoad('e1', 1, is_cold=False))
-        draining.log_cut(request)
-        draining.forget(request)
-        draining.log_cut(request)
-    decided, cut, unknown = lines
-    assert (decided['taken'], decided['basis']) == (True, 'tokens')
-    assert decided['event_seconds'] == pytest.approx(0.022)
-    assert (cut['expected'], cut['tokens']) == (decided['expected'], 20)
-    assert unknown['basis'] == 'before-stop'
--- a/galenaswitch/platform/tests/test_stopping_streams.py
+++ b/galenaswitch/platform/tests/test_stopping_streams.py
@@ -127,7 +127,7 @@
 
 
 # Guards against streams that a stop takes late and cuts, as others that named
-# as many tokens were shorter (review, case 8), and against short ones that it
+# as many tokens were shorter, and against short ones that it
 # refuses though they name few. A change of the settings ends no stop.
 @pytest.mark.timeout(90)
 @pytest.mark.parametrize('changes_settings', [False, True])
