--- a/review/kit3.py
+++ b/review/kit3.py
@@ -163,6 +163,7 @@
         self.address = ''
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, ip: str) -> None:
         """Listen on a free port of a loopback address."""
@@ -184,6 +185,7 @@
         task = asyncio.current_task()
         assert task
         self._tasks.add(task)
+        self.writers.add(writer)
         try:
             await self.serve(reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -191,6 +193,7 @@
             pass
         finally:
             self._tasks.discard(task)
+            self.writers.discard(writer)
             writer.close()
 
     async def serve(
