--- a/review/kit3.py
+++ b/review/kit3.py
@@ -1,4 +1,4 @@
-"""Stand-ins and helpers of the cases 11 to 15: standard library only.
+"""Stand-ins and helpers of the cases 11 to 14: standard library only.
 
 A case starts edge processes with the command of the deploy file, each at a
 loopback address of its own, beside a store, runners and callers of this module.
@@ -40,7 +40,7 @@
 listen.control={ip}:8003
 port-range=7740,7755
 seeds={seeds}
-bootstrap=true
+bootstrap={first}
 in-tolerance=false
 limits.cpu-share=0.537
 limits.cores=2
@@ -461,26 +461,27 @@
         self._record = record
         self._stopping = False
         self._killed = False
+        self._settings = ''
         self._watch: asyncio.Task[None] | None = None
 
     def start(self, store: str, seeds: list[str]) -> None:
         """Start the process with the command of the deploy file."""
         path = self._folder / f'{self.name}.conf'
-        path.write_text(
-            SETTINGS.format(
-                name=self.name,
-                ip=self.ip,
-                zone=self.zone,
-                seeds=','.join(f'{seed}:8003' for seed in seeds),
-                memory=self.memory_mb,
-                store=store,
-            ),
-            encoding='utf-8',
+        self._settings = SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            zone=self.zone,
+            seeds=','.join(f'{seed}:8003' for seed in seeds),
+            memory=self.memory_mb,
+            store=store,
+            first='{first}',
         )
-        self._spawn(path)
+        self._spawn(path, 'true')
         self._watch = asyncio.create_task(self._watch_process(path))
 
-    def _spawn(self, path: Path) -> None:
+    def _spawn(self, path: Path, first: str) -> None:
+        """Start the process; ``bootstrap`` is true at its first start only."""
+        path.write_text(self._settings.format(first=first), encoding='utf-8')
         deploy = tomllib.loads(
             (ROOT / 'deploy/system.toml').read_text(encoding='utf-8')
         )['roles']['edge']
@@ -518,7 +519,7 @@
                     self._note_end(f'by itself: {process.returncode}')
                 await asyncio.sleep(0.5)
                 if not self._stopping:
-                    self._spawn(path)
+                    self._spawn(path, 'false')
             await asyncio.sleep(0.01)
 
     def _note_end(self, how: str) -> None:
@@ -564,10 +565,14 @@
 
 
 def read_memory_mb(pid: int) -> float:
-    """Return the resident memory of a process in MB of 1,048,576 bytes."""
+    """Return the memory of a process in MB of 1,048,576 bytes.
+
+    Pages of files that are mapped, as programs and libraries, don't count.
+    """
     with contextlib.suppress(OSError, IndexError, ValueError):
         text = Path(f'/proc/{pid}/statm').read_text(encoding='ascii')
-        return int(text.split()[1]) * os.sysconf('SC_PAGE_SIZE') / MEBIBYTE
+        resident, shared = map(int, text.split()[1:3])
+        return (resident - shared) * os.sysconf('SC_PAGE_SIZE') / MEBIBYTE
     return 0.0
 
 
