--- a/review/kit3.py
+++ b/review/kit3.py
@@ -1,4 +1,4 @@
-"""Stand-ins and helpers of the cases 11 to 14: standard library only.
+"""Stand-ins and helpers of the cases 11 to 15: standard library only.
 
 A case starts edge processes with the command of the deploy file, each at a
 loopback address of its own, beside a store, runners and callers of this module.
