--- a/review/kit3.py
+++ b/review/kit3.py
@@ -26,6 +26,8 @@
 PORTS = {'front': 8001, 'ready': 8002, 'control': 8003, 'metrics': 9464}
 MEBIBYTE = 1_048_576
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+# Characters of an id that are recorded, its last ones.
+SHOWN = 32
 SETTINGS = """\
 node-name={name}
 role=edge
@@ -402,7 +404,7 @@
             return make_answer(200)
         if call.target == '/api/stage-run':
             return await self._run_pieces(call)
-        ident = call.headers.get('x-attempt-id', '')
+        ident = call.headers.get('x-attempt-id', '')[-SHOWN:]
         self.arrived.append((self._record.now(), ident))
         return await self.on_run(call)
 
@@ -434,6 +436,44 @@
         return make_answer(200, headers, body)
 
 
+class ModelRunner(Runner):
+    """Model runner that takes the time of a sheet and streams one event.
+
+    It reads prompts one after another, and keeps none of their parts.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        record: Record,
+        service: str,
+        step_ms: float,
+        tokens_per_ms: float,
+    ) -> None:
+        """Build a model runner of a service.
+
+        :param step_ms: time of the step that makes the event.
+        :param tokens_per_ms: prompt tokens that are read in a millisecond.
+        """
+        super().__init__(store, record, service)
+        self.on_run = self.stream
+        self._step_seconds = step_ms / 1000
+        self._tokens_per_second = tokens_per_ms * 1000
+        self._reading = asyncio.Lock()
+
+    async def stream(self, call: Call) -> bytes:
+        """Run a request for a stream and answer it with one event."""
+        ident = call.headers.get('x-attempt-id', '')[-SHOWN:]
+        tokens = int(call.headers['x-token-usage'].partition(',')[0])
+        async with self._reading:
+            await asyncio.sleep(tokens / self._tokens_per_second)
+        self.note_run(ident)
+        await asyncio.sleep(self._step_seconds)
+        event = b'id: 1\ndata: %b\n\n' % call.body
+        headers = {**self.seal(call), 'Content-Type': 'text/event-stream'}
+        return make_answer(200, headers, event)
+
+
 class Edge:
     """Process of an edge machine; the platform restarts it when it ends.
 
